Lay the ground: settings, store trait, stand-in store, policy boundary

Cause: nothing existed, and the parts of the system need shared types before they can be built side by side.

Conclusion: the boundary is enough to start the thin path.

--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,4 @@
+//! What entry processes agree on with one another and with the platform.
+
+pub mod store;
+pub mod store_http;
--- /dev/null
+++ b/src/decisions/mod.rs
@@ -0,0 +1,36 @@
+//! Decisions under load: what is let in, what waits, what is turned away, where work goes and how
+//! fast traffic shifts.
+//!
+//! Everything here takes its inputs and the time as arguments and returns what to do. Nothing
+//! here reads a clock, opens a socket or draws a random number from outside, so that each
+//! decision can be read, tested and measured on its own. The entry process and the benchmark
+//! drive the same [`policy::Policy`].
+
+pub mod naive;
+pub mod policy;
+
+#[cfg(test)]
+mod tests {
+    use std::fs;
+
+    /// A decision that reads a clock or a socket cannot be played in virtual time: the benchmark
+    /// would then measure something else than what runs.
+    #[test]
+    fn no_clock_and_no_network_in_here() {
+        let banned = [
+            concat!("std::", "net"),
+            concat!("Instant::", "now"),
+            concat!("SystemTime::", "now"),
+            concat!("crate::", "transport"),
+            concat!("tok", "io"),
+            concat!("rand::", "rng("),
+        ];
+        for entry in fs::read_dir("src/decisions").unwrap() {
+            let path = entry.unwrap().path();
+            let text = fs::read_to_string(&path).unwrap();
+            for word in banned {
+                assert!(!text.contains(word), "{} uses {word}", path.display());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/decisions/naive.rs
@@ -0,0 +1,221 @@
+//! The naive version that every decision is measured against: equal weights, no bound on what
+//! waits at a backend server, retry thrice.
+//!
+//! It answers no load pattern. It is kept for the differential tests and the benchmark.
+
+use std::collections;
+use std::time;
+
+use super::policy;
+use crate::id;
+use policy::{Action, Ended, Fate, Place, Policy, Refusal};
+
+/// When a refused caller is asked to come back.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// What the naive version does on failure.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Attempts after the first.
+    pub retries: u32,
+    /// Also send a non-idempotent request again whose fate is not known. Only the benchmark sets
+    /// this, to count the second runs that it causes.
+    pub retry_unknown: bool,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            retries: 3,
+            retry_unknown: false,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Pending {
+    req: policy::Arrival,
+    retries_left: u32,
+    maybe_run: bool,
+}
+
+/// Sends each request at once to the next backend server in turn.
+#[derive(Debug, Default)]
+pub struct Naive {
+    cfg: Config,
+    backends: Vec<id::VmId>,
+    next: usize,
+    pending: collections::HashMap<policy::RequestId, Pending>,
+}
+
+impl Naive {
+    /// A naive policy without backend servers yet.
+    pub fn new(cfg: Config) -> Self {
+        Self {
+            cfg,
+            ..Self::default()
+        }
+    }
+
+    fn send(&mut self, id: policy::RequestId, out: &mut Vec<Action>) {
+        let Some(pending) = self.pending.get(&id) else {
+            return;
+        };
+        if self.backends.is_empty() {
+            return self.settle(id, Refusal::NoBackend, out);
+        }
+        self.next = (self.next + 1) % self.backends.len();
+        out.push(Action::Send {
+            req: id,
+            to: Place::Backend(self.backends[self.next].clone()),
+            deadline: pending.req.deadline,
+        });
+    }
+
+    fn settle(&mut self, id: policy::RequestId, why: Refusal, out: &mut Vec<Action>) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        let fate = if pending.maybe_run {
+            Fate::Unknown {
+                retry_after: RETRY_AFTER,
+            }
+        } else {
+            Fate::NotRun {
+                why,
+                retry_after: RETRY_AFTER,
+            }
+        };
+        out.push(Action::Settle { req: id, fate });
+    }
+}
+
+impl Policy for Naive {
+    fn arrive(&mut self, _now: policy::Moment, req: policy::Arrival, out: &mut Vec<Action>) {
+        let id = req.id;
+        let pending = Pending {
+            req,
+            retries_left: self.cfg.retries,
+            maybe_run: false,
+        };
+        self.pending.insert(id, pending);
+        self.send(id, out);
+    }
+
+    fn ended(
+        &mut self,
+        now: policy::Moment,
+        req: policy::RequestId,
+        _at: &Place,
+        how: Ended,
+        _report: Option<policy::Report>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&req) else {
+            return;
+        };
+        if matches!(how, Ended::Answered | Ended::Failed) {
+            self.pending.remove(&req);
+            let fate = Fate::Answer;
+            return out.push(Action::Settle { req, fate });
+        }
+        let ran_maybe = !matches!(how, Ended::Shed | Ended::NotSent);
+        pending.maybe_run |= ran_maybe && !pending.req.idempotent;
+        let safe = pending.req.idempotent || !pending.maybe_run || self.cfg.retry_unknown;
+        if safe && pending.retries_left > 0 && now < pending.req.deadline {
+            pending.retries_left -= 1;
+            return self.send(req, out);
+        }
+        pending.maybe_run |= ran_maybe;
+        self.settle(req, Refusal::Shed, out);
+    }
+
+    fn gone(&mut self, _now: policy::Moment, _req: policy::RequestId, _out: &mut Vec<Action>) {}
+
+    fn tick(&mut self, _now: policy::Moment, _out: &mut Vec<Action>) {}
+
+    fn set_backends(
+        &mut self,
+        _now: policy::Moment,
+        backends: &[policy::Backend],
+        _out: &mut Vec<Action>,
+    ) {
+        self.backends = backends
+            .iter()
+            .filter(|b| !b.leaving)
+            .map(|b| b.id.clone())
+            .collect();
+    }
+
+    fn report(
+        &mut self,
+        _now: policy::Moment,
+        _from: &id::VmId,
+        _report: Option<policy::Report>,
+        _out: &mut Vec<Action>,
+    ) {
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn arrival(idempotent: bool) -> policy::Arrival {
+        policy::Arrival {
+            id: policy::RequestId(1),
+            caller: policy::CallerId(1),
+            fingerprint: policy::Fingerprint(1),
+            origin: policy::Origin::Caller,
+            idempotent,
+            worth: 1,
+            typical: time::Duration::from_millis(5),
+            deadline: time::Duration::from_secs(1),
+            bytes: 100,
+        }
+    }
+
+    fn naive() -> Naive {
+        let mut naive = Naive::new(Config::default());
+        let backends = ["a", "b"].map(|id| policy::Backend {
+            id: id.into(),
+            slots: 3,
+            leaving: false,
+        });
+        naive.set_backends(policy::Moment::ZERO, &backends, &mut Vec::new());
+        naive
+    }
+
+    /// A backend server dies while it works on a booking. Sent again, the booking could run twice
+    /// and bill one bay to two members.
+    #[test]
+    fn a_lost_booking_is_not_sent_again() {
+        let (mut naive, mut out) = (naive(), Vec::new());
+        naive.arrive(policy::Moment::ZERO, arrival(false), &mut out);
+        let Some(Action::Send { req, to, .. }) = out.pop() else {
+            panic!("nothing was sent");
+        };
+        let now = time::Duration::from_millis(1);
+        naive.ended(now, req, &to, Ended::Lost, None, &mut out);
+        let settled = matches!(
+            out[..],
+            [Action::Settle {
+                fate: Fate::Unknown { .. },
+                ..
+            }]
+        );
+        assert!(settled, "{out:?}");
+    }
+
+    #[test]
+    fn a_lost_read_is_sent_elsewhere() {
+        let (mut naive, mut out) = (naive(), Vec::new());
+        naive.arrive(policy::Moment::ZERO, arrival(true), &mut out);
+        let Some(Action::Send { req, to, .. }) = out.pop() else {
+            panic!("nothing was sent");
+        };
+        let now = time::Duration::from_millis(1);
+        naive.ended(now, req, &to, Ended::Lost, None, &mut out);
+        assert!(matches!(&out[..], [Action::Send { to: next, .. }] if *next != to));
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,1 @@
+//! Messages and headers, their checks and their codecs.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,239 @@
+//! Operators' settings: what they declare, how it is read and how it is checked.
+//!
+//! Settings are TOML files under `teams/<team>/`. A team's files are read as one [`Team`]; all
+//! teams together give the [`Settings`] that are in force. Regions, links and drains of whole
+//! places belong to the team [`PLACES_TEAM`]; services belong to the team that declares them.
+
+mod check;
+mod places;
+mod service;
+
+use std::collections;
+use std::fs;
+use std::path;
+
+use crate::id;
+
+pub use places::{ClientBlock, Drain, DrainTarget, Link, Prefer, Region};
+pub use service::{Objective, Operation, Service};
+
+/// The team whose subtree declares regions, links and client blocks.
+pub const PLACES_TEAM: &str = "places";
+
+/// The largest text of one team, which leaves room for its envelope in a store value of 1 MB.
+pub const MAX_TEAM_BYTES: usize = 900_000;
+
+/// A fault in the settings.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The text is not TOML, or holds a key that is not known.
+    #[error("{origin}: {reason}")]
+    Parse {
+        /// The file, or the team where there is no file.
+        origin: String,
+        /// What the parser said, with the line.
+        reason: String,
+    },
+    /// The text is TOML but a value is not allowed.
+    #[error("{origin}: {what}; {remedy}")]
+    Value {
+        /// The file, or the team where there is no file.
+        origin: String,
+        /// What is wrong.
+        what: String,
+        /// What to write instead.
+        remedy: String,
+    },
+    /// A file could not be read.
+    #[error("cannot read {path}: {reason}; check that it exists and that this user may read it")]
+    Read {
+        /// The file or directory.
+        path: String,
+        /// What the system said.
+        reason: String,
+    },
+}
+
+data! {
+    /// What one team declares.
+    #[derive(Default)]
+    #[serde(deny_unknown_fields)]
+    pub struct Team {
+        /// Regions, with their availability zones and limits.
+        #[serde(default, rename = "region")]
+        pub regions: Vec<places::Region>,
+        /// Links between regions.
+        #[serde(default, rename = "link")]
+        pub links: Vec<places::Link>,
+        /// Which callers' addresses lie in which region.
+        #[serde(default, rename = "client_block")]
+        pub client_blocks: Vec<places::ClientBlock>,
+        /// Drains, dated ahead.
+        #[serde(default, rename = "drain")]
+        pub drains: Vec<places::Drain>,
+        /// Services.
+        #[serde(default, rename = "service")]
+        pub services: Vec<service::Service>,
+        /// What this deployment weighs most.
+        #[serde(default)]
+        pub prefer: Option<places::Prefer>,
+    }
+
+    /// The settings in force: every team's part, checked on its own and against the others.
+    #[derive(Default)]
+    pub struct Settings {
+        /// Each team's part.
+        pub teams: collections::BTreeMap<id::TeamId, Team>,
+    }
+}
+
+impl Team {
+    /// Reads a team's part from TOML text. `origin` names the file or the team in errors.
+    pub fn parse(origin: &str, text: &str) -> Result<Self, Error> {
+        toml::from_str(text).map_err(|err| Error::Parse {
+            origin: origin.to_owned(),
+            reason: err.to_string().trim_end().replace('\n', "\n  "),
+        })
+    }
+
+    /// Reads all `*.toml` files of a team's directory, in the order of their names.
+    pub fn read(dir: &path::Path) -> Result<Self, Error> {
+        let mut team = Self::default();
+        for path in toml_files(dir)? {
+            let text = fs::read_to_string(&path).map_err(|err| read_error(&path, &err))?;
+            team.join(Self::parse(&path.display().to_string(), &text)?);
+        }
+        Ok(team)
+    }
+
+    /// The TOML text that parses back to this part.
+    pub fn to_toml(&self) -> String {
+        toml::to_string_pretty(self).expect("a team's part has only values that TOML can hold")
+    }
+
+    fn join(&mut self, other: Self) {
+        self.regions.extend(other.regions);
+        self.links.extend(other.links);
+        self.client_blocks.extend(other.client_blocks);
+        self.drains.extend(other.drains);
+        self.services.extend(other.services);
+        self.prefer = other.prefer.or(self.prefer);
+    }
+}
+
+impl Settings {
+    /// Reads every team under `root/teams` and checks the whole.
+    pub fn read(root: &path::Path) -> Result<Self, Error> {
+        let teams_dir = root.join("teams");
+        let entries = fs::read_dir(&teams_dir).map_err(|err| read_error(&teams_dir, &err))?;
+        let mut settings = Self::default();
+        for entry in entries {
+            let path = entry.map_err(|err| read_error(&teams_dir, &err))?.path();
+            if !path.is_dir() {
+                continue;
+            }
+            let name = path.file_name().unwrap_or_default().to_string_lossy();
+            let team = Team::read(&path)?;
+            settings.teams.insert(name.as_ref().into(), team);
+        }
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks each team's part and what they say of one another.
+    pub fn check(&self) -> Result<(), Error> {
+        check::settings(self)
+    }
+
+    /// All regions.
+    pub fn regions(&self) -> impl Iterator<Item = &places::Region> {
+        self.teams.values().flat_map(|team| &team.regions)
+    }
+
+    /// The region that holds an availability zone.
+    pub fn region_of(&self, az: &id::AzId) -> Option<&places::Region> {
+        self.regions().find(|region| region.azs.contains(az))
+    }
+
+    /// All links between regions.
+    pub fn links(&self) -> impl Iterator<Item = &places::Link> {
+        self.teams.values().flat_map(|team| &team.links)
+    }
+
+    /// All client blocks.
+    pub fn client_blocks(&self) -> impl Iterator<Item = &places::ClientBlock> {
+        self.teams.values().flat_map(|team| &team.client_blocks)
+    }
+
+    /// All drains, past and to come.
+    pub fn drains(&self) -> impl Iterator<Item = &places::Drain> {
+        self.teams.values().flat_map(|team| &team.drains)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &service::Service> {
+        self.teams.values().flat_map(|team| &team.services)
+    }
+
+    /// One service by its name.
+    pub fn service(&self, name: &str) -> Option<&service::Service> {
+        self.services()
+            .find(|service| service.name.as_str() == name)
+    }
+
+    /// What this deployment weighs most.
+    pub fn prefer(&self) -> places::Prefer {
+        self.teams
+            .values()
+            .find_map(|team| team.prefer)
+            .unwrap_or_default()
+    }
+}
+
+fn toml_files(dir: &path::Path) -> Result<Vec<path::PathBuf>, Error> {
+    let entries = fs::read_dir(dir).map_err(|err| read_error(dir, &err))?;
+    let mut paths = Vec::new();
+    for entry in entries {
+        let path = entry.map_err(|err| read_error(dir, &err))?.path();
+        if path.extension().is_some_and(|ext| ext == "toml") {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+fn read_error(path: &path::Path, err: &std::io::Error) -> Error {
+    Error::Read {
+        path: path.display().to_string(),
+        reason: err.to_string(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn both_deployments_are_sound() {
+        for deployment in ["cooperative", "claims"] {
+            let root = path::Path::new("examples").join(deployment);
+            let settings = Settings::read(&root).unwrap();
+            assert_eq!(settings.regions().count(), 3, "{deployment}");
+            assert_eq!(settings.services().count(), 3, "{deployment}");
+        }
+    }
+
+    #[test]
+    fn a_printed_part_parses_back() {
+        let team = Team::read(path::Path::new("examples/cooperative/teams/places")).unwrap();
+        assert_eq!(Team::parse("printed", &team.to_toml()).unwrap(), team);
+    }
+
+    #[test]
+    fn an_unknown_key_is_refused_with_its_line() {
+        let err = Team::parse("x.toml", "[[service]]\nname = \"a\"\nslotz = 3\n").unwrap_err();
+        let text = err.to_string();
+        assert!(text.contains("line 3") && text.contains("slotz"), "{text}");
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,5 @@
+//! Small stand-ins for what the users run: the platform's store and backend servers.
+//!
+//! They exist for the tests, the benchmarks and the example; no product code uses them.
+
+pub mod store;
--- /dev/null
+++ b/src/standin/store.rs
@@ -0,0 +1,476 @@
+//! A stand-in for the platform's store: in memory, with faults that can be switched on.
+//!
+//! [`Memory`] is the store itself and implements [`store::Store`] directly, so that tests need no
+//! sockets. [`serve`] puts it behind the HTTP wire of [`store_http`].
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use crate::coordination::{store, store_http};
+use crate::id;
+use store::Store;
+
+/// The largest value, as on the platform.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// How many writes the history keeps before a watch gets a gap.
+const HISTORY: usize = 4096;
+
+/// How often a waiting watch looks whether an outage has begun.
+const WATCH_POLL: time::Duration = time::Duration::from_millis(20);
+
+/// The faults that are switched on.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Every call is refused.
+    pub down: bool,
+    /// Every call takes this much longer.
+    pub delay: time::Duration,
+    /// So many of the next writes take effect but their reply is lost.
+    pub lose_write_replies: u32,
+    /// The list of VMs stays as it is.
+    pub freeze_vms: bool,
+}
+
+/// How many calls were made, by kind.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads, watches and reads of the list of VMs.
+    pub reads: u64,
+    /// Writes and lease calls.
+    pub writes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    revision: u64,
+    entries: collections::BTreeMap<String, (Vec<u8>, u64, Option<u64>)>,
+    history: collections::VecDeque<store::Entry>,
+    leases: collections::BTreeMap<u64, (time::Duration, time::Instant)>,
+    vms: collections::BTreeMap<id::VmId, store::Vm>,
+    shown_vms: Vec<store::Vm>,
+    faults: Faults,
+    calls: Calls,
+}
+
+/// A store in memory. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    shared: sync::Arc<(parking_lot::Mutex<Inner>, parking_lot::Condvar)>,
+}
+
+impl Memory {
+    /// Switches faults on and off.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.0.lock().faults = faults;
+        self.shared.1.notify_all();
+    }
+
+    /// How many calls were made so far.
+    pub fn calls(&self) -> Calls {
+        self.shared.0.lock().calls.clone()
+    }
+
+    /// Puts a VM on the list, or changes its row.
+    pub fn put_vm(&self, vm: store::Vm) {
+        self.shared.0.lock().vms.insert(vm.id.clone(), vm);
+    }
+
+    /// Takes a VM off the list.
+    pub fn remove_vm(&self, vm: &id::VmId) {
+        self.shared.0.lock().vms.remove(vm);
+    }
+
+    /// Forgets the history of writes, so that every watch gets a gap.
+    pub fn forget_history(&self) {
+        self.shared.0.lock().history.clear();
+    }
+
+    /// Everything in the store, to be put back by [`Memory::restore`].
+    pub fn backup(&self) -> store::Snapshot {
+        let inner = self.shared.0.lock();
+        snapshot(&inner, "")
+    }
+
+    /// Puts the store back to an older state, as a restore from a backup does.
+    pub fn restore(&self, backup: &store::Snapshot) {
+        let mut inner = self.shared.0.lock();
+        inner.revision = backup.revision.0;
+        inner.history.clear();
+        inner.entries = backup
+            .entries
+            .iter()
+            .map(|e| (e.key.clone(), (e.value.clone(), e.revision.0, None)))
+            .collect();
+        self.shared.1.notify_all();
+    }
+
+    fn enter(&self, writes: bool) -> Result<parking_lot::MutexGuard<'_, Inner>, store::Error> {
+        let mut inner = self.shared.0.lock();
+        if writes {
+            inner.calls.writes += 1;
+        } else {
+            inner.calls.reads += 1;
+        }
+        let delay = inner.faults.delay;
+        if !delay.is_zero() {
+            parking_lot::MutexGuard::unlocked(&mut inner, || thread::sleep(delay));
+        }
+        if inner.faults.down {
+            return Err(store::Error::Unavailable("the store is down".to_owned()));
+        }
+        lapse(&mut inner);
+        Ok(inner)
+    }
+}
+
+impl Store for Memory {
+    fn get(&self, key: &str) -> Result<Option<store::Entry>, store::Error> {
+        let inner = self.enter(false)?;
+        Ok(inner
+            .entries
+            .get(key)
+            .map(|(value, revision, _)| store::Entry {
+                key: key.to_owned(),
+                value: value.clone(),
+                revision: store::Revision(*revision),
+            }))
+    }
+
+    fn list(&self, prefix: &str) -> Result<store::Snapshot, store::Error> {
+        Ok(snapshot(&*self.enter(false)?, prefix))
+    }
+
+    fn compare_and_swap(
+        &self,
+        key: &str,
+        expect: store::Revision,
+        value: &[u8],
+        lease: Option<store::LeaseId>,
+    ) -> Result<store::Revision, store::Error> {
+        let mut inner = self.enter(true)?;
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(store::Error::TooLarge(value.len()));
+        }
+        let now = inner
+            .entries
+            .get(key)
+            .map_or(0, |(_, revision, _)| *revision);
+        if now != expect.0 {
+            return Err(store::Error::Conflict {
+                key: key.to_owned(),
+                now: store::Revision(now),
+            });
+        }
+        if lease.is_some_and(|lease| !inner.leases.contains_key(&lease.0)) {
+            return Err(store::Error::LeaseGone);
+        }
+        let revision = write(&mut inner, key, value, lease.map(|lease| lease.0));
+        let lost = inner.faults.lose_write_replies > 0;
+        if lost {
+            inner.faults.lose_write_replies -= 1;
+        }
+        drop(inner);
+        self.shared.1.notify_all();
+        if lost {
+            return Err(store::Error::Unknown("the reply was lost".to_owned()));
+        }
+        Ok(revision)
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: store::Revision,
+        wait: time::Duration,
+    ) -> Result<store::Watch, store::Error> {
+        let until = time::Instant::now() + wait;
+        let mut inner = self.enter(false)?;
+        loop {
+            if inner.faults.down {
+                return Err(store::Error::Unavailable("the store went down".to_owned()));
+            }
+            lapse(&mut inner);
+            let known_from = inner.revision - inner.history.len() as u64;
+            if after.0 < known_from || after.0 > inner.revision {
+                return Ok(store::Watch::Gap);
+            }
+            let entries: Vec<_> = inner
+                .history
+                .iter()
+                .filter(|e| e.revision > after && e.key.starts_with(prefix))
+                .cloned()
+                .collect();
+            if !entries.is_empty() || time::Instant::now() >= until {
+                let revision = store::Revision(inner.revision);
+                return Ok(store::Watch::Events { revision, entries });
+            }
+            let next = until.min(time::Instant::now() + WATCH_POLL);
+            self.shared.1.wait_until(&mut inner, next);
+        }
+    }
+
+    fn grant(&self, ttl: time::Duration) -> Result<store::LeaseId, store::Error> {
+        let mut inner = self.enter(true)?;
+        inner.revision += 1;
+        let id = inner.revision;
+        // The revision that the lease took shows up in the history, so that none is missing.
+        inner.history.push_back(store::Entry {
+            key: String::new(),
+            value: Vec::new(),
+            revision: store::Revision(id),
+        });
+        inner.leases.insert(id, (ttl, time::Instant::now() + ttl));
+        Ok(store::LeaseId(id))
+    }
+
+    fn renew(&self, lease: store::LeaseId) -> Result<(), store::Error> {
+        let mut inner = self.enter(true)?;
+        let (ttl, until) = inner
+            .leases
+            .get_mut(&lease.0)
+            .ok_or(store::Error::LeaseGone)?;
+        *until = time::Instant::now() + *ttl;
+        Ok(())
+    }
+
+    fn revoke(&self, lease: store::LeaseId) -> Result<(), store::Error> {
+        let mut inner = self.enter(true)?;
+        inner
+            .leases
+            .remove(&lease.0)
+            .ok_or(store::Error::LeaseGone)?;
+        drop_keys_of(&mut inner, lease.0);
+        self.shared.1.notify_all();
+        Ok(())
+    }
+
+    fn vms(&self) -> Result<Vec<store::Vm>, store::Error> {
+        let mut inner = self.enter(false)?;
+        if !inner.faults.freeze_vms {
+            inner.shown_vms = inner.vms.values().cloned().collect();
+        }
+        Ok(inner.shown_vms.clone())
+    }
+}
+
+fn snapshot(inner: &Inner, prefix: &str) -> store::Snapshot {
+    let entries = inner
+        .entries
+        .range(prefix.to_owned()..)
+        .take_while(|(key, _)| key.starts_with(prefix))
+        .map(|(key, (value, revision, _))| store::Entry {
+            key: key.clone(),
+            value: value.clone(),
+            revision: store::Revision(*revision),
+        })
+        .collect();
+    store::Snapshot {
+        revision: store::Revision(inner.revision),
+        entries,
+    }
+}
+
+fn write(inner: &mut Inner, key: &str, value: &[u8], lease: Option<u64>) -> store::Revision {
+    inner.revision += 1;
+    let revision = store::Revision(inner.revision);
+    if value.is_empty() {
+        inner.entries.remove(key);
+    } else {
+        let row = (value.to_owned(), revision.0, lease);
+        inner.entries.insert(key.to_owned(), row);
+    }
+    inner.history.push_back(store::Entry {
+        key: key.to_owned(),
+        value: value.to_owned(),
+        revision,
+    });
+    if inner.history.len() > HISTORY {
+        inner.history.pop_front();
+    }
+    revision
+}
+
+fn lapse(inner: &mut Inner) {
+    let now = time::Instant::now();
+    let gone: Vec<u64> = inner
+        .leases
+        .iter()
+        .filter(|(_, (_, until))| *until < now)
+        .map(|(lease, _)| *lease)
+        .collect();
+    for lease in gone {
+        inner.leases.remove(&lease);
+        drop_keys_of(inner, lease);
+    }
+}
+
+fn drop_keys_of(inner: &mut Inner, lease: u64) {
+    let keys: Vec<String> = inner
+        .entries
+        .iter()
+        .filter(|(_, (_, _, of))| *of == Some(lease))
+        .map(|(key, _)| key.clone())
+        .collect();
+    for key in keys {
+        write(inner, &key, &[], None);
+    }
+}
+
+/// A store that answers over HTTP until it is dropped.
+pub struct Server {
+    addr: net::SocketAddr,
+    http: sync::Arc<tiny_http::Server>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Server {
+    /// Where it listens.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        for _ in &self.threads {
+            self.http.unblock();
+        }
+    }
+}
+
+/// Answers the store's wire on `addr`. `threads` calls are answered at a time; a waiting watch
+/// holds one of them.
+pub fn serve(memory: &Memory, addr: net::SocketAddr, threads: usize) -> io::Result<Server> {
+    let http = tiny_http::Server::http(addr).map_err(io::Error::other)?;
+    let bound = http.server_addr().to_ip().unwrap_or(addr);
+    let http = sync::Arc::new(http);
+    let threads = (0..threads)
+        .map(|_| {
+            let (http, memory) = (http.clone(), memory.clone());
+            thread::spawn(move || {
+                while let Ok(req) = http.recv() {
+                    answer(&memory, req);
+                }
+            })
+        })
+        .collect();
+    Ok(Server {
+        addr: bound,
+        http,
+        threads,
+    })
+}
+
+fn answer(memory: &Memory, mut req: tiny_http::Request) {
+    let call = match serde_json::from_reader(req.as_reader()) {
+        Ok(call) => call,
+        Err(err) => {
+            let text = format!("not a call of the store: {err}");
+            let _ = req.respond(tiny_http::Response::from_string(text).with_status_code(400));
+            return;
+        }
+    };
+    let reply = match perform(memory, call) {
+        // A lost reply is a closed connection without an answer.
+        Err(store::Error::Unknown(_)) => return drop(req.into_writer()),
+        Err(store::Error::Unavailable(why)) => store_http::Reply::Unavailable(why),
+        Err(store::Error::Conflict { key, now }) => store_http::Reply::Conflict { key, now },
+        Err(store::Error::LeaseGone) => store_http::Reply::LeaseGone,
+        Err(store::Error::TooLarge(len)) => store_http::Reply::TooLarge(len),
+        Ok(reply) => reply,
+    };
+    let body = serde_json::to_vec(&reply).expect("a reply has only values that JSON can hold");
+    let _ = req.respond(tiny_http::Response::from_data(body));
+}
+
+fn perform(memory: &Memory, call: store_http::Call) -> Result<store_http::Reply, store::Error> {
+    Ok(match call {
+        store_http::Call::Get { key } => store_http::Reply::Entry(memory.get(&key)?),
+        store_http::Call::List { prefix } => store_http::Reply::Snapshot(memory.list(&prefix)?),
+        store_http::Call::CompareAndSwap {
+            key,
+            expect,
+            value,
+            lease,
+        } => store_http::Reply::Written(memory.compare_and_swap(&key, expect, &value, lease)?),
+        store_http::Call::Watch {
+            prefix,
+            after,
+            wait_ms,
+        } => {
+            let wait = time::Duration::from_millis(wait_ms);
+            store_http::Reply::Watch(memory.watch(&prefix, after, wait)?)
+        }
+        store_http::Call::Grant { ttl_ms } => {
+            store_http::Reply::Lease(memory.grant(time::Duration::from_millis(ttl_ms))?)
+        }
+        store_http::Call::Renew { lease } => {
+            memory.renew(lease)?;
+            store_http::Reply::Done
+        }
+        store_http::Call::Revoke { lease } => {
+            memory.revoke(lease)?;
+            store_http::Reply::Done
+        }
+        store_http::Call::Vms => store_http::Reply::Vms(memory.vms()?),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_wire_and_the_store_agree() {
+        let memory = Memory::default();
+        let server = serve(&memory, "127.0.0.1:0".parse().unwrap(), 2).unwrap();
+        let client = store_http::Client::new(server.addr());
+        let first = client
+            .compare_and_swap("a/x", store::Revision(0), b"1", None)
+            .unwrap();
+        let err = client
+            .compare_and_swap("a/x", store::Revision(0), b"2", None)
+            .unwrap_err();
+        assert!(matches!(err, store::Error::Conflict { now, .. } if now == first));
+        assert_eq!(client.get("a/x").unwrap(), memory.get("a/x").unwrap());
+        let watch = client
+            .watch("a/", store::Revision(0), time::Duration::ZERO)
+            .unwrap();
+        assert!(matches!(watch, store::Watch::Events { entries, .. } if entries.len() == 1));
+    }
+
+    /// The store takes a write and its reply gets lost on the way. An operator who took that for
+    /// a failure would write again, or tell the team that nothing changed.
+    #[test]
+    fn a_lost_reply_is_unknown_and_the_write_is_there() {
+        let memory = Memory::default();
+        let server = serve(&memory, "127.0.0.1:0".parse().unwrap(), 2).unwrap();
+        let client = store_http::Client::new(server.addr());
+        memory.set_faults(Faults {
+            lose_write_replies: 1,
+            ..Faults::default()
+        });
+        let err = client
+            .compare_and_swap("k", store::Revision(0), b"1", None)
+            .unwrap_err();
+        assert!(matches!(err, store::Error::Unknown(_)), "{err}");
+        assert_eq!(client.get("k").unwrap().unwrap().value, b"1");
+    }
+
+    #[test]
+    fn keys_go_with_their_lease() {
+        let memory = Memory::default();
+        let lease = memory.grant(time::Duration::from_secs(60)).unwrap();
+        memory
+            .compare_and_swap("k", store::Revision(0), b"1", Some(lease))
+            .unwrap();
+        memory.revoke(lease).unwrap();
+        assert_eq!(memory.get("k").unwrap(), None);
+        assert!(matches!(memory.renew(lease), Err(store::Error::LeaseGone)));
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,1 @@
+//! Shared tables with one stated lock order.
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,1 @@
+//! Sockets: an HTTP server for callers and operators, a pooled client for backend servers, links to peers.
