Model one service in virtual time, with load patterns and the offline best

Two policies can only be compared on the same arrivals and the same faults, and the figures must be the same on every machine. The model is one queue of events: backend servers with slots, a backlog as large as their connections, reports that lag by 100 ms, crashes, cold starts; callers with patience who ask again. Its offline best is a fluid bound, exact for every stretch of time.

--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,4 +2,5 @@
 //!
 //! They exist for the tests, the benchmarks and the example; no product code uses them.
 
+pub mod model;
 pub mod store;
--- /dev/null
+++ b/src/standin/model/mod.rs
@@ -0,0 +1,195 @@
+//! A queue model of one service of one deployment, in virtual time.
+//!
+//! It drives real [`crate::decisions::policy::Policy`] values with fixed arrivals and counts what
+//! callers get, so that two policies can be compared on the same load and the same faults. It is
+//! no simulator of a cluster: there is one queue of events, backend servers are slots with a
+//! first-in-first-out queue before them, and messages take a fixed time. Nothing in it reads a
+//! clock, and all randomness comes from a seed, so each run gives the same figures.
+
+pub mod best;
+pub mod load;
+pub mod patterns;
+pub mod run;
+mod server;
+pub mod tally;
+
+use std::path;
+use std::time;
+
+use crate::id;
+use crate::settings;
+
+/// One kind of request and its share of all.
+#[derive(Clone, Debug)]
+pub struct Op {
+    /// Whether it may run twice.
+    pub idempotent: bool,
+    /// What its answer counts.
+    pub worth: u32,
+    /// The mean time that a backend server works on it.
+    pub typical: time::Duration,
+    /// How long its caller waits.
+    pub patience: time::Duration,
+    /// Its share of all requests; the shares add up to 1.
+    pub share: f64,
+}
+
+/// An availability zone.
+#[derive(Clone, Debug)]
+pub struct Az {
+    /// Its name.
+    pub id: id::AzId,
+    /// The index of its region.
+    pub region: usize,
+    /// How many backend servers it has.
+    pub backends: usize,
+}
+
+/// One service of a deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Its name in tables.
+    pub name: &'static str,
+    /// Availability zones, those of a region side by side.
+    pub azs: Vec<Az>,
+    /// How many regions there are.
+    pub regions: usize,
+    /// Entry VMs in each availability zone.
+    pub vms_per_az: usize,
+    /// Slots of each backend server.
+    pub slots: u32,
+    /// Requests that one backend server lets wait before it sheds.
+    pub backlog: usize,
+    /// What callers ask for.
+    pub ops: Vec<Op>,
+    /// One-way delay between an entry VM and a backend server.
+    pub local_delay: time::Duration,
+    /// One-way delay between availability zones of a region.
+    pub az_delay: time::Duration,
+    /// One-way delay between regions.
+    pub region_delay: time::Duration,
+    /// One-way delay between callers and entry VMs.
+    pub client_delay: time::Duration,
+    /// The share of a region's slots that steering may fill.
+    pub max_load: f64,
+    /// The largest share of the traffic that may shift in one step.
+    pub shift_cap: f64,
+    /// How long one step lasts.
+    pub shift_step: time::Duration,
+    /// What the link between two regions carries, in bytes a second.
+    pub link_bytes_per_s: u64,
+}
+
+/// Which service of which example is modelled, and what the settings do not say of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Source {
+    /// The directory under `examples/`.
+    pub deployment: &'static str,
+    /// The service.
+    pub service: &'static str,
+    /// Backend servers in all.
+    pub backends: usize,
+    /// The share of each operation, in the order of the settings.
+    pub shares: &'static [f64],
+    /// One-way delay between availability zones of a region, in microseconds.
+    pub az_delay_us: u64,
+    /// One-way delay between callers and entry VMs, in microseconds.
+    pub client_delay_us: u64,
+}
+
+/// The booking ledger of the cooperative.
+pub const LEDGER: Source = Source {
+    deployment: "cooperative",
+    service: "ledger",
+    backends: 12,
+    shares: &[0.2, 0.1, 0.7],
+    az_delay_us: 1_000,
+    client_delay_us: 8_000,
+};
+
+/// The payout approvals of the claims platform.
+pub const PAYOUT: Source = Source {
+    deployment: "claims",
+    service: "payout",
+    backends: 12,
+    shares: &[0.2, 0.8],
+    az_delay_us: 1_500,
+    client_delay_us: 1_000,
+};
+
+/// One-way delay between an entry VM and a backend server of its availability zone.
+const LOCAL_DELAY: time::Duration = time::Duration::from_micros(100);
+
+/// Entry VMs in each availability zone: 12 in all, the most that users have today.
+const VMS_PER_AZ: usize = 2;
+
+impl Deployment {
+    /// Reads a deployment from the example settings. `root` is the directory of the package.
+    pub fn read(root: &path::Path, src: &Source) -> Result<Self, settings::Error> {
+        let all = settings::Settings::read(&root.join("examples").join(src.deployment))?;
+        let service = all
+            .service(src.service)
+            .expect("the example declares the service");
+        let region_azs: Vec<_> = all
+            .regions()
+            .enumerate()
+            .flat_map(|(region, r)| r.azs.iter().map(move |az| (region, az)))
+            .collect();
+        let total = region_azs.len();
+        let azs = region_azs
+            .into_iter()
+            .enumerate()
+            .map(|(i, (region, az))| Az {
+                id: az.clone(),
+                region,
+                backends: src.backends / total + usize::from(i < src.backends % total),
+            })
+            .collect();
+        let ops = service.operations.iter().zip(src.shares);
+        let link = all.links().next().expect("the example declares links");
+        let region = all.regions().next().expect("the example declares regions");
+        Ok(Self {
+            name: src.deployment,
+            azs,
+            regions: all.regions().count(),
+            vms_per_az: VMS_PER_AZ,
+            slots: service.slots,
+            backlog: service.connections as usize,
+            ops: ops.map(|(op, share)| read_op(op, *share)).collect(),
+            local_delay: LOCAL_DELAY,
+            az_delay: time::Duration::from_micros(src.az_delay_us),
+            region_delay: time::Duration::from_secs_f64(link.one_way_ms / 1e3),
+            client_delay: time::Duration::from_micros(src.client_delay_us),
+            max_load: region.max_load,
+            shift_cap: service.shift_cap,
+            shift_step: time::Duration::from_millis(service.shift_step_ms),
+            link_bytes_per_s: link.bytes_per_s,
+        })
+    }
+
+    /// Slots of all backend servers.
+    pub fn total_slots(&self) -> f64 {
+        let backends: usize = self.azs.iter().map(|az| az.backends).sum();
+        backends as f64 * f64::from(self.slots)
+    }
+
+    /// Requests a second that fill every slot.
+    pub fn capacity(&self) -> f64 {
+        let mean: f64 = self
+            .ops
+            .iter()
+            .map(|op| op.share * op.typical.as_secs_f64())
+            .sum();
+        self.total_slots() / mean
+    }
+}
+
+fn read_op(op: &settings::Operation, share: f64) -> Op {
+    Op {
+        idempotent: op.idempotent,
+        worth: op.worth,
+        typical: time::Duration::from_secs_f64(op.typical_ms / 1e3),
+        patience: time::Duration::from_millis(op.patience_ms),
+        share,
+    }
+}
--- /dev/null
+++ b/src/standin/model/patterns.rs
@@ -0,0 +1,208 @@
+//! The load patterns that policies are compared on.
+//!
+//! Each is a few seconds long: long enough for queues to fill and for outliers to be seen, short
+//! enough to be played in a test.
+
+use std::time;
+
+use super::load::{Callers, Fault, Pattern, Phase};
+use super::{Deployment, Op};
+
+/// The load of a calm day.
+const CALM: f64 = 0.6;
+
+/// The steady load of the patterns that measure how evenly it is spread.
+const STEADY: f64 = 0.5;
+
+const fn s(secs: u64) -> time::Duration {
+    time::Duration::from_secs(secs)
+}
+
+const fn ms(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
+}
+
+/// A pattern and the deployment as it is in it.
+#[derive(Clone, Debug)]
+pub struct Case {
+    /// The deployment, with the operations of the pattern.
+    pub dep: Deployment,
+    /// The load and the faults.
+    pub pattern: Pattern,
+    /// Whether it measures how evenly a steady load is spread.
+    pub steady: bool,
+    /// Whether it has the load of twice the capacity.
+    pub saturated: bool,
+    /// Whether one backend server is slow in it.
+    pub slow: bool,
+}
+
+impl Case {
+    fn new(dep: &Deployment, pattern: Pattern) -> Self {
+        Self {
+            dep: dep.clone(),
+            pattern,
+            steady: false,
+            saturated: false,
+            slow: false,
+        }
+    }
+}
+
+/// Every pattern that plays inside availability zones. `lasts` is how long each takes calls.
+pub fn local(dep: &Deployment, lasts: time::Duration) -> Vec<Case> {
+    let regions = dep.regions;
+    let calm = |name| Pattern::steady(name, regions, CALM, lasts);
+    let early = lasts / 8;
+    vec![
+        Case {
+            steady: true,
+            ..Case::new(dep, Pattern::steady("steady", regions, STEADY, lasts))
+        },
+        Case::new(dep, burst(regions, lasts)),
+        Case::new(dep, hot_callers(regions, lasts)),
+        Case {
+            slow: true,
+            ..Case::new(
+                dep,
+                with_faults(
+                    calm("slow backend server"),
+                    early,
+                    vec![Fault::Slow(0, 10.0)],
+                ),
+            )
+        },
+        Case::new(
+            dep,
+            with_faults(
+                calm("fast-failing backend server"),
+                early,
+                vec![Fault::FailFast(0)],
+            ),
+        ),
+        Case::new(
+            &with_long_work(dep),
+            Pattern::steady("long among short", regions, 1.2, lasts),
+        ),
+        Case::new(dep, Pattern::steady("saturation 1.2", regions, 1.2, lasts)),
+        Case {
+            saturated: true,
+            ..Case::new(dep, Pattern::steady("saturation 2", regions, 2.0, lasts))
+        },
+        Case::new(dep, killers(regions, lasts)),
+        Case::new(
+            dep,
+            with_faults(calm("reports frozen"), early, vec![Fault::FreezeReports]),
+        ),
+        Case::new(
+            dep,
+            with_faults(
+                calm("reports lie"),
+                early,
+                vec![Fault::Lie(0), Fault::Slow(0, 4.0)],
+            ),
+        ),
+        Case::new(
+            dep,
+            with_faults(
+                calm("cold fleet"),
+                time::Duration::ZERO,
+                vec![Fault::ColdFleet],
+            ),
+        ),
+        Case::new(dep, retry_storm(regions, lasts)),
+        Case::new(
+            dep,
+            with_faults(calm("backend server leaves"), early, vec![Fault::Leave(0)]),
+        ),
+    ]
+}
+
+fn with_faults(mut pattern: Pattern, at: time::Duration, faults: Vec<Fault>) -> Pattern {
+    pattern.faults = faults.into_iter().map(|fault| (at, fault)).collect();
+    pattern
+}
+
+fn phases(regions: usize, loads: &[(time::Duration, f64)]) -> Vec<Phase> {
+    let phase = |(lasts, load): &(time::Duration, f64)| Phase {
+        lasts: *lasts,
+        load: vec![*load; regions],
+    };
+    loads.iter().map(phase).collect()
+}
+
+fn burst(regions: usize, lasts: time::Duration) -> Pattern {
+    let (calm, peak) = (lasts.mul_f64(0.4), lasts.mul_f64(0.2));
+    Pattern {
+        phases: phases(regions, &[(calm, CALM), (peak, 4.0), (calm, CALM)]),
+        ..Pattern::steady("burst", regions, CALM, lasts)
+    }
+}
+
+/// A handful of callers sends most of the load, and more than the slots can bear.
+fn hot_callers(regions: usize, lasts: time::Duration) -> Pattern {
+    let callers = Callers {
+        hot_share: 0.7,
+        ..Callers::default()
+    };
+    Pattern {
+        callers,
+        ..Pattern::steady("few callers", regions, 1.5, lasts)
+    }
+}
+
+/// Now and then a request that crashes the backend server which runs it.
+fn killers(regions: usize, lasts: time::Duration) -> Pattern {
+    let callers = Callers {
+        killers: 0.0002,
+        ..Callers::default()
+    };
+    Pattern {
+        callers,
+        ..Pattern::steady("crashing request", regions, CALM, lasts)
+    }
+}
+
+/// Callers that ask again long before their patience ends, at a load that the slots cannot bear.
+fn retry_storm(regions: usize, lasts: time::Duration) -> Pattern {
+    let callers = Callers {
+        impatience: 0.1,
+        resends: 8,
+        ..Callers::default()
+    };
+    let (calm, peak) = (lasts.mul_f64(0.3), lasts.mul_f64(0.3));
+    Pattern {
+        callers,
+        phases: phases(
+            regions,
+            &[
+                (calm, CALM),
+                (peak, 2.0),
+                (calm, CALM),
+                (lasts - calm - peak - calm, CALM),
+            ],
+        ),
+        ..Pattern::steady("retry storm", regions, CALM, lasts)
+    }
+}
+
+/// Pulls of long records that take half of the slots' time, on the same backend servers.
+fn with_long_work(dep: &Deployment) -> Deployment {
+    let short: f64 = dep
+        .ops
+        .iter()
+        .map(|op| op.share * op.typical.as_secs_f64())
+        .sum();
+    let long = Op {
+        idempotent: true,
+        worth: 1,
+        typical: ms(120),
+        patience: s(10),
+        share: 0.0,
+    };
+    let share = short / (short + long.typical.as_secs_f64());
+    let mut dep = dep.clone();
+    dep.ops.iter_mut().for_each(|op| op.share *= 1.0 - share);
+    dep.ops.push(Op { share, ..long });
+    dep
+}
--- /dev/null
+++ b/src/standin/model/run/callers.rs
@@ -0,0 +1,111 @@
+//! What callers do: ask, wait, give up, ask again.
+
+use std::time;
+
+use super::{ASK_AGAIN, Event, How, Node, Req, World};
+use crate::decisions::policy;
+use crate::standin::model::load;
+use load::Call;
+use policy::{Fate, Policy};
+
+impl<P: Policy, M: FnMut(&super::Site) -> P> World<'_, P, M> {
+    pub(super) fn ask(&mut self, call: usize) {
+        let info = &self.calls[call];
+        if self.states[call].answered || self.now >= info.deadline {
+            return;
+        }
+        let Some((vm, delay)) = self.pick_vm(info) else {
+            return;
+        };
+        let req = self.reqs.len();
+        self.reqs.push(Req {
+            call,
+            vm,
+            asked: self.now,
+            parent: None,
+            ran: false,
+            last: None,
+            settled: None,
+            dead: false,
+            told: false,
+        });
+        let patience = info.deadline - info.at;
+        let give_up = self.now + patience.mul_f64(self.pattern.callers.impatience);
+        self.after(delay, Event::AtVm(req));
+        self.push(give_up.min(info.deadline), Event::GiveUp(req));
+    }
+
+    /// An entry VM near the caller; another region's where the near one is gone.
+    pub(super) fn pick_vm(&self, call: &Call) -> Option<(usize, time::Duration)> {
+        let near = |node: &&Node<P>| self.dep.azs[node.site.az].region == call.region;
+        let live: Vec<_> = self.nodes.iter().filter(|node| node.up).collect();
+        let own: Vec<_> = live.iter().copied().filter(|node| near(node)).collect();
+        let client = self.dep.client_delay;
+        if !own.is_empty() {
+            return Some((own[call.pick % own.len()].site.index, client));
+        }
+        let far = live.get(call.pick % live.len().max(1))?;
+        Some((far.site.index, client + self.dep.region_delay))
+    }
+
+    pub(super) fn give_up(&mut self, req: usize) {
+        let r = &mut self.reqs[req];
+        if r.told || r.dead {
+            return;
+        }
+        r.told = true;
+        let (call, vm) = (r.call, r.vm);
+        if r.settled.is_none() {
+            let id = policy::RequestId(req as u64);
+            self.with(vm, |p, now, out| p.gone(now, id, out));
+        }
+        if self.dep.ops[self.calls[call].op].idempotent {
+            self.ask_again(call, time::Duration::ZERO);
+        }
+    }
+
+    pub(super) fn ask_again(&mut self, call: usize, delay: time::Duration) {
+        if self.states[call].resends == 0 || self.now + delay >= self.calls[call].deadline {
+            return;
+        }
+        self.states[call].resends -= 1;
+        self.after(delay, Event::Ask(call));
+    }
+
+    /// The settlement of a request reaches its caller.
+    pub(super) fn told(&mut self, req: usize) {
+        let r = &mut self.reqs[req];
+        if std::mem::replace(&mut r.told, true) || r.dead {
+            return;
+        }
+        let (call, asked, last) = (r.call, r.asked, r.last);
+        let info = &self.calls[call];
+        let op = &self.dep.ops[info.op];
+        match r.settled.expect("it was settled before it was told") {
+            Fate::Answer if last == Some(How::Answered) => self.answered(call),
+            Fate::Answer => {}
+            Fate::NotRun { retry_after, .. } => {
+                let waited = (self.now - asked).as_micros() as u32;
+                self.tally.slowest_refusal_us = self.tally.slowest_refusal_us.max(waited);
+                self.ask_again(call, retry_after);
+            }
+            Fate::Unknown { retry_after } if op.idempotent => {
+                self.ask_again(call, retry_after.min(ASK_AGAIN));
+            }
+            Fate::Unknown { .. } => {}
+        }
+    }
+
+    pub(super) fn answered(&mut self, call: usize) {
+        let info = &self.calls[call];
+        if self.now > info.deadline || info.killer || self.states[call].answered {
+            return;
+        }
+        self.states[call].answered = true;
+        self.tally.worth += u64::from(self.dep.ops[info.op].worth);
+        self.tally.per_op[info.op].1 += 1;
+        self.tally.ordinary.1 += u64::from(info.caller >= load::Callers::HOT);
+        let latency = self.now - info.at;
+        self.tally.latencies_us.push(latency.as_micros() as u32);
+    }
+}
--- /dev/null
+++ b/src/standin/model/run/faults.rs
@@ -0,0 +1,81 @@
+//! What goes wrong, or is planned.
+
+use super::{ASK_AGAIN, Event, How, LIST_LAG, World};
+use crate::decisions::policy;
+use crate::standin::model::load;
+use crate::standin::model::server::Server;
+use load::Fault;
+use policy::Policy;
+
+impl<P: Policy, M: FnMut(&super::Site) -> P> World<'_, P, M> {
+    pub(super) fn fault(&mut self, i: usize) {
+        let pattern = self.pattern;
+        match &pattern.faults[i].1 {
+            Fault::Slow(server, factor) => self.servers[*server].slow = *factor,
+            Fault::FailFast(server) => self.servers[*server].fail_fast = true,
+            Fault::Mend(server) => {
+                self.servers[*server].slow = 1.0;
+                self.servers[*server].fail_fast = false;
+            }
+            Fault::ColdFleet => self.servers.iter_mut().for_each(Server::chill),
+            Fault::FreezeReports => self.frozen = true,
+            Fault::Lie(server) => self.servers[*server].lies = true,
+            Fault::Leave(server) => {
+                self.servers[*server].leaving = Some(self.now);
+                self.after(LIST_LAG, Event::ListSays(*server));
+            }
+            Fault::RegionDown(region) => self.region_down(*region),
+            Fault::RegionUp(region) => self.region_up(*region),
+        }
+    }
+
+    pub(super) fn region_down(&mut self, region: usize) {
+        for server in 0..self.servers.len() {
+            if self.dep.azs[self.servers[server].az].region == region {
+                self.kill(server);
+            }
+        }
+        for vm in 0..self.nodes.len() {
+            if self.dep.azs[self.nodes[vm].site.az].region == region {
+                self.nodes[vm].up = false;
+            }
+        }
+        for req in 0..self.reqs.len() {
+            if !self.nodes[self.reqs[req].vm].up && self.reqs[req].settled.is_none() {
+                self.vanish(req);
+            }
+        }
+    }
+
+    /// A request whose entry VM died: its caller, or the VM that spilled it, sees the connection
+    /// break.
+    pub(super) fn vanish(&mut self, req: usize) {
+        let r = &mut self.reqs[req];
+        r.dead = true;
+        let call = r.call;
+        if let Some(send) = r.parent {
+            let (how, report) = (How::Lost, None);
+            return self.after(self.dep.region_delay, Event::Reply { send, how, report });
+        }
+        if !r.ran || self.dep.ops[self.calls[call].op].idempotent {
+            self.ask_again(call, ASK_AGAIN);
+        }
+    }
+
+    pub(super) fn region_up(&mut self, region: usize) {
+        for server in &mut self.servers {
+            if self.dep.azs[server.az].region == region {
+                server.up = true;
+            }
+        }
+        for vm in 0..self.nodes.len() {
+            let site = self.nodes[vm].site.clone();
+            if self.dep.azs[site.az].region != region {
+                continue;
+            }
+            self.nodes[vm].policy = (self.make)(&site);
+            self.nodes[vm].up = true;
+            self.tell_backends(vm);
+        }
+    }
+}
