Link entry processes by authenticated, bounded WebSockets

Cause: settings, grants and membership need a way between entry VMs that a stranger can't speak on and a slow peer can't fill.

Weighed for the proof: a keyed hash would need one more crate and could not grow into keys per VM; keys per VM need a list that VMs without disks would have to fetch before they can talk. The proof does not encrypt what follows.

--- a/src/config.rs
+++ b/src/config.rs
@@ -31,6 +31,10 @@
         /// How long a key that was spent is remembered, in milliseconds.
         #[serde(default = "default_ticket_ttl_ms")]
         pub ticket_ttl_ms: u64,
+        /// The secrets by which entry VMs prove to each other that they belong to one fleet, 64
+        /// hexadecimal digits each. The first signs, all are accepted. None: no links to peers.
+        #[serde(default)]
+        pub peer_secrets: Vec<String>,
     }
 }
 
--- /dev/null
+++ b/src/coordination/peers.rs
@@ -0,0 +1,539 @@
+//! The links to other entry processes, and the messages that go over them.
+//!
+//! tokio lives in here and nowhere else on this side: one small runtime that carries the links,
+//! with channels to the rest. Whoever sends never waits; whoever receives reads a crossbeam
+//! channel. A peer that keeps sending more than we read loses messages, which is counted.
+//!
+//! Lock order: `links`, then `diallers`; neither is held while a message is handled.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use rand::RngExt;
+
+use crate::id;
+use crate::protocol::{hello, peer};
+use crate::transport::peer as link;
+
+/// Messages that wait for the rest of the process.
+const INBOX: usize = 8192;
+
+/// Connections that have not proved themselves yet. Each may hold one message in memory.
+const MAX_OPENING: usize = 32;
+
+/// Peers that may be linked to us, whoever dialled.
+const MAX_LINKS: usize = 256;
+
+/// Links that one peer may hold: both sides may have dialled at the same moment.
+const LINKS_PER_PEER: usize = 2;
+
+/// The wait after a first failed dial; it doubles up to [`MAX_BACKOFF`], each with jitter.
+const MIN_BACKOFF: time::Duration = time::Duration::from_millis(100);
+
+/// The longest wait between two dials. A VM that comes back is linked again within it.
+const MAX_BACKOFF: time::Duration = time::Duration::from_secs(3);
+
+/// How long the peer with the greater name waits for the other one to dial.
+const YIELD: time::Duration = time::Duration::from_millis(300);
+
+/// How often a dialler looks whether its peer is still linked.
+const CHECK_EVERY: time::Duration = time::Duration::from_millis(250);
+
+/// Messages that were refused: malformed, too large, of a newer version, or from one without a
+/// proof. The label `why` tells which.
+pub const REFUSED: &str = "bulrushwind_peer_refused_total";
+
+/// Messages that were dropped because a queue was full. The label `queue` tells which.
+pub const DROPPED: &str = "bulrushwind_peer_dropped_total";
+
+/// Bytes of messages, by `direction`.
+pub const BYTES: &str = "bulrushwind_peer_bytes_total";
+
+data! {
+    /// An entry VM that this process wants a link to.
+    #[derive(Eq)]
+    pub struct Target {
+        /// Its name.
+        pub vm: id::VmId,
+        /// Where it listens for peers.
+        pub addr: net::SocketAddr,
+    }
+
+    /// An entry VM that is linked now.
+    #[derive(Eq)]
+    pub struct Linked {
+        /// Its name.
+        pub vm: id::VmId,
+        /// Its availability zone.
+        pub az: id::AzId,
+        /// Its process start.
+        pub incarnation: id::Incarnation,
+    }
+
+    /// What the links have carried and refused so far.
+    #[derive(Eq, Default)]
+    pub struct Counts {
+        /// Messages sent.
+        pub sent: u64,
+        /// Bytes of messages sent, without framing.
+        pub sent_bytes: u64,
+        /// Messages received.
+        pub received: u64,
+        /// Bytes of messages received, without framing.
+        pub received_bytes: u64,
+        /// Messages dropped because a queue was full.
+        pub dropped: u64,
+        /// Messages and connections refused.
+        pub refused: u64,
+    }
+}
+
+/// A message and who sent it.
+pub type Received = (id::VmId, peer::Message);
+
+/// The links of this process. Dropping it cuts them.
+pub struct Peers {
+    shared: sync::Arc<Shared>,
+    runtime: Option<tokio::runtime::Runtime>,
+    addr: net::SocketAddr,
+}
+
+struct Shared {
+    me: link::Me,
+    links: parking_lot::Mutex<collections::BTreeMap<id::VmId, Vec<Open>>>,
+    diallers: parking_lot::Mutex<collections::BTreeMap<id::VmId, Dialler>>,
+    counts: parking_lot::Mutex<Counts>,
+    tx: crossbeam::channel::Sender<Received>,
+    log: slog::Logger,
+}
+
+struct Open {
+    az: id::AzId,
+    incarnation: id::Incarnation,
+    queue: sync::Arc<link::Queue>,
+}
+
+struct Dialler {
+    addr: net::SocketAddr,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Peers {
+    /// Listens for peers and returns the links with the channel of what they bring.
+    pub fn start(
+        me: link::Me,
+        listen: net::SocketAddr,
+        log: &slog::Logger,
+    ) -> io::Result<(Self, crossbeam::channel::Receiver<Received>)> {
+        let (tx, rx) = crossbeam::channel::bounded(INBOX);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("peers")
+            .enable_all()
+            .build()?;
+        let listener = runtime.block_on(tokio::net::TcpListener::bind(listen))?;
+        let addr = listener.local_addr()?;
+        let shared = sync::Arc::new(Shared {
+            me,
+            links: parking_lot::Mutex::default(),
+            diallers: parking_lot::Mutex::default(),
+            counts: parking_lot::Mutex::default(),
+            tx,
+            log: log.clone(),
+        });
+        runtime.spawn(accept(shared.clone(), listener));
+        let peers = Self {
+            shared,
+            runtime: Some(runtime),
+            addr,
+        };
+        Ok((peers, rx))
+    }
+
+    /// Where this process listens for peers.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Sets which entry VMs this process keeps a link to. Links that others opened stay.
+    pub fn set_targets(&self, targets: &[Target]) {
+        let Some(runtime) = &self.runtime else { return };
+        let mut diallers = self.shared.diallers.lock();
+        diallers.retain(|vm, dialler| {
+            let keep = targets
+                .iter()
+                .any(|t| t.vm == *vm && t.addr == dialler.addr);
+            if !keep {
+                dialler.task.abort();
+            }
+            keep
+        });
+        for target in targets {
+            if target.vm == self.shared.me.vm || diallers.contains_key(&target.vm) {
+                continue;
+            }
+            let task = runtime.spawn(keep_dialling(self.shared.clone(), target.clone()));
+            let addr = target.addr;
+            diallers.insert(target.vm.clone(), Dialler { addr, task });
+        }
+    }
+
+    /// Sends to one peer. False: it is not linked.
+    pub fn send(&self, to: &id::VmId, message: &peer::Message) -> bool {
+        self.send_where(message, |vm, _| vm == to) > 0
+    }
+
+    /// Sends to every linked peer of an availability zone and returns how many there are.
+    pub fn to_az(&self, az: &id::AzId, message: &peer::Message) -> usize {
+        self.send_where(message, |_, open| open.az == *az)
+    }
+
+    /// Sends to every linked peer and returns how many there are.
+    pub fn to_all(&self, message: &peer::Message) -> usize {
+        self.send_where(message, |_, _| true)
+    }
+
+    /// The peers that are linked now.
+    pub fn linked(&self) -> Vec<Linked> {
+        let links = self.shared.links.lock();
+        links
+            .iter()
+            .filter_map(|(vm, open)| {
+                let newest = open.last()?;
+                Some(Linked {
+                    vm: vm.clone(),
+                    az: newest.az.clone(),
+                    incarnation: newest.incarnation,
+                })
+            })
+            .collect()
+    }
+
+    /// What the links have carried and refused so far.
+    pub fn counts(&self) -> Counts {
+        self.shared.counts.lock().clone()
+    }
+
+    fn send_where<F: Fn(&id::VmId, &Open) -> bool>(
+        &self,
+        message: &peer::Message,
+        wanted: F,
+    ) -> usize {
+        let links = self.shared.links.lock();
+        let mut queues = Vec::new();
+        for (vm, open) in links.iter() {
+            if let Some(newest) = open.last().filter(|newest| wanted(vm, newest)) {
+                queues.push(newest.queue.clone());
+            }
+        }
+        drop(links);
+        if queues.is_empty() {
+            return 0;
+        }
+        let bytes = bytes::Bytes::from(peer::encode(message));
+        for queue in &queues {
+            self.shared
+                .count_sent(bytes.len(), queue.push(bytes.clone()));
+        }
+        queues.len()
+    }
+}
+
+impl Drop for Peers {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Shared {
+    /// Carries one link until it breaks.
+    async fn carry(&self, link: link::Link) {
+        let hello = link.hello.clone();
+        let Some(queue) = self.open(&hello) else {
+            return;
+        };
+        let closing = Closing {
+            shared: self,
+            vm: &hello.vm,
+            queue: &queue,
+        };
+        slog::info!(self.log, "linked"; "peer" => %hello.vm, "incarnation" => %hello.incarnation);
+        let err = link.run(&queue, |bytes| self.take(&hello.vm, bytes)).await;
+        slog::info!(self.log, "link ended"; "peer" => %hello.vm, "why" => %err);
+        drop(closing);
+    }
+
+    /// Registers a link. None: a later process start of the peer is linked, or there are too many.
+    fn open(&self, hello: &hello::Hello) -> Option<sync::Arc<link::Queue>> {
+        let mut links = self.links.lock();
+        if links.len() >= MAX_LINKS && !links.contains_key(&hello.vm) {
+            drop(links);
+            self.refuse("too many links", &hello.vm);
+            return None;
+        }
+        let opens = links.entry(hello.vm.clone()).or_default();
+        if opens.iter().any(|o| o.incarnation > hello.incarnation) {
+            drop(links);
+            self.refuse("an earlier process start", &hello.vm);
+            return None;
+        }
+        // The process behind these links is gone; what waits for it would go to nobody.
+        opens.retain(|o| {
+            let same = o.incarnation == hello.incarnation;
+            if !same {
+                o.queue.close();
+            }
+            same
+        });
+        if opens.len() >= LINKS_PER_PEER {
+            opens.remove(0).queue.close();
+        }
+        let queue = sync::Arc::new(link::Queue::default());
+        opens.push(Open {
+            az: hello.az.clone(),
+            incarnation: hello.incarnation,
+            queue: queue.clone(),
+        });
+        Some(queue)
+    }
+
+    fn take(&self, from: &id::VmId, bytes: &[u8]) {
+        self.count_received(bytes.len());
+        match peer::decode(bytes) {
+            Ok(message) => {
+                if self.tx.try_send((from.clone(), message)).is_err() {
+                    self.count_dropped("inbox", 1);
+                }
+            }
+            Err(err) => self.refuse(&err.to_string(), from),
+        }
+    }
+
+    fn refuse(&self, why: &str, from: &id::VmId) {
+        self.counts.lock().refused += 1;
+        metrics::counter!(REFUSED).increment(1);
+        slog::warn!(self.log, "refused from a peer"; "peer" => %from, "why" => why);
+    }
+
+    fn count_sent(&self, len: usize, dropped: usize) {
+        let mut counts = self.counts.lock();
+        counts.sent += 1;
+        counts.sent_bytes += len as u64;
+        drop(counts);
+        metrics::counter!(BYTES, "direction" => "sent").increment(len as u64);
+        if dropped > 0 {
+            self.count_dropped("link", dropped);
+        }
+    }
+
+    fn count_received(&self, len: usize) {
+        let mut counts = self.counts.lock();
+        counts.received += 1;
+        counts.received_bytes += len as u64;
+        drop(counts);
+        metrics::counter!(BYTES, "direction" => "received").increment(len as u64);
+    }
+
+    fn count_dropped(&self, queue: &'static str, dropped: usize) {
+        self.counts.lock().dropped += dropped as u64;
+        metrics::counter!(DROPPED, "queue" => queue).increment(dropped as u64);
+    }
+
+    fn is_linked(&self, vm: &id::VmId) -> bool {
+        self.links.lock().contains_key(vm)
+    }
+}
+
+/// Takes a link out of the table when its task ends, also when the task is aborted.
+struct Closing<'a> {
+    shared: &'a Shared,
+    vm: &'a id::VmId,
+    queue: &'a sync::Arc<link::Queue>,
+}
+
+impl Drop for Closing<'_> {
+    fn drop(&mut self) {
+        let mut links = self.shared.links.lock();
+        if let Some(opens) = links.get_mut(self.vm) {
+            opens.retain(|o| !sync::Arc::ptr_eq(&o.queue, self.queue));
+            if opens.is_empty() {
+                links.remove(self.vm);
+            }
+        }
+    }
+}
+
+async fn accept(shared: sync::Arc<Shared>, listener: tokio::net::TcpListener) {
+    let opening = sync::Arc::new(tokio::sync::Semaphore::new(MAX_OPENING));
+    loop {
+        let Ok(permit) = opening.clone().acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, addr)) = listener.accept().await else {
+            // Out of file descriptors: the next try would fail at once as well.
+            tokio::time::sleep(CHECK_EVERY).await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let opened = link::accept(stream, &shared.me).await;
+            drop(permit);
+            match opened {
+                Ok(link) => shared.carry(link).await,
+                Err(err) => {
+                    shared.refuse(&err.to_string(), &addr.to_string().as_str().into());
+                }
+            }
+        });
+    }
+}
+
+async fn keep_dialling(shared: sync::Arc<Shared>, target: Target) {
+    if shared.me.vm > target.vm {
+        tokio::time::sleep(YIELD + jitter(YIELD)).await;
+    }
+    let mut backoff = MIN_BACKOFF;
+    loop {
+        if shared.is_linked(&target.vm) {
+            backoff = MIN_BACKOFF;
+            tokio::time::sleep(CHECK_EVERY).await;
+            continue;
+        }
+        match link::dial(target.addr, &shared.me).await {
+            Ok(link) if link.hello.vm == target.vm => {
+                backoff = MIN_BACKOFF;
+                shared.carry(link).await;
+            }
+            Ok(link) => shared.refuse("another VM than was dialled", &link.hello.vm),
+            Err(err) => {
+                slog::debug!(shared.log, "dial failed"; "peer" => %target.vm, "why" => %err);
+            }
+        }
+        tokio::time::sleep(backoff / 2 + jitter(backoff)).await;
+        backoff = MAX_BACKOFF.min(backoff * 2);
+    }
+}
+
+/// A random part of `span`, so that peers of a VM that died do not all dial at once.
+fn jitter(span: time::Duration) -> time::Duration {
+    span.mul_f64(rand::rng().random())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::logging;
+
+    use std::thread;
+
+    const SECRET: &str = "0101010101010101010101010101010101010101010101010101010101010101";
+    const OTHER: &str = "0202020202020202020202020202020202020202020202020202020202020202";
+
+    fn me(vm: &str, incarnation: u64, secret: &str) -> link::Me {
+        link::Me {
+            vm: vm.into(),
+            az: "az-1".into(),
+            incarnation: id::Incarnation(incarnation),
+            secrets: hello::Secrets::parse(&[secret]).unwrap(),
+        }
+    }
+
+    fn start(me: link::Me) -> (Peers, crossbeam::channel::Receiver<Received>) {
+        Peers::start(me, "127.0.0.1:0".parse().unwrap(), &logging::silent()).unwrap()
+    }
+
+    fn target(peers: &Peers) -> Target {
+        Target {
+            vm: peers.shared.me.vm.clone(),
+            addr: peers.addr(),
+        }
+    }
+
+    fn until<F: Fn() -> bool>(what: &str, holds: F) {
+        for _ in 0..3_000 {
+            if holds() {
+                return;
+            }
+            thread::sleep(time::Duration::from_millis(10));
+        }
+        panic!("waited 30 s in vain: {what}");
+    }
+
+    fn want(key: &str) -> peer::Message {
+        peer::Message::Want(vec![key.to_owned()])
+    }
+
+    #[test]
+    fn two_processes_talk_both_ways() {
+        let (a, a_rx) = start(me("a", 1, SECRET));
+        let (b, b_rx) = start(me("b", 1, SECRET));
+        a.set_targets(&[target(&b)]);
+        b.set_targets(&[target(&a)]);
+        until("linked", || a.linked().len() + b.linked().len() == 2);
+        assert!(a.send(&"b".into(), &want("x")));
+        assert_eq!(b.to_az(&"az-1".into(), &want("y")), 1);
+        assert_eq!(b_rx.recv().unwrap(), ("a".into(), want("x")));
+        assert_eq!(a_rx.recv().unwrap(), ("b".into(), want("y")));
+        assert!(!a.send(&"c".into(), &want("x")));
+    }
+
+    /// A VM's process is killed and starts again under the same address. Its peers must find it
+    /// again by themselves, or the availability zone loses an entry VM for good.
+    #[test]
+    fn a_restarted_peer_is_linked_again() {
+        let (a, _a_rx) = start(me("a", 1, SECRET));
+        let (b, _b_rx) = start(me("b", 1, SECRET));
+        let addr = b.addr();
+        a.set_targets(&[target(&b)]);
+        until("linked", || a.linked().len() == 1);
+        drop(b);
+        until("unlinked", || a.linked().is_empty());
+        let again = || Peers::start(me("b", 2, SECRET), addr, &logging::silent());
+        until("the address is free", || again().is_ok());
+        let (_b, b_rx) = again().unwrap();
+        until("linked again", || {
+            a.linked()
+                .iter()
+                .any(|l| l.incarnation == id::Incarnation(2))
+        });
+        a.send(&"b".into(), &want("x"));
+        assert_eq!(b_rx.recv().unwrap(), ("a".into(), want("x")));
+    }
+
+    /// A process with another secret, or none that speaks our protocol, connects. It must neither
+    /// be heard nor take the port from the others.
+    #[test]
+    fn a_stranger_is_refused_and_counted() {
+        let (a, a_rx) = start(me("a", 1, SECRET));
+        let (stranger, _rx) = start(me("s", 1, OTHER));
+        stranger.set_targets(&[target(&a)]);
+        let mut raw = net::TcpStream::connect(a.addr()).unwrap();
+        io::Write::write_all(&mut raw, b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        until("refused", || a.counts().refused >= 2);
+        assert!(a.linked().is_empty() && a_rx.is_empty());
+
+        let (b, _b_rx) = start(me("b", 1, SECRET));
+        b.set_targets(&[target(&a)]);
+        until("linked", || !a.linked().is_empty());
+    }
+
+    /// A linked peer sends bytes that are no message. The link stays, since the next message may
+    /// be sound, and the refusal is counted.
+    #[test]
+    fn a_malformed_message_is_counted_and_the_link_stays() {
+        let (a, a_rx) = start(me("a", 1, SECRET));
+        let (b, _b_rx) = start(me("b", 1, SECRET));
+        b.set_targets(&[target(&a)]);
+        until("linked", || a.linked().len() + b.linked().len() == 2);
+        let queue = b.shared.links.lock()["a"][0].queue.clone();
+        queue.push(bytes::Bytes::from_static(b"no cbor"));
+        b.send(&"a".into(), &want("x"));
+        assert_eq!(a_rx.recv().unwrap(), ("b".into(), want("x")));
+        assert_eq!(a.counts().refused, 1);
+    }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,1 +1,4 @@
 //! Messages and headers, their checks and their codecs.
+
+pub mod hello;
+pub mod peer;
--- /dev/null
+++ b/src/transport/peer.rs
@@ -0,0 +1,289 @@
+//! One link between two entry processes: a WebSocket over TCP, opened by a proof on both sides.
+//!
+//! A link never holds up the rest of the process. What is to be sent waits in a [`Queue`] of
+//! bounded length; when the peer or the network is slower than we are, the oldest message goes,
+//! because what peers tell each other is state that a later message replaces. One notices by
+//! `bulrushwind_peer_dropped_total`; the digests of the settings mend what was lost. A peer that
+//! takes nothing or says nothing for a while is cut off, and dialled again by its dialler.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use futures_util::{SinkExt, StreamExt};
+use rand::RngExt;
+use tokio::net as tcp;
+use tokio_tungstenite::tungstenite;
+use tungstenite::protocol;
+
+use crate::id;
+use crate::protocol::{hello, peer};
+
+/// How long connecting and proving may take together.
+const OPEN_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// How long one message may take to leave.
+const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// A link on which we have sent nothing for so long carries a ping.
+const PING_EVERY: time::Duration = time::Duration::from_secs(2);
+
+/// A link on which nothing came for so long is cut: five pings were missed.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// Read and write buffers of a link. The library's 128 KB would be 2 MB for 16 links.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// The most messages that wait on one link.
+const QUEUE_MESSAGES: usize = 1024;
+
+/// The most bytes that wait on one link, unless it is a single message.
+const QUEUE_BYTES: usize = 4 << 20;
+
+/// Why a link was not opened or did not last.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The network or the WebSocket failed.
+    #[error("the link failed: {0}; it is dialled again")]
+    Link(String),
+    /// The peer did not prove itself.
+    #[error(transparent)]
+    Hello(#[from] hello::Error),
+    /// The peer was silent or took nothing.
+    #[error("the peer did not answer in time; it is dialled again")]
+    Timeout,
+    /// The link was closed on purpose.
+    #[error("the link was closed")]
+    Closed,
+}
+
+impl From<tungstenite::Error> for Error {
+    fn from(err: tungstenite::Error) -> Self {
+        Self::Link(err.to_string())
+    }
+}
+
+impl From<std::io::Error> for Error {
+    fn from(err: std::io::Error) -> Self {
+        Self::Link(err.to_string())
+    }
+}
+
+/// Who this process is towards its peers.
+#[derive(Clone, Debug)]
+pub struct Me {
+    /// This VM.
+    pub vm: id::VmId,
+    /// Its availability zone.
+    pub az: id::AzId,
+    /// This start of the process.
+    pub incarnation: id::Incarnation,
+    /// The fleet's secrets.
+    pub secrets: hello::Secrets,
+}
+
+/// An open link whose other side has proved itself.
+pub struct Link {
+    /// Who is on the other side.
+    pub hello: hello::Hello,
+    socket: Socket,
+}
+
+type Socket = tokio_tungstenite::WebSocketStream<tcp::TcpStream>;
+
+/// Connects to a peer.
+pub async fn dial(addr: net::SocketAddr, me: &Me) -> Result<Link, Error> {
+    let open = async {
+        let stream = tcp::TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        let url = format!("ws://{addr}/peer");
+        let (socket, _) =
+            tokio_tungstenite::client_async_with_config(url, stream, Some(config())).await?;
+        prove(socket, me).await
+    };
+    tokio::time::timeout(OPEN_TIMEOUT, open)
+        .await
+        .unwrap_or(Err(Error::Timeout))
+}
+
+/// Takes a connection that a peer opened.
+pub async fn accept(stream: tcp::TcpStream, me: &Me) -> Result<Link, Error> {
+    let open = async {
+        stream.set_nodelay(true)?;
+        let socket = tokio_tungstenite::accept_async_with_config(stream, Some(config())).await?;
+        prove(socket, me).await
+    };
+    tokio::time::timeout(OPEN_TIMEOUT, open)
+        .await
+        .unwrap_or(Err(Error::Timeout))
+}
+
+async fn prove(mut socket: Socket, me: &Me) -> Result<Link, Error> {
+    let ours = hello::Hello {
+        version: hello::VERSION,
+        vm: me.vm.clone(),
+        az: me.az.clone(),
+        incarnation: me.incarnation,
+        nonce: rand::rng().random(),
+    };
+    send(&mut socket, hello::encode(&ours).into()).await?;
+    let theirs: hello::Hello = hello::decode(&next(&mut socket).await?)?;
+    let proof = me.secrets.prove(&ours, &theirs);
+    send(&mut socket, hello::encode(&proof).into()).await?;
+    let proof: hello::Proof = hello::decode(&next(&mut socket).await?)?;
+    me.secrets.check(&ours, &theirs, &proof)?;
+    Ok(Link {
+        hello: theirs,
+        socket,
+    })
+}
+
+async fn send(socket: &mut Socket, bytes: bytes::Bytes) -> Result<(), Error> {
+    Ok(socket.send(tungstenite::Message::Binary(bytes)).await?)
+}
+
+async fn next(socket: &mut Socket) -> Result<bytes::Bytes, Error> {
+    match socket.next().await {
+        Some(Ok(tungstenite::Message::Binary(bytes))) => Ok(bytes),
+        Some(Ok(_)) => Err(hello::Error::Malformed("no binary message".to_owned()).into()),
+        Some(Err(err)) => Err(err.into()),
+        None => Err(Error::Closed),
+    }
+}
+
+fn config() -> protocol::WebSocketConfig {
+    protocol::WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_message_size(Some(peer::MAX_BYTES))
+        .max_frame_size(Some(peer::MAX_BYTES))
+}
+
+impl Link {
+    /// Carries messages both ways until the link breaks or its queue is closed. Each binary
+    /// message that comes goes to `take`.
+    pub async fn run<F: FnMut(&[u8])>(self, queue: &Queue, take: F) -> Error {
+        let (tx, rx) = self.socket.split();
+        // Reading goes on while a write waits: two peers that both wait for the other to read
+        // would stand still until a timeout cut them off.
+        tokio::select! {
+            err = read(rx, take) => err,
+            err = write(tx, queue) => err,
+        }
+    }
+}
+
+async fn read<F: FnMut(&[u8])>(
+    mut rx: futures_util::stream::SplitStream<Socket>,
+    mut take: F,
+) -> Error {
+    loop {
+        match tokio::time::timeout(IDLE_TIMEOUT, rx.next()).await {
+            Err(_) => return Error::Timeout,
+            Ok(None) => return Error::Closed,
+            Ok(Some(Err(err))) => return err.into(),
+            Ok(Some(Ok(tungstenite::Message::Binary(bytes)))) => take(&bytes),
+            Ok(Some(Ok(_))) => {}
+        }
+    }
+}
+
+async fn write(
+    mut tx: futures_util::stream::SplitSink<Socket, tungstenite::Message>,
+    queue: &Queue,
+) -> Error {
+    loop {
+        let message = match tokio::time::timeout(PING_EVERY, queue.pop()).await {
+            Ok(Some(bytes)) => tungstenite::Message::Binary(bytes),
+            Ok(None) => return Error::Closed,
+            Err(_) => tungstenite::Message::Ping(bytes::Bytes::new()),
+        };
+        match tokio::time::timeout(WRITE_TIMEOUT, tx.send(message)).await {
+            Err(_) => return Error::Timeout,
+            Ok(Err(err)) => return err.into(),
+            Ok(Ok(())) => {}
+        }
+    }
+}
+
+/// Messages that wait to leave on one link.
+#[derive(Debug, Default)]
+pub struct Queue {
+    inner: parking_lot::Mutex<Waiting>,
+    notify: tokio::sync::Notify,
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    messages: collections::VecDeque<bytes::Bytes>,
+    bytes: usize,
+    closed: bool,
+}
+
+impl Queue {
+    /// Adds a message and returns how many older ones had to go for it.
+    pub fn push(&self, bytes: bytes::Bytes) -> usize {
+        let mut inner = self.inner.lock();
+        let mut dropped = 0;
+        while inner.is_full(bytes.len()) {
+            let oldest = inner.messages.pop_front().unwrap_or_default();
+            inner.bytes -= oldest.len();
+            dropped += 1;
+        }
+        inner.bytes += bytes.len();
+        inner.messages.push_back(bytes);
+        drop(inner);
+        self.notify.notify_one();
+        dropped
+    }
+
+    /// Closes the link once what waits has left.
+    pub fn close(&self) {
+        self.inner.lock().closed = true;
+        self.notify.notify_one();
+    }
+
+    /// The next message; `None` once the queue is closed and empty.
+    async fn pop(&self) -> Option<bytes::Bytes> {
+        loop {
+            {
+                let mut inner = self.inner.lock();
+                if let Some(bytes) = inner.messages.pop_front() {
+                    inner.bytes -= bytes.len();
+                    return Some(bytes);
+                }
+                if inner.closed {
+                    return None;
+                }
+            }
+            self.notify.notified().await;
+        }
+    }
+}
+
+impl Waiting {
+    fn is_full(&self, more: usize) -> bool {
+        !self.messages.is_empty()
+            && (self.messages.len() >= QUEUE_MESSAGES || self.bytes + more > QUEUE_BYTES)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A peer stands still while we go on talking to it. Without a bound the messages would pile
+    /// up until this VM has no memory left for its callers.
+    #[test]
+    fn a_full_queue_drops_the_oldest() {
+        let queue = Queue::default();
+        for n in 0..QUEUE_MESSAGES {
+            let bytes = bytes::Bytes::from(n.to_string());
+            assert_eq!(queue.push(bytes), 0);
+        }
+        assert_eq!(queue.push(bytes::Bytes::from_static(b"last")), 1);
+        assert_eq!(queue.inner.lock().messages.front().unwrap(), "1");
+        let large = bytes::Bytes::from(vec![0; QUEUE_BYTES]);
+        assert_eq!(queue.push(large), QUEUE_MESSAGES);
+    }
+}
