Look up a caller's region in a flattened longest-prefix table

Cause: a look-up has to order entry VMs by the caller's region, and the users expect 1.3 million client blocks.

Change: blocks are flattened once into ranges without overlap; a look-up is one binary search.

--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,203 @@
+//! What grows with the size of the fleet, measured at several sizes, with the fitted slope.
+//!
+//! `cargo bench --bench capacity` prints one table a part. docs/CAPACITY.md uses the slopes.
+
+use std::fs;
+use std::hint;
+use std::net;
+use std::time;
+
+use bulrushwind::coordination::store;
+use bulrushwind::{settings, state};
+use rand::{RngExt, SeedableRng};
+use state::lookup;
+
+/// The seed of all made-up data, so that every run measures the same.
+const SEED: u64 = 20;
+
+/// The largest size that the users expect.
+const CLIENT_BLOCKS: usize = 1_300_000;
+const SITES: u16 = 800;
+const NODES: usize = 4_400;
+
+fn main() {
+    look_ups();
+    vm_list();
+    settings_change();
+}
+
+/// A straight line through measured points, by least squares.
+#[derive(Default)]
+struct Fit {
+    points: Vec<(f64, f64)>,
+}
+
+impl Fit {
+    fn add(&mut self, x: f64, y: f64) {
+        self.points.push((x, y));
+    }
+
+    fn slope(&self) -> f64 {
+        let n = self.points.len() as f64;
+        let mean_x = self.points.iter().map(|p| p.0).sum::<f64>() / n;
+        let mean_y = self.points.iter().map(|p| p.1).sum::<f64>() / n;
+        let dot = |f: fn(f64, f64) -> f64| -> f64 {
+            self.points
+                .iter()
+                .map(|p| f(p.0 - mean_x, p.1 - mean_y))
+                .sum()
+        };
+        dot(|x, y| x * y) / dot(|x, _| x * x)
+    }
+}
+
+/// The shortest of several runs, in seconds: what the work itself costs.
+fn best_of<T>(runs: usize, mut work: impl FnMut() -> T) -> f64 {
+    let mut best = f64::INFINITY;
+    for _ in 0..runs {
+        let start = time::Instant::now();
+        hint::black_box(work());
+        best = best.min(start.elapsed().as_secs_f64());
+    }
+    best
+}
+
+/// The process's resident memory, in bytes.
+fn resident() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|field| field.parse().ok());
+    pages.unwrap_or(0) * 4096
+}
+
+fn made_up_blocks(count: usize, rng: &mut rand_chacha::ChaCha8Rng) -> Vec<lookup::Block> {
+    let mut blocks = Vec::with_capacity(count);
+    while blocks.len() < count {
+        // Lengths as in routing tables: most blocks are /24, some are wider and hold others.
+        let len = match rng.random_range(0..10u8) {
+            0 => rng.random_range(12..20),
+            1..=3 => rng.random_range(20..24),
+            _ => 24,
+        };
+        let addr = net::Ipv4Addr::from(rng.random::<u32>());
+        let net = ipnet::Ipv4Net::new(addr, len)
+            .expect("a length under 33")
+            .trunc();
+        let target = rng.random_range(0..SITES);
+        blocks.push(lookup::Block {
+            net: net.into(),
+            target,
+        });
+    }
+    blocks
+}
+
+fn look_ups() {
+    println!("look-up table: client blocks to {SITES} sites");
+    println!("   blocks    build ms     table MB   bytes/block   ns/look-up   look-ups/s");
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(SEED);
+    let (mut bytes, mut build) = (Fit::default(), Fit::default());
+    for count in [10_000, 40_000, 160_000, 640_000, CLIENT_BLOCKS] {
+        let blocks = made_up_blocks(count, &mut rng);
+        let build_s = best_of(3, || lookup::Table::build(&blocks));
+        let table = lookup::Table::build(&blocks);
+        let addrs: Vec<net::IpAddr> = (0..200_000)
+            .map(|_| net::Ipv4Addr::from(rng.random::<u32>()).into())
+            .collect();
+        let find_s = best_of(5, || {
+            let found = addrs.iter().filter_map(|addr| table.find(*addr));
+            found.map(u64::from).sum::<u64>()
+        });
+        let ns = find_s / addrs.len() as f64 * 1e9;
+        bytes.add(count as f64, table.bytes() as f64);
+        build.add(count as f64, build_s);
+        println!(
+            "{count:9} {:11.1} {:12.2} {:13.1} {ns:12.0} {:12.0}",
+            build_s * 1e3,
+            table.bytes() as f64 / 1e6,
+            table.bytes() as f64 / count as f64,
+            1e9 / ns,
+        );
+    }
+    println!(
+        "slope: {:.1} bytes a block, {:.0} ns of building a block\n",
+        bytes.slope(),
+        build.slope() * 1e9
+    );
+}
+
+fn made_up_vm(i: usize) -> store::Vm {
+    let az = format!("region-{}-{}", i % 11, i % 4);
+    let addr = net::SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 8080));
+    store::Vm {
+        id: format!("entry-{az}-{i}").as_str().into(),
+        az: az.as_str().into(),
+        addr,
+        role: store::VmRole::Entry { peers: addr },
+        state: store::VmState::Live,
+    }
+}
+
+fn vm_list() {
+    println!("the platform's list of VMs, as the wire brings it");
+    println!("     VMs    bytes/VM    parse us   resident bytes/VM");
+    let (mut bytes, mut cpu) = (Fit::default(), Fit::default());
+    for count in [50, 500, 2_000, NODES] {
+        let list: Vec<_> = (0..count).map(made_up_vm).collect();
+        let text = serde_json::to_vec(&list).expect("VMs can be JSON");
+        let parse = || serde_json::from_slice::<Vec<store::Vm>>(&text).expect("it was printed");
+        let parse_s = best_of(20, parse);
+        let before = resident();
+        let copies: Vec<_> = (0..400_000 / count).map(|_| parse()).collect();
+        let held = resident().saturating_sub(before) as f64 / copies.len() as f64;
+        bytes.add(count as f64, text.len() as f64);
+        cpu.add(count as f64, parse_s);
+        println!(
+            "{count:8} {:11.0} {:11.0} {:19.0}",
+            text.len() as f64 / count as f64,
+            parse_s * 1e6,
+            held / count as f64
+        );
+    }
+    println!(
+        "slope: {:.0} bytes and {:.2} us a VM\n",
+        bytes.slope(),
+        cpu.slope() * 1e6
+    );
+}
+
+fn settings_change() {
+    println!("a change of a team's settings: text, parse, check");
+    println!("services  text bytes    parse us    check us");
+    let (mut bytes, mut cpu) = (Fit::default(), Fit::default());
+    let root = std::path::Path::new("examples/cooperative");
+    let base = settings::Settings::read(root).expect("the example is sound");
+    let model = base.service("ledger").expect("the example has a ledger");
+    for count in [1, 10, 100, 1_000] {
+        let services = (0..count).map(|i| settings::Service {
+            name: format!("service-{i}").as_str().into(),
+            ..model.clone()
+        });
+        let team = settings::Team {
+            services: services.collect(),
+            ..settings::Team::default()
+        };
+        let text = team.to_toml();
+        let parse_s = best_of(5, || settings::Team::parse("bench", &text));
+        let mut all = base.clone();
+        all.teams.insert("bench".into(), team);
+        let check_s = best_of(5, || all.check());
+        bytes.add(f64::from(count), text.len() as f64);
+        cpu.add(f64::from(count), parse_s + check_s);
+        println!(
+            "{count:8} {:11} {:11.0} {:11.0}",
+            text.len(),
+            parse_s * 1e6,
+            check_s * 1e6
+        );
+    }
+    println!(
+        "slope: {:.0} bytes and {:.1} us a service\n",
+        bytes.slope(),
+        cpu.slope() * 1e6
+    );
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,1 +1,3 @@
 //! Shared tables with one stated lock order.
+
+pub mod lookup;
