--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -6,6 +6,8 @@
 //! decision can be read, tested and measured on its own. The entry process and the benchmark
 //! drive the same [`policy::Policy`].
 
+pub mod across;
+pub mod grants;
 pub mod naive;
 pub mod policy;
 
