--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::path;
 
+use crate::settings::keys;
 use crate::{error, id};
 
 data! {
@@ -22,6 +23,9 @@
         pub peers_listen: net::SocketAddr,
         /// The platform's store.
         pub store: net::SocketAddr,
+        /// The public root keys, which sign the teams' key rings.
+        #[serde(default)]
+        pub root_keys: Vec<keys::PublicKey>,
         /// Threads that carry requests to backend servers.
         #[serde(default = "default_workers")]
         pub workers: usize,
--- /dev/null
+++ b/src/settings/keys.rs
@@ -0,0 +1,434 @@
+//! Who may change a team's settings: signing keys, and the ring of keys that a team has.
+//!
+//! A team's [`KeyRing`] stands in the store under `keys/<team>` and is signed by a root key. The
+//! root's public keys stand in each entry process's own configuration, so that neither the store
+//! nor a peer can put a key of its own in their place. A ring counts only as [`Trusted`], which
+//! no code can make without the check.
+//!
+//! Rotation and revocation are one field, [`TeamKey::until`]: the first version of the team's
+//! settings that the key may no longer sign. A key that was rotated out keeps what it signed
+//! before, so that a new VM can still check settings that nobody changed since. A key that was
+//! stolen gets `until = 0` and counts for nothing: the team signs its settings again first, with
+//! `bulrushwind apply`. Versions grow with the time of day, so that an `until` of now needs no
+//! list of what was signed. A process that accepted settings keeps them whatever happens to the
+//! key that signed them, because accepted settings never revert.
+
+use std::collections;
+use std::fmt;
+use std::str;
+
+use data_encoding::HEXLOWER;
+use ed25519_dalek::Signer;
+use sha2::Digest;
+
+use crate::id;
+
+/// Where the rings stand in the store.
+pub const STORE_PREFIX: &str = "keys/";
+
+/// The most keys that one team can have. A ring has to be read whole by every VM.
+pub const MAX_KEYS: usize = 64;
+
+/// The longest text of a ring.
+const MAX_RING_BYTES: usize = 32 * 1024;
+
+/// Sets a ring's signature apart from those over other things.
+const RING_DOMAIN: &str = "bulrushwind key ring 1";
+
+/// The first word of a secret key's file, which tells it from a public key.
+const SECRET_WORD: &str = "bulrushwind-secret-key";
+
+name! {
+    /// A key's short name: the start of its public key's hash, in hex.
+    KeyId;
+}
+
+/// A key, a ring or a signature that is not taken.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum Error {
+    /// The text is not a key.
+    #[error("not a {what} key; give 64 hex digits as `bulrushwind keygen` prints them")]
+    Malformed {
+        /// Public or secret.
+        what: &'static str,
+    },
+    /// The bytes are not a ring.
+    #[error("the key ring cannot be read: {0}; write it again with `bulrushwind keys`")]
+    Garbled(String),
+    /// The ring is for another team than the one it stands under.
+    #[error("the key ring is team `{of}`'s but stands under `{at}`; write it under its own team")]
+    WrongPlace {
+        /// The team in the ring.
+        of: id::TeamId,
+        /// The team it stands under.
+        at: id::TeamId,
+    },
+    /// No root key that this process knows signed it.
+    #[error(
+        "team `{team}`'s key ring is not signed by a known root key; sign it with a root key whose public half is in `root_keys`"
+    )]
+    NotRoot {
+        /// The team.
+        team: id::TeamId,
+    },
+    /// The signature does not fit the ring.
+    #[error(
+        "team `{team}`'s key ring was changed after it was signed; write it again with `bulrushwind keys`"
+    )]
+    Forged {
+        /// The team.
+        team: id::TeamId,
+    },
+    /// A newer ring is held already.
+    #[error(
+        "team `{team}`'s key ring is version {offered} and version {held} is in force; write one with a higher version"
+    )]
+    Stale {
+        /// The team.
+        team: id::TeamId,
+        /// The version in force.
+        held: u64,
+        /// The version that came.
+        offered: u64,
+    },
+    /// The ring holds too many keys.
+    #[error("a team has at most {MAX_KEYS} keys; take out those that were revoked")]
+    TooMany,
+}
+
+data! {
+    /// The public half of a key.
+    #[derive(Copy, Eq)]
+    #[serde(try_from = "String", into = "String")]
+    pub struct PublicKey([u8; 32]);
+
+    /// A signature.
+    #[derive(Copy, Eq)]
+    #[serde(try_from = "String", into = "String")]
+    pub struct Signature([u8; 64]);
+
+    /// One key of a team.
+    #[derive(Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct TeamKey {
+        /// Who holds the secret half, for logs and conflicts.
+        pub holder: String,
+        /// The public half.
+        pub public: PublicKey,
+        /// The first version of the team's settings that it may no longer sign. Absent: none.
+        /// 0: it counts for nothing, not even for what it signed before.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub until: Option<u64>,
+    }
+
+    /// The keys that may sign a team's settings, as they stand in the store.
+    #[derive(Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct KeyRing {
+        /// The team.
+        pub team: id::TeamId,
+        /// Grows with each ring.
+        pub version: u64,
+        /// The keys.
+        pub keys: Vec<TeamKey>,
+        /// The root key that signed this.
+        pub root: KeyId,
+        /// The root key's signature over all of the above.
+        pub signature: Signature,
+    }
+}
+
+/// A ring whose signature was checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trusted(KeyRing);
+
+/// The secret half of a key. It prints as its name only.
+#[derive(Clone)]
+pub struct SecretKey(ed25519_dalek::SigningKey);
+
+impl SecretKey {
+    /// A new key, drawn at random.
+    pub fn generate() -> Self {
+        Self(ed25519_dalek::SigningKey::from_bytes(&rand::random()))
+    }
+
+    /// Reads the text of a secret key's file.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let hex = text.trim().strip_prefix(SECRET_WORD).unwrap_or_default();
+        let seed = bytes(hex.trim()).ok_or(Error::Malformed { what: "secret" })?;
+        Ok(Self(ed25519_dalek::SigningKey::from_bytes(&seed)))
+    }
+
+    /// The text of a secret key's file.
+    pub fn to_text(&self) -> String {
+        format!("{SECRET_WORD} {}\n", HEXLOWER.encode(self.0.as_bytes()))
+    }
+
+    /// The public half.
+    pub fn public(&self) -> PublicKey {
+        PublicKey(self.0.verifying_key().to_bytes())
+    }
+
+    /// Signs bytes.
+    pub fn sign(&self, bytes: &[u8]) -> Signature {
+        Signature(self.0.sign(bytes).to_bytes())
+    }
+}
+
+impl fmt::Debug for SecretKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "SecretKey({})", self.public().id())
+    }
+}
+
+impl PublicKey {
+    /// The key's short name.
+    pub fn id(&self) -> KeyId {
+        let hash = sha2::Sha256::digest(self.0);
+        HEXLOWER.encode(&hash[..8]).as_str().into()
+    }
+
+    /// Whether this key made `signature` over `bytes`.
+    pub fn verifies(&self, bytes: &[u8], signature: &Signature) -> bool {
+        let signature = ed25519_dalek::Signature::from_bytes(&signature.0);
+        ed25519_dalek::VerifyingKey::from_bytes(&self.0)
+            .is_ok_and(|key| key.verify_strict(bytes, &signature).is_ok())
+    }
+}
+
+impl str::FromStr for PublicKey {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let bytes = bytes(text).ok_or(Error::Malformed { what: "public" })?;
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<String> for PublicKey {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
+
+impl From<PublicKey> for String {
+    fn from(key: PublicKey) -> Self {
+        HEXLOWER.encode(&key.0)
+    }
+}
+
+impl fmt::Display for PublicKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&HEXLOWER.encode(&self.0))
+    }
+}
+
+impl TryFrom<String> for Signature {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        let bytes = bytes(&text).ok_or(Error::Garbled("not a signature".to_owned()))?;
+        Ok(Self(bytes))
+    }
+}
+
+impl From<Signature> for String {
+    fn from(signature: Signature) -> Self {
+        HEXLOWER.encode(&signature.0)
+    }
+}
+
+impl KeyRing {
+    /// A ring signed by a root key.
+    pub fn sign(
+        team: id::TeamId,
+        version: u64,
+        keys: Vec<TeamKey>,
+        root: &SecretKey,
+    ) -> Result<Self, Error> {
+        if keys.len() > MAX_KEYS {
+            return Err(Error::TooMany);
+        }
+        let root_id = root.public().id();
+        let signature = root.sign(&signed_bytes(&team, version, &keys, &root_id));
+        Ok(Self {
+            team,
+            version,
+            keys,
+            root: root_id,
+            signature,
+        })
+    }
+
+    /// Reads a ring from the store's bytes. It is not to be trusted yet.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        if bytes.len() > MAX_RING_BYTES {
+            return Err(Error::TooMany);
+        }
+        serde_json::from_slice(bytes).map_err(|err| Error::Garbled(err.to_string()))
+    }
+
+    /// The bytes for the store.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a key ring has only values that JSON can hold")
+    }
+
+    /// Checks that the ring stands where it should, that a root key signed it and that it is not
+    /// older than the version `held`.
+    pub fn verify(
+        self,
+        at: &id::TeamId,
+        roots: &[PublicKey],
+        held: Option<u64>,
+    ) -> Result<Trusted, Error> {
+        if self.team != *at {
+            let (of, at) = (self.team, at.clone());
+            return Err(Error::WrongPlace { of, at });
+        }
+        let Some(root) = roots.iter().find(|root| root.id() == self.root) else {
+            return Err(Error::NotRoot { team: self.team });
+        };
+        let bytes = signed_bytes(&self.team, self.version, &self.keys, &self.root);
+        if !root.verifies(&bytes, &self.signature) {
+            return Err(Error::Forged { team: self.team });
+        }
+        if let Some(held) = held.filter(|held| *held > self.version) {
+            return Err(Error::Stale {
+                team: self.team,
+                held,
+                offered: self.version,
+            });
+        }
+        Ok(Trusted(self))
+    }
+}
+
+impl Trusted {
+    /// The ring.
+    pub fn ring(&self) -> &KeyRing {
+        &self.0
+    }
+
+    /// The key of this name, whether or not it may still sign.
+    pub fn key(&self, id: &KeyId) -> Option<&TeamKey> {
+        self.0.keys.iter().find(|key| key.public.id() == *id)
+    }
+
+    /// Every trusted ring of a snapshot, by team. Those that are not sound are left out and
+    /// returned beside.
+    pub fn all<'a>(
+        entries: impl Iterator<Item = (&'a str, &'a [u8])>,
+        roots: &[PublicKey],
+    ) -> (collections::BTreeMap<id::TeamId, Self>, Vec<Error>) {
+        let (mut rings, mut errors) = (collections::BTreeMap::new(), Vec::new());
+        for (key, value) in entries {
+            let Some(team) = key.strip_prefix(STORE_PREFIX) else {
+                continue;
+            };
+            let team = id::TeamId::from(team);
+            match KeyRing::decode(value).and_then(|ring| ring.verify(&team, roots, None)) {
+                Ok(ring) => drop(rings.insert(team, ring)),
+                Err(err) => errors.push(err),
+            }
+        }
+        (rings, errors)
+    }
+}
+
+/// Where a team's ring stands in the store.
+pub fn store_key(team: &id::TeamId) -> String {
+    format!("{STORE_PREFIX}{team}")
+}
+
+/// Appends a field so that no two lists of fields give the same bytes: its length goes before it.
+pub(super) fn push_field(buf: &mut Vec<u8>, field: &[u8]) {
+    buf.extend((field.len() as u64).to_be_bytes());
+    buf.extend(field);
+}
+
+fn signed_bytes(team: &id::TeamId, version: u64, keys: &[TeamKey], root: &KeyId) -> Vec<u8> {
+    let mut buf = Vec::new();
+    push_field(&mut buf, RING_DOMAIN.as_bytes());
+    push_field(&mut buf, team.as_str().as_bytes());
+    push_field(&mut buf, &version.to_be_bytes());
+    push_field(&mut buf, root.as_str().as_bytes());
+    for key in keys {
+        push_field(&mut buf, key.holder.as_bytes());
+        push_field(&mut buf, &key.public.0);
+        let until = key.until.map(u64::to_be_bytes);
+        push_field(&mut buf, until.as_ref().map_or(&[], <[u8; 8]>::as_slice));
+    }
+    buf
+}
+
+fn bytes<const N: usize>(hex: &str) -> Option<[u8; N]> {
+    HEXLOWER.decode(hex.as_bytes()).ok()?.try_into().ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ring(root: &SecretKey, version: u64) -> KeyRing {
+        let key = TeamKey {
+            holder: "otgon".to_owned(),
+            public: SecretKey::generate().public(),
+            until: None,
+        };
+        KeyRing::sign("bays".into(), version, vec![key], root).unwrap()
+    }
+
+    #[test]
+    fn a_ring_survives_the_store_and_is_trusted_in_its_place() {
+        let root = SecretKey::generate();
+        let ring = ring(&root, 1);
+        let read = KeyRing::decode(&ring.encode()).unwrap();
+        let trusted = read.verify(&"bays".into(), &[root.public()], None).unwrap();
+        assert_eq!(*trusted.ring(), ring);
+    }
+
+    /// Somebody who can write to the store, but holds no root key, puts a ring with a key of
+    /// their own there. The team would find its settings changed by a stranger.
+    #[test]
+    fn rings_of_strangers_are_refused() {
+        let (root, stranger) = (SecretKey::generate(), SecretKey::generate());
+        let at = id::TeamId::from("bays");
+        let err = ring(&stranger, 1).verify(&at, &[root.public()], None);
+        assert!(matches!(err, Err(Error::NotRoot { .. })), "{err:?}");
+
+        let mut forged = ring(&root, 1);
+        forged.keys[0].public = stranger.public();
+        let err = forged.verify(&at, &[root.public()], None);
+        assert!(matches!(err, Err(Error::Forged { .. })), "{err:?}");
+
+        let err = ring(&root, 1).verify(&"records".into(), &[root.public()], None);
+        assert!(matches!(err, Err(Error::WrongPlace { .. })), "{err:?}");
+    }
+
+    /// A ring from before a revocation is written again. The revoked key would sign once more.
+    #[test]
+    fn an_older_ring_is_refused() {
+        let root = SecretKey::generate();
+        let at = id::TeamId::from("bays");
+        let err = ring(&root, 4).verify(&at, &[root.public()], Some(5));
+        assert!(matches!(err, Err(Error::Stale { held: 5, .. })), "{err:?}");
+        assert!(
+            ring(&root, 5)
+                .verify(&at, &[root.public()], Some(5))
+                .is_ok()
+        );
+    }
+
+    #[test]
+    fn a_secret_key_survives_its_file_and_does_not_print() {
+        let key = SecretKey::generate();
+        let read = SecretKey::parse(&key.to_text()).unwrap();
+        assert_eq!(read.public(), key.public());
+        let secret = key.to_text();
+        let hex = secret.trim().rsplit(' ').next().unwrap();
+        assert!(!format!("{key:?}").contains(hex));
+        assert!(SecretKey::parse(&key.public().to_string()).is_err());
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,8 @@
 //! places belong to the team [`PLACES_TEAM`]; services belong to the team that declares them.
 
 mod check;
+pub mod envelope;
+pub mod keys;
 mod places;
 mod service;
 
