--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -429,6 +429,7 @@
     use super::*;
     use crate::logging;
 
+    use std::cell;
     use std::thread;
 
     const SECRET: &str = "0101010101010101010101010101010101010101010101010101010101010101";
@@ -493,9 +494,13 @@
         until("linked", || a.linked().len() == 1);
         drop(b);
         until("unlinked", || a.linked().is_empty());
-        let again = || Peers::start(me("b", 2, SECRET), addr, &logging::silent());
-        until("the address is free", || again().is_ok());
-        let (_b, b_rx) = again().unwrap();
+        let again = cell::RefCell::new(None);
+        until("the address is free", || {
+            let started = Peers::start(me("b", 2, SECRET), addr, &logging::silent());
+            *again.borrow_mut() = started.ok();
+            again.borrow().is_some()
+        });
+        let (_b, b_rx) = again.into_inner().unwrap();
         until("linked again", || {
             a.linked()
                 .iter()
