Declare the metrics by name, with their exporter and a tested page

Cause: each module could spell names and labels as it liked, and a label taken from a caller's text would grow without bound. Change: constants, one table with kind, labels and help, Prometheus text through metrics-exporter-prometheus' recorder, and a bound on label values. Conclusion: the operators' page is compared with the table in a test.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod exit_codes;
 pub mod id;
 pub mod logging;
+pub mod metrics;
 pub mod protocol;
 pub mod settings;
 pub mod standin;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,407 @@
+//! The names of all metrics, and their exporter in Prometheus' text format.
+//!
+//! Code that counts uses the `metrics` macros with the names declared here, so that no name is
+//! spelt twice. Every label takes its values from a bounded set: services and operations that the
+//! settings declare, availability zones, and the variants of our own enums. Nothing that a caller
+//! sends becomes a label; otherwise a caller could fill the memory of an entry VM by asking for
+//! ever new paths. [`Bounded`] holds the line where the settings themselves grow large.
+
+use std::collections;
+use std::sync;
+
+use metrics_exporter_prometheus as prometheus;
+
+/// Requests that callers sent, by how they ended.
+pub const REQUESTS: &str = "bulrushwind_requests_total";
+/// Worth of the requests that callers sent, by how they ended.
+pub const WORTH: &str = "bulrushwind_worth_total";
+/// Answers that came within the objective's latency.
+pub const IN_TIME: &str = "bulrushwind_in_time_total";
+/// From a request's last byte in to its answer's first byte out.
+pub const LATENCY: &str = "bulrushwind_request_seconds";
+/// Attempts at backend servers and other availability zones, by how they ended.
+pub const ATTEMPTS: &str = "bulrushwind_attempts_total";
+/// Attempts after a request's first.
+pub const RETRIES: &str = "bulrushwind_retries_total";
+/// Requests sent to another availability zone.
+pub const SPILLS: &str = "bulrushwind_spills_total";
+/// Requests that backend servers work on for this VM.
+pub const IN_FLIGHT: &str = "bulrushwind_in_flight";
+/// Requests that wait on this VM.
+pub const QUEUED: &str = "bulrushwind_queued";
+/// Slots of the backend servers that take work from this VM.
+pub const SLOTS: &str = "bulrushwind_slots";
+/// Backend servers that were ejected.
+pub const EJECTIONS: &str = "bulrushwind_ejections_total";
+/// Request fingerprints that were quarantined.
+pub const QUARANTINES: &str = "bulrushwind_quarantines_total";
+/// Probes sent to backend servers.
+pub const PROBES: &str = "bulrushwind_probes_total";
+/// Look-ups answered.
+pub const LOOKUPS: &str = "bulrushwind_lookups_total";
+/// Share of the own traffic that still stands in a place that is draining.
+pub const DRAIN_REMAINING: &str = "bulrushwind_drain_remaining_share";
+/// How long the last drain took until nothing was left.
+pub const DRAIN_SECONDS: &str = "bulrushwind_drain_seconds";
+/// Version of a team's settings in force here.
+pub const SETTINGS_VERSION: &str = "bulrushwind_settings_version";
+/// Settings that were offered and not taken.
+pub const SETTINGS_REFUSED: &str = "bulrushwind_settings_refused_total";
+/// Calls to the platform's store.
+pub const STORE_CALLS: &str = "bulrushwind_store_calls_total";
+/// Whether the last call to the store brought an answer.
+pub const STORE_UP: &str = "bulrushwind_store_up";
+/// Entry VMs that this one hears from.
+pub const PEERS: &str = "bulrushwind_peers";
+/// Bytes to and from other entry VMs.
+pub const PEER_BYTES: &str = "bulrushwind_peer_bytes_total";
+/// Log lines that were held back because too many were alike.
+pub const LOG_SUPPRESSED: &str = "bulrushwind_log_suppressed_total";
+/// Processor time of the process.
+pub const CPU_SECONDS: &str = "bulrushwind_cpu_seconds";
+/// Resident memory of the process.
+pub const RESIDENT_BYTES: &str = "bulrushwind_resident_bytes";
+/// How long the process has run.
+pub const UPTIME_SECONDS: &str = "bulrushwind_uptime_seconds";
+
+/// The upper bounds of [`LATENCY`]'s buckets, in seconds. They are close enough for a p99 within a
+/// third of its value, from answers inside an availability zone to the longest patience.
+pub const LATENCY_BUCKETS: [f64; 20] = [
+    0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3,
+    0.5, 1.0, 2.0, 5.0, 15.0,
+];
+
+/// The label value that stands for all beyond a label's bound.
+pub const OTHER: &str = "other";
+
+/// The most values that a label taken from settings can have.
+pub const MAX_LABEL_VALUES: usize = 64;
+
+/// What kind of metric a name is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Only grows.
+    Counter,
+    /// Goes up and down.
+    Gauge,
+    /// Counts by buckets.
+    Histogram,
+}
+
+/// What a name stands for.
+#[derive(Clone, Copy, Debug)]
+pub struct Metric {
+    /// The name.
+    pub name: &'static str,
+    /// Its kind.
+    pub kind: Kind,
+    /// Its labels.
+    pub labels: &'static [&'static str],
+    /// What it says, for operators.
+    pub help: &'static str,
+}
+
+const fn metric(
+    name: &'static str,
+    kind: Kind,
+    labels: &'static [&'static str],
+    help: &'static str,
+) -> Metric {
+    Metric {
+        name,
+        kind,
+        labels,
+        help,
+    }
+}
+
+/// Every metric. docs/operators/metrics.md is tested against this.
+pub const ALL: &[Metric] = &[
+    metric(
+        REQUESTS,
+        Kind::Counter,
+        &["service", "operation", "fate", "why"],
+        "Requests from callers, by fate (answered, failed, not_run, unknown) and, where not run, why.",
+    ),
+    metric(
+        WORTH,
+        Kind::Counter,
+        &["service", "fate"],
+        "Worth of the requests from callers, by fate.",
+    ),
+    metric(
+        IN_TIME,
+        Kind::Counter,
+        &["service"],
+        "Answers within the objective's latency.",
+    ),
+    metric(
+        LATENCY,
+        Kind::Histogram,
+        &["service"],
+        "Seconds from a request's arrival to its answer.",
+    ),
+    metric(
+        ATTEMPTS,
+        Kind::Counter,
+        &["service", "ended"],
+        "Attempts at backend servers and other availability zones, by how they ended.",
+    ),
+    metric(
+        RETRIES,
+        Kind::Counter,
+        &["service"],
+        "Attempts after a request's first.",
+    ),
+    metric(
+        SPILLS,
+        Kind::Counter,
+        &["service", "az"],
+        "Requests sent to another availability zone.",
+    ),
+    metric(
+        IN_FLIGHT,
+        Kind::Gauge,
+        &["service"],
+        "Requests that backend servers work on for this VM.",
+    ),
+    metric(
+        QUEUED,
+        Kind::Gauge,
+        &["service"],
+        "Requests that wait on this VM.",
+    ),
+    metric(
+        SLOTS,
+        Kind::Gauge,
+        &["service"],
+        "Slots of the backend servers that take work in this availability zone.",
+    ),
+    metric(
+        EJECTIONS,
+        Kind::Counter,
+        &["service"],
+        "Times that a backend server was ejected.",
+    ),
+    metric(
+        QUARANTINES,
+        Kind::Counter,
+        &["service"],
+        "Request fingerprints that were quarantined.",
+    ),
+    metric(
+        PROBES,
+        Kind::Counter,
+        &["service"],
+        "Probes sent to backend servers.",
+    ),
+    metric(LOOKUPS, Kind::Counter, &["service"], "Look-ups answered."),
+    metric(
+        DRAIN_REMAINING,
+        Kind::Gauge,
+        &["az"],
+        "Share of this VM's traffic that still goes to a draining place.",
+    ),
+    metric(
+        DRAIN_SECONDS,
+        Kind::Gauge,
+        &["az"],
+        "Seconds that the last drain took until nothing was left.",
+    ),
+    metric(
+        SETTINGS_VERSION,
+        Kind::Gauge,
+        &["team"],
+        "Version of the team's settings in force here.",
+    ),
+    metric(
+        SETTINGS_REFUSED,
+        Kind::Counter,
+        &["team"],
+        "Settings that were offered and not taken: forged, misplaced, older or unsound.",
+    ),
+    metric(
+        STORE_CALLS,
+        Kind::Counter,
+        &["call", "outcome"],
+        "Calls to the platform's store.",
+    ),
+    metric(
+        STORE_UP,
+        Kind::Gauge,
+        &[],
+        "1 if the last call to the platform's store was answered, else 0.",
+    ),
+    metric(
+        PEERS,
+        Kind::Gauge,
+        &[],
+        "Entry VMs that this one hears from.",
+    ),
+    metric(
+        PEER_BYTES,
+        Kind::Counter,
+        &["direction"],
+        "Bytes to and from other entry VMs.",
+    ),
+    metric(
+        LOG_SUPPRESSED,
+        Kind::Counter,
+        &["event"],
+        "Log lines held back because too many were alike.",
+    ),
+    metric(
+        CPU_SECONDS,
+        Kind::Gauge,
+        &[],
+        "Processor time of the process, in seconds.",
+    ),
+    metric(
+        RESIDENT_BYTES,
+        Kind::Gauge,
+        &[],
+        "Resident memory of the process, in bytes.",
+    ),
+    metric(
+        UPTIME_SECONDS,
+        Kind::Gauge,
+        &[],
+        "Seconds since the process started.",
+    ),
+];
+
+/// Renders what the `metrics` macros counted.
+#[derive(Clone, Debug)]
+pub struct Exporter(prometheus::PrometheusHandle);
+
+impl Exporter {
+    /// All metrics in Prometheus' text format.
+    pub fn render(&self) -> String {
+        self.0.render()
+    }
+
+    /// Folds recent observations into the histograms. Without a call every few seconds they pile
+    /// up in memory until the next [`Exporter::render`].
+    pub fn upkeep(&self) {
+        self.0.run_upkeep();
+    }
+}
+
+/// The exporter of this process. The first call starts the counting; several entry processes
+/// that a test runs inside one process share it.
+pub fn exporter() -> &'static Exporter {
+    static EXPORTER: sync::OnceLock<Exporter> = sync::OnceLock::new();
+    EXPORTER.get_or_init(|| {
+        let recorder = recorder();
+        let handle = recorder.handle();
+        // Only a second recorder can be refused, and then the first goes on counting.
+        let _ = metrics::set_global_recorder(recorder);
+        describe();
+        Exporter(handle)
+    })
+}
+
+fn recorder() -> prometheus::PrometheusRecorder {
+    prometheus::PrometheusBuilder::new()
+        .set_buckets_for_metric(
+            prometheus::Matcher::Full(LATENCY.to_owned()),
+            &LATENCY_BUCKETS,
+        )
+        .expect("there are buckets")
+        .build_recorder()
+}
+
+fn describe() {
+    for metric in ALL {
+        match metric.kind {
+            Kind::Counter => metrics::describe_counter!(metric.name, metric.help),
+            Kind::Gauge => metrics::describe_gauge!(metric.name, metric.help),
+            Kind::Histogram => metrics::describe_histogram!(metric.name, metric.help),
+        }
+    }
+}
+
+/// The values that one label has taken, at most [`MAX_LABEL_VALUES`].
+#[derive(Debug, Default)]
+pub struct Bounded {
+    seen: parking_lot::RwLock<collections::BTreeSet<sync::Arc<str>>>,
+}
+
+impl Bounded {
+    /// `value`, or [`OTHER`] once the label has taken as many values as it may.
+    pub fn label(&self, value: &str) -> sync::Arc<str> {
+        if let Some(known) = self.seen.read().get(value) {
+            return known.clone();
+        }
+        let mut seen = self.seen.write();
+        if seen.len() >= MAX_LABEL_VALUES && !seen.contains(value) {
+            return OTHER.into();
+        }
+        let value: sync::Arc<str> = value.into();
+        seen.insert(value.clone());
+        value
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::fs;
+
+    use super::*;
+
+    #[test]
+    fn each_metric_has_its_row_in_the_operators_page() {
+        let page = fs::read_to_string("docs/operators/metrics.md").unwrap();
+        for metric in ALL {
+            let labels = metric.labels.iter().map(|label| format!("`{label}`"));
+            let row = format!(
+                "| `{}` | {} | {} | {} |",
+                metric.name,
+                format!("{:?}", metric.kind).to_lowercase(),
+                labels.collect::<Vec<_>>().join(" "),
+                metric.help
+            );
+            assert!(
+                page.contains(&row),
+                "docs/operators/metrics.md lacks: {row}"
+            );
+        }
+        let rows = page
+            .lines()
+            .filter(|line| line.starts_with("| `bulrushwind_"));
+        assert_eq!(
+            rows.count(),
+            ALL.len(),
+            "the page has rows for gone metrics"
+        );
+    }
+
+    #[test]
+    fn what_is_counted_is_rendered() {
+        let recorder = recorder();
+        metrics::with_local_recorder(&recorder, || {
+            metrics::counter!(IN_TIME, "service" => "ledger").increment(2);
+            metrics::histogram!(LATENCY, "service" => "ledger").record(0.004);
+        });
+        let text = recorder.handle().render();
+        assert!(
+            text.contains("bulrushwind_in_time_total{service=\"ledger\"} 2"),
+            "{text}"
+        );
+        let bucket = "bulrushwind_request_seconds_bucket{service=\"ledger\",le=\"0.005\"} 1";
+        assert!(text.contains(bucket), "{text}");
+    }
+
+    /// A team declares services without end, or a caller's text gets into a label by mistake.
+    /// Each new value would take memory for good, until the VM dies of it.
+    #[test]
+    fn a_label_takes_a_bounded_set_of_values() {
+        let bounded = Bounded::default();
+        for n in 0..1000 {
+            bounded.label(&format!("service-{n}"));
+        }
+        assert_eq!(&*bounded.label("service-0"), "service-0");
+        assert_eq!(&*bounded.label("service-999"), OTHER);
+        assert_eq!(bounded.seen.read().len(), MAX_LABEL_VALUES);
+    }
+}
