--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::path;
 
+use crate::settings::keys;
 use crate::{error, id};
 
 data! {
@@ -22,6 +23,9 @@
         pub peers_listen: net::SocketAddr,
         /// The platform's store.
         pub store: net::SocketAddr,
+        /// The public root keys, which sign the teams' key rings.
+        #[serde(default)]
+        pub root_keys: Vec<keys::PublicKey>,
         /// Threads that carry requests to backend servers.
         #[serde(default = "default_workers")]
         pub workers: usize,
@@ -31,6 +35,10 @@
         /// How long a key that was spent is remembered, in milliseconds.
         #[serde(default = "default_ticket_ttl_ms")]
         pub ticket_ttl_ms: u64,
+        /// The secrets by which entry VMs prove to each other that they belong to one fleet, 64
+        /// hexadecimal digits each. The first signs, all are accepted. None: no links to peers.
+        #[serde(default)]
+        pub peer_secrets: Vec<String>,
     }
 }
 
