--- /dev/null
+++ b/benches/coordination/main.rs
@@ -0,0 +1,17 @@
+//! What agreement between entry processes costs and how long it takes.
+//!
+//! `cargo bench --bench coordination -- [readers|sizes|times|cutoff]` prints one table or all.
+//! `readers`, `sizes` and `cutoff` play in virtual time and give the same figures every run.
+
+mod readers;
+
+fn main() {
+    let wanted: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|arg| !arg.starts_with('-'))
+        .collect();
+    let asked = |name: &str| wanted.is_empty() || wanted.iter().any(|w| w == name);
+    if asked("readers") {
+        readers::print();
+    }
+}
--- /dev/null
+++ b/benches/coordination/readers.rs
@@ -0,0 +1,65 @@
+//! Question 3: the lowest name heard against accusation counters, on links with faults.
+
+use std::time;
+
+use bulrushwind::coordination::reader;
+use bulrushwind::standin::elections;
+use elections::Fault;
+
+const VMS: usize = 6;
+const SPAN: time::Duration = time::Duration::from_secs(1_800);
+const SEEDS: u64 = 5;
+
+const FAULTS: [(&str, Fault); 14] = [
+    ("no fault", Fault::None),
+    ("5% lost", Fault::Loss(0.05)),
+    ("30% lost", Fault::Loss(0.3)),
+    ("60% lost", Fault::Loss(0.6)),
+    ("up to 800 ms late", Fault::Delay(800)),
+    ("up to 3 s late", Fault::Delay(3_000)),
+    ("lowest unheard", Fault::LowestUnheard),
+    ("lowest heard by half", Fault::LowestHalfHeard),
+    ("lowest loses 60%", Fault::LowestLossy(0.6)),
+    ("lowest pauses 4 s in 10", Fault::LowestPauses),
+    ("lowest restarts each 10 s", Fault::LowestRestarts),
+    ("lowest without store", Fault::LowestWithoutStore),
+    ("reader killed each 60 s", Fault::ReaderKilled),
+    ("split 20 s each 60 s", Fault::Split),
+];
+
+/// Prints the table.
+pub(crate) fn print() {
+    println!("readers: {VMS} VMs, {} s, {SEEDS} seeds", SPAN.as_secs());
+    println!(
+        "| fault | way | changes/VM/h | messages/VM/min | without % | longest s | doubled % |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for (name, fault) in FAULTS {
+        row(name, "lowest", &mean::<reader::Lowest>(fault));
+        row(name, "accused", &mean::<reader::Accused>(fault));
+    }
+}
+
+fn row(fault: &str, way: &str, report: &elections::Report) {
+    println!(
+        "| {fault} | {way} | {:.1} | {:.0} | {:.2} | {:.1} | {:.2} |",
+        report.changes,
+        report.messages,
+        report.without * 100.0,
+        report.longest_s,
+        report.doubled * 100.0,
+    );
+}
+
+fn mean<E: reader::Election>(fault: Fault) -> elections::Report {
+    let mut sum = elections::Report::default();
+    for seed in 0..SEEDS {
+        let report = elections::play::<E>(fault, VMS, SPAN, seed);
+        sum.changes += report.changes / SEEDS as f64;
+        sum.messages += report.messages / SEEDS as f64;
+        sum.without += report.without / SEEDS as f64;
+        sum.doubled += report.doubled / SEEDS as f64;
+        sum.longest_s = sum.longest_s.max(report.longest_s);
+    }
+    sum
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,7 @@
 //! What entry processes agree on with one another and with the platform.
 
+pub mod budget;
 pub mod peers;
+pub mod reader;
 pub mod store;
 pub mod store_http;
--- /dev/null
+++ b/src/standin/elections.rs
@@ -0,0 +1,314 @@
+//! Plays the picking of a reader on faulty links, in virtual time.
+//!
+//! One availability zone, each pair of VMs linked. A reader counts as useful when it runs, takes
+//! itself for the reader and reaches the store, and when at least half of those that run take it for
+//! the reader too.
+
+use std::time;
+
+use super::fabric;
+use crate::coordination::reader;
+use crate::decisions::policy;
+use crate::id;
+use crate::protocol::peer;
+use reader::Election;
+
+/// How finely time passes.
+const STEP: time::Duration = time::Duration::from_millis(20);
+
+/// How long a reader's calls to the store fail before it says so.
+const STORE_PATIENCE: time::Duration = time::Duration::from_secs(2);
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// Every link loses this share.
+    Loss(f64),
+    /// Every link delays by up to this many milliseconds.
+    Delay(u64),
+    /// The VM with the lowest name is heard by nobody, but hears the others.
+    LowestUnheard,
+    /// Half of the VMs do not hear the lowest.
+    LowestHalfHeard,
+    /// What the lowest sends is lost in this share.
+    LowestLossy(f64),
+    /// The lowest stands still for 4 s every 10 s.
+    LowestPauses,
+    /// The lowest starts anew every 10 s and is away for 3 s of it.
+    LowestRestarts,
+    /// The lowest does not reach the store.
+    LowestWithoutStore,
+    /// The reader, whoever it is, is killed every 60 s and is away for 20 s.
+    ReaderKilled,
+    /// The two halves do not hear each other for 20 s every 60 s.
+    Split,
+}
+
+/// What a play gave.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// How often a VM changed its mind, after it had one, a VM and hour.
+    pub changes: f64,
+    /// Messages a VM and minute.
+    pub messages: f64,
+    /// The share of time without a useful reader.
+    pub without: f64,
+    /// The longest time without a useful reader, in seconds.
+    pub longest_s: f64,
+    /// The share of time with two readers or more.
+    pub doubled: f64,
+}
+
+struct Vm<E> {
+    name: id::VmId,
+    election: E,
+    starts: u64,
+    down: bool,
+    paused: bool,
+    held: Vec<fabric::Arrived<peer::Message>>,
+    mind: Option<id::VmId>,
+    store_lost: Option<policy::Moment>,
+}
+
+struct Play<E> {
+    vms: Vec<Vm<E>>,
+    fabric: fabric::Fabric<peer::Message>,
+    fault: Fault,
+    killed: Option<(usize, policy::Moment)>,
+    changes: u64,
+}
+
+/// Plays `span` with `vms` processes.
+pub fn play<E: Election>(fault: Fault, vms: usize, span: time::Duration, seed: u64) -> Report {
+    let mut play = Play::<E>::new(fault, vms, seed);
+    let (mut steps, mut without, mut doubled) = (0_u64, 0_u64, 0_u64);
+    let (mut gap, mut longest) = (0_u64, 0_u64);
+    let mut now = policy::Moment::ZERO;
+    while now < span {
+        play.step(now);
+        steps += 1;
+        gap = if play.has_useful() { 0 } else { gap + 1 };
+        longest = longest.max(gap);
+        without += u64::from(gap > 0);
+        doubled += u64::from(play.readers() > 1);
+        now += STEP;
+    }
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    let (share, per_vm) = (
+        |part: u64| part as f64 / steps as f64,
+        |count: u64| count as f64 / vms as f64,
+    );
+    Report {
+        changes: per_vm(play.changes) / span.as_secs_f64() * 3_600.0,
+        messages: per_vm(play.fabric.sent()) / span.as_secs_f64() * 60.0,
+        without: share(without),
+        longest_s: share(longest) * span.as_secs_f64(),
+        doubled: share(doubled),
+    }
+}
+
+impl<E: Election> Play<E> {
+    fn new(fault: Fault, vms: usize, seed: u64) -> Self {
+        let default = match fault {
+            Fault::Loss(loss) => fabric::Link {
+                loss,
+                ..fabric::Link::default()
+            },
+            Fault::Delay(ms) => fabric::Link {
+                max_delay: time::Duration::from_millis(ms),
+                ..fabric::Link::default()
+            },
+            _ => fabric::Link::default(),
+        };
+        let mut fabric = fabric::Fabric::new(seed, default);
+        for to in 1..vms {
+            let link = match fault {
+                Fault::LowestUnheard => fabric::Link::cut(),
+                Fault::LowestHalfHeard if to % 2 == 0 => fabric::Link::cut(),
+                Fault::LowestLossy(loss) => fabric::Link {
+                    loss,
+                    ..fabric::Link::default()
+                },
+                _ => default,
+            };
+            fabric.set(0, to, link);
+        }
+        Self {
+            vms: (0..vms).map(Vm::new).collect(),
+            fabric,
+            fault,
+            killed: None,
+            changes: 0,
+        }
+    }
+
+    fn step(&mut self, now: policy::Moment) {
+        self.inject(now);
+        for arrived in self.fabric.arrived(now) {
+            let vm = &mut self.vms[arrived.to];
+            if vm.down {
+                continue;
+            }
+            vm.held.push(arrived);
+        }
+        for i in 0..self.vms.len() {
+            self.run(now, i);
+        }
+    }
+
+    fn run(&mut self, now: policy::Moment, i: usize) {
+        let reaches = self.reaches_store(i);
+        let names: Vec<_> = self.vms.iter().map(|vm| vm.name.clone()).collect();
+        let vm = &mut self.vms[i];
+        if vm.down || vm.paused {
+            return;
+        }
+        let mut out = Vec::new();
+        for arrived in vm.held.drain(..) {
+            let from = &names[arrived.from];
+            match arrived.message {
+                peer::Message::Alive(alive) => vm.election.alive(now, from, &alive, &mut out),
+                peer::Message::Accuse(accuse) => vm.election.accuse(now, &accuse, &mut out),
+                _ => {}
+            }
+        }
+        vm.election.tick(now, &mut out);
+        vm.watch_store(now, reaches);
+        let mind = vm.election.reader().cloned();
+        if mind != vm.mind {
+            self.changes += u64::from(vm.mind.is_some() && mind.is_some());
+            vm.mind = mind;
+        }
+        for message in out {
+            self.send(now, i, &names, message);
+        }
+    }
+
+    fn send(&mut self, now: policy::Moment, from: usize, names: &[id::VmId], out: reader::Out) {
+        match out {
+            reader::Out::All(message) => {
+                for to in (0..names.len()).filter(|to| *to != from) {
+                    self.fabric.send(now, from, to, message.clone());
+                }
+            }
+            reader::Out::One(vm, message) => {
+                if let Some(to) = names.iter().position(|name| *name == vm) {
+                    self.fabric.send(now, from, to, message);
+                }
+            }
+        }
+    }
+
+    fn inject(&mut self, now: policy::Moment) {
+        let second = now.as_secs();
+        match self.fault {
+            Fault::LowestPauses => self.vms[0].paused = second % 10 >= 6,
+            Fault::LowestRestarts => self.set_down(now, 0, second % 10 >= 7),
+            Fault::ReaderKilled => self.kill_reader(now),
+            Fault::Split => self.split(second % 60 >= 40),
+            _ => {}
+        }
+    }
+
+    fn kill_reader(&mut self, now: policy::Moment) {
+        if now.as_secs() % 60 == 40 && self.killed.is_none() {
+            let reader = (0..self.vms.len()).find(|i| self.is_reader(*i));
+            if let Some(i) = reader {
+                self.killed = Some((i, now));
+                self.set_down(now, i, true);
+            }
+        }
+        if let Some((i, at)) = self.killed
+            && now >= at + time::Duration::from_secs(20)
+        {
+            self.killed = None;
+            self.set_down(now, i, false);
+        }
+    }
+
+    fn split(&mut self, apart: bool) {
+        let half = self.vms.len() / 2;
+        self.fabric.heal();
+        for a in 0..half {
+            for b in half..self.vms.len() {
+                if apart {
+                    self.fabric.set(a, b, fabric::Link::cut());
+                    self.fabric.set(b, a, fabric::Link::cut());
+                }
+            }
+        }
+    }
+
+    fn set_down(&mut self, now: policy::Moment, i: usize, down: bool) {
+        let vm = &mut self.vms[i];
+        if vm.down && !down {
+            vm.starts += 1;
+            let incarnation = id::Incarnation(vm.starts);
+            let timing = reader::Timing::default();
+            vm.election = E::new(vm.name.clone(), incarnation, timing, now);
+            vm.mind = None;
+        }
+        if down {
+            vm.held.clear();
+        }
+        vm.down = down;
+    }
+
+    fn reaches_store(&self, i: usize) -> bool {
+        !(self.fault == Fault::LowestWithoutStore && i == 0)
+    }
+
+    fn is_reader(&self, i: usize) -> bool {
+        let vm = &self.vms[i];
+        !vm.down && !vm.paused && vm.election.reader() == Some(&vm.name)
+    }
+
+    fn readers(&self) -> usize {
+        (0..self.vms.len()).filter(|i| self.is_reader(*i)).count()
+    }
+
+    fn has_useful(&self) -> bool {
+        let up: Vec<_> = self.vms.iter().filter(|vm| !vm.down).collect();
+        (0..self.vms.len()).any(|i| {
+            let name = &self.vms[i].name;
+            let followers = up.iter().filter(|vm| vm.election.reader() == Some(name));
+            self.is_reader(i) && self.reaches_store(i) && 2 * followers.count() >= up.len()
+        })
+    }
+}
+
+impl<E: Election> Vm<E> {
+    fn new(i: usize) -> Self {
+        let name = id::VmId::from(format!("entry-{i:02}").as_str());
+        let timing = reader::Timing::default();
+        Self {
+            election: E::new(
+                name.clone(),
+                id::Incarnation(1),
+                timing,
+                policy::Moment::ZERO,
+            ),
+            name,
+            starts: 1,
+            down: false,
+            paused: false,
+            held: Vec::new(),
+            mind: None,
+            store_lost: None,
+        }
+    }
+
+    fn watch_store(&mut self, now: policy::Moment, reaches: bool) {
+        if reaches || self.election.reader() != Some(&self.name) {
+            self.store_lost = None;
+            return;
+        }
+        let since = *self.store_lost.get_or_insert(now);
+        if now >= since + STORE_PATIENCE {
+            self.election.store_lost(now);
+            self.store_lost = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/fabric.rs
@@ -0,0 +1,142 @@
+//! A stand-in for the network between processes, in virtual time: links that lose, delay,
+//! duplicate and reorder messages, one way or both, from one seed.
+
+use std::collections;
+use std::time;
+
+use rand::RngExt;
+use rand::SeedableRng;
+
+use crate::decisions::policy;
+
+data! {
+    /// What one direction of a link does to messages.
+    #[derive(Copy)]
+    pub struct Link {
+        /// The share that is lost.
+        pub loss: f64,
+        /// The share that arrives twice.
+        pub duplicates: f64,
+        /// The shortest delay.
+        pub min_delay: time::Duration,
+        /// The longest delay. Messages overtake each other where it is larger than the shortest.
+        pub max_delay: time::Duration,
+    }
+}
+
+impl Default for Link {
+    fn default() -> Self {
+        Self {
+            loss: 0.0,
+            duplicates: 0.0,
+            min_delay: time::Duration::from_millis(1),
+            max_delay: time::Duration::from_millis(2),
+        }
+    }
+}
+
+impl Link {
+    /// A link that carries nothing.
+    pub fn cut() -> Self {
+        Self {
+            loss: 1.0,
+            ..Self::default()
+        }
+    }
+}
+
+data! {
+    /// A message that has arrived.
+    pub struct Arrived<M> {
+        /// The sender's index.
+        pub from: usize,
+        /// The receiver's index.
+        pub to: usize,
+        /// The message.
+        pub message: M,
+    }
+}
+
+/// The network between processes that are told apart by an index.
+#[derive(Debug)]
+pub struct Fabric<M> {
+    rng: rand_chacha::ChaCha8Rng,
+    links: collections::HashMap<(usize, usize), Link>,
+    default: Link,
+    under_way: collections::BTreeMap<(policy::Moment, u64), Arrived<M>>,
+    sent: u64,
+}
+
+impl<M: Clone> Fabric<M> {
+    /// A network whose links all are `default` until set otherwise.
+    pub fn new(seed: u64, default: Link) -> Self {
+        Self {
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+            links: collections::HashMap::new(),
+            default,
+            under_way: collections::BTreeMap::new(),
+            sent: 0,
+        }
+    }
+
+    /// Sets one direction of one link.
+    pub fn set(&mut self, from: usize, to: usize, link: Link) {
+        self.links.insert((from, to), link);
+    }
+
+    /// Sets every link back to the default.
+    pub fn heal(&mut self) {
+        self.links.clear();
+    }
+
+    /// What one direction of a link does now.
+    pub fn link(&self, from: usize, to: usize) -> Link {
+        self.links.get(&(from, to)).copied().unwrap_or(self.default)
+    }
+
+    /// Sends a message, which may be lost.
+    pub fn send(&mut self, now: policy::Moment, from: usize, to: usize, message: M) {
+        self.sent += 1;
+        let link = self.link(from, to);
+        if self.rng.random::<f64>() < link.loss {
+            return;
+        }
+        let copies = 1 + u64::from(self.rng.random::<f64>() < link.duplicates);
+        for copy in 0..copies {
+            let spread = link.max_delay.saturating_sub(link.min_delay);
+            let at = now + link.min_delay + spread.mul_f64(self.rng.random());
+            let message = message.clone();
+            let arrived = Arrived { from, to, message };
+            self.under_way.insert((at, 2 * self.sent + copy), arrived);
+        }
+    }
+
+    /// The messages that have arrived by now, in the order of their arrival.
+    pub fn arrived(&mut self, now: policy::Moment) -> Vec<Arrived<M>> {
+        let later = self.under_way.split_off(&(now, u64::MAX));
+        std::mem::replace(&mut self.under_way, later)
+            .into_values()
+            .collect()
+    }
+
+    /// Messages sent so far, lost ones too.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_link_loses_one_way_only() {
+        let mut fabric = Fabric::new(1, Link::default());
+        fabric.set(0, 1, Link::cut());
+        fabric.send(policy::Moment::ZERO, 0, 1, "there");
+        fabric.send(policy::Moment::ZERO, 1, 0, "back");
+        let arrived = fabric.arrived(policy::Moment::from_secs(1));
+        assert_eq!(arrived.len(), 1);
+        assert_eq!(arrived[0].message, "back");
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,5 +2,7 @@
 //!
 //! They exist for the tests, the benchmarks and the example; no product code uses them.
 
+pub mod elections;
+pub mod fabric;
 pub mod model;
 pub mod store;
