--- /dev/null
+++ b/src/decisions/links.rs
@@ -0,0 +1,196 @@
+//! Links with a limit of their own.
+//!
+//! Load pattern: a region spills while the link to the next one is thin. Caps and headroom count
+//! requests, so a few long answers fill the link; one notices answers of every service that crosses
+//! it coming late, also of those that did not spill.
+//!
+//! Each entry VM uses only its share of a link. A link from A to B carries requests that A sends
+//! and answers to what B sends, so both regions' entry VMs share it, and each counts the bytes of
+//! request and answer against both directions. The share is counted by the most members seen
+//! lately: counting a VM that has gone wastes a part of the link, missing one would overfill it.
+
+use std::collections;
+use std::time;
+
+use super::policy;
+use crate::id;
+
+/// How a sender uses its share.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The part of the share that is used lastingly; above 0 and, with `depth`, at most 1 together.
+    pub fill: f64,
+    /// What may be saved up, in seconds of the share. With `fill` it is 1 at most, so that any one
+    /// second keeps the link's limit. A request longer than that stays home: for the others behind
+    /// it the link would be gone for longer.
+    pub depth: f64,
+    /// How long a VM that has gone counts on.
+    pub hold: time::Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            fill: 0.7,
+            depth: 0.3,
+            hold: time::Duration::from_secs(30),
+        }
+    }
+}
+
+impl Config {
+    /// Checks that the values are in range.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let sound = self.fill > 0.0 && self.depth > 0.0 && self.fill + self.depth <= 1.0;
+        if sound {
+            Ok(())
+        } else {
+            Err("fill and depth are out of range; give both above 0 and at most 1 together")
+        }
+    }
+}
+
+/// The most members that were seen within a time.
+#[derive(Clone, Debug, Default)]
+pub struct MostSeen {
+    seen: collections::VecDeque<(policy::Moment, u32)>,
+}
+
+impl MostSeen {
+    /// Notes how many there are now and returns the most within `hold`, at least 1.
+    pub fn note(&mut self, now: policy::Moment, count: u32, hold: time::Duration) -> u32 {
+        while self.seen.back().is_some_and(|(_, c)| *c < count) {
+            self.seen.pop_back();
+        }
+        if self.seen.back().is_none_or(|(_, c)| *c > count) {
+            self.seen.push_back((now, count));
+        }
+        // The most lasted until the next, smaller count was noted.
+        while self.seen.len() > 1 && self.seen[1].0 + hold < now {
+            self.seen.pop_front();
+        }
+        self.seen[0].1.max(1)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Link {
+    bytes_per_s: f64,
+    members: MostSeen,
+    saved: f64,
+    filled: policy::Moment,
+}
+
+/// One entry VM's shares of the links between its own and other regions, for all services.
+#[derive(Debug, Default)]
+pub struct Links {
+    cfg: Config,
+    to: collections::BTreeMap<id::RegionId, Link>,
+}
+
+impl Links {
+    /// No links yet: nothing may go to another region.
+    pub fn new(cfg: Config) -> Self {
+        Self {
+            cfg,
+            to: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Declares the link to another region: the thinner of its two directions, and the entry VMs
+    /// of both regions together.
+    pub fn set(&mut self, now: policy::Moment, to: &id::RegionId, bytes_per_s: u64, members: u32) {
+        let link = self.to.entry(to.clone()).or_insert_with(|| Link {
+            bytes_per_s: 0.0,
+            members: MostSeen::default(),
+            saved: 0.0,
+            filled: now,
+        });
+        let members = link.members.note(now, members, self.cfg.hold);
+        link.fill(now, &self.cfg);
+        link.bytes_per_s = bytes_per_s as f64 / f64::from(members);
+        link.saved = link.saved.min(link.bytes_per_s * self.cfg.depth);
+    }
+
+    /// Takes out links that are no longer declared.
+    pub fn keep(&mut self, declared: impl Fn(&id::RegionId) -> bool) {
+        self.to.retain(|to, _| declared(to));
+    }
+
+    /// Whether the own share has room for `bytes`.
+    pub fn allows(&mut self, now: policy::Moment, to: &id::RegionId, bytes: u64) -> bool {
+        let Some(link) = self.to.get_mut(to) else {
+            return false;
+        };
+        link.fill(now, &self.cfg);
+        bytes as f64 <= link.saved
+    }
+
+    /// Counts `bytes` that go over a link.
+    pub fn take(&mut self, now: policy::Moment, to: &id::RegionId, bytes: u64) {
+        if let Some(link) = self.to.get_mut(to) {
+            link.fill(now, &self.cfg);
+            link.saved -= bytes as f64;
+        }
+    }
+}
+
+impl Link {
+    fn fill(&mut self, now: policy::Moment, cfg: &Config) {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = self.filled.max(now);
+        let most = self.bytes_per_s * cfg.depth;
+        self.saved = (self.saved + passed * self.bytes_per_s * cfg.fill).min(most);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: policy::Moment = policy::Moment::from_millis(1);
+
+    fn links(members: u32) -> Links {
+        let mut links = Links::new(Config::default());
+        links.set(policy::Moment::ZERO, &"b".into(), 1_000_000, members);
+        links
+    }
+
+    /// A storm sends long dossiers over a thin link. What callers of the other services notice is
+    /// that their answers are late.
+    #[test]
+    fn no_second_carries_more_than_the_share() {
+        let mut links = links(4);
+        let mut sent = Vec::new();
+        for i in 0..5_000 {
+            if links.allows(MS * i, &"b".into(), 10_000) {
+                links.take(MS * i, &"b".into(), 10_000);
+                sent.push(i);
+            }
+        }
+        let most = (0..4_000)
+            .map(|from| {
+                sent.iter()
+                    .filter(|i| (from..from + 1_000).contains(*i))
+                    .count()
+            })
+            .max();
+        assert!((18..=25).contains(&most.unwrap()), "{most:?}");
+    }
+
+    #[test]
+    fn a_region_without_a_link_gets_nothing() {
+        assert!(!links(1).allows(MS * 1_000, &"c".into(), 1));
+    }
+
+    /// A link's members are seen to leave when a partition hides them. They go on using their
+    /// share; taking it over at once would overfill the link.
+    #[test]
+    fn a_member_that_went_unseen_keeps_its_share() {
+        let mut links = links(4);
+        links.set(MS * 10_000, &"b".into(), 1_000_000, 1);
+        assert!(!links.allows(MS * 20_000, &"b".into(), 100_000));
+        links.set(MS * 41_000, &"b".into(), 1_000_000, 1);
+        assert!(links.allows(MS * 50_000, &"b".into(), 100_000));
+    }
+}
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -7,7 +7,9 @@
 //! drive the same [`policy::Policy`].
 
 pub mod across;
+pub mod caps;
 pub mod grants;
+pub mod links;
 pub mod naive;
 pub mod policy;
 
