--- a/src/decisions/caps.rs
+++ b/src/decisions/caps.rs
@@ -11,7 +11,7 @@
 //! - Borders of steps: there are none. Moves are counted over at least the last whole step and
 //!   arrivals over at most the last whole step, so that the full cap at the end of one step and
 //!   again at the start of the next cannot happen. Leave to move is earned by arrivals and at
-//!   most [`BURST`] of it is kept, so that a quiet minute does not buy a burst.
+//!   most two requests of it are kept, so that a quiet minute does not buy a burst.
 //! - Low traffic: a sender whose part is less than one request of a step moves nothing. Twelve
 //!   senders that each round up to one request could move all of a quiet service.
 //! - Restarts: a fresh sender has seen no arrivals, so it may move nothing yet. A sender that
