Plan where callers belong, step towards it, and date drains ahead

A drain's length is played from the same steps, so that an operator learns it beforehand. Work under grants is now let in up to the headroom less its margin: a property test found that own callers who came between two reports took a place over its limit otherwise (58 in hand of 54).

--- /dev/null
+++ b/src/decisions/drain.rs
@@ -0,0 +1,233 @@
+//! Drains that are dated ahead.
+//!
+//! Load pattern: a place is emptied for maintenance. Emptied at once, its traffic lands whole on
+//! caches that are cold to it; one notices latency at the destinations jump at the minute of the
+//! drain. Emptied by weights only, requests in flight are not cut, but a cap that is lower than the
+//! operator thought makes the drain last past its window.
+//!
+//! A drain takes its place's capacity away evenly over its ramp, and the plan follows within the
+//! caps. [`estimate`] plays the steps that nodes will take, so that an operator learns beforehand
+//! when the place will be empty.
+
+use std::collections;
+use std::time;
+
+use super::{caps, plan};
+use crate::{id, settings};
+use settings::{Drain, DrainTarget, Settings};
+
+/// How long a VM goes on with what it has in hand before it is empty: the longest patience that the
+/// settings allow. An availability zone needs it too, after its last step.
+pub const LONGEST_PATIENCE: time::Duration = time::Duration::from_secs(600);
+
+data! {
+    /// How a drain will go for one service.
+    pub struct Estimate {
+        /// The service.
+        pub service: id::ServiceId,
+        /// The share of a region's callers that moves, in the region where most do.
+        pub share: f64,
+        /// Steps that the shift cap makes it take.
+        pub steps: u32,
+        /// When the last caller is sent elsewhere, in seconds since 1970.
+        pub moved_s: u64,
+        /// Nobody is left to take its callers: it will not become empty.
+        pub stuck: bool,
+    }
+}
+
+/// The availability zones that a drain empties; none for a single VM.
+pub fn azs(settings: &Settings, target: &DrainTarget) -> Vec<id::AzId> {
+    match target {
+        DrainTarget::Region(name) => settings
+            .regions()
+            .filter(|region| region.name == *name)
+            .flat_map(|region| region.azs.clone())
+            .collect(),
+        DrainTarget::Az(az) => vec![az.clone()],
+        DrainTarget::Vm(_) => Vec::new(),
+    }
+}
+
+/// Whether a VM is being drained by name, or with its availability zone at the drain's end.
+pub fn drains_vm(settings: &Settings, vm: &id::VmId, now_s: f64) -> bool {
+    let named = |drain: &&Drain| drain.target == DrainTarget::Vm(vm.clone());
+    settings
+        .drains()
+        .filter(named)
+        .any(|drain| left(drain, now_s) < 1.0)
+}
+
+/// What a drain leaves of its target's capacity at a time, from 1 to 0.
+pub fn left(drain: &Drain, now_s: f64) -> f64 {
+    let start = drain.start_s as f64;
+    let ramp = (drain.ramp_s as f64).max(1.0);
+    let down = 1.0 - ((now_s - start) / ramp).clamp(0.0, 1.0);
+    match drain.end_s {
+        // Caches are cold after a drain too, so that the way back has the same ramp.
+        Some(end) if now_s >= end as f64 => {
+            let at_end = 1.0 - ((end as f64 - start) / ramp).clamp(0.0, 1.0);
+            (at_end + (now_s - end as f64) / ramp).min(1.0)
+        }
+        _ => down,
+    }
+}
+
+/// What all drains leave of each availability zone. Those that are not drained are left out.
+pub fn all_left(settings: &Settings, now_s: f64) -> collections::BTreeMap<id::AzId, f64> {
+    let mut all = collections::BTreeMap::new();
+    for drain in settings.drains() {
+        let part = left(drain, now_s);
+        if part >= 1.0 {
+            continue;
+        }
+        for az in azs(settings, &drain.target) {
+            let least = all.entry(az).or_insert(1.0f64);
+            *least = least.min(part);
+        }
+    }
+    all
+}
+
+/// How a drain will go for each service, from the weights that are in force.
+pub fn estimate(
+    settings: &Settings,
+    drain: &Drain,
+    in_force: &collections::BTreeMap<id::ServiceId, plan::ByRegion>,
+) -> Vec<Estimate> {
+    let emptied = azs(settings, &drain.target);
+    settings
+        .services()
+        .filter(|service| service.azs.iter().any(|az| emptied.contains(az)))
+        .map(|service| {
+            let now = in_force.get(&service.name).cloned();
+            let now = now.unwrap_or_else(|| plan::initial(settings, service));
+            of_service(drain, service, now, &emptied)
+        })
+        .collect()
+}
+
+fn of_service(
+    drain: &Drain,
+    service: &settings::Service,
+    mut now: plan::ByRegion,
+    emptied: &[id::AzId],
+) -> Estimate {
+    let most = caps_of(service).version_share();
+    let target: plan::ByRegion = now
+        .iter()
+        .map(|(region, weights)| (region.clone(), without(weights, service, emptied)))
+        .collect();
+    let shares = target
+        .iter()
+        .map(|(region, to)| plan::churn(&now[region], to));
+    let share = shares.fold(0.0, f64::max);
+    let stuck = service.azs.iter().all(|az| emptied.contains(az));
+    let mut steps = 0;
+    while now != target && !stuck {
+        for (region, to) in &target {
+            let next = plan::towards(&now[region], to, most);
+            now.insert(region.clone(), next);
+        }
+        steps += 1;
+    }
+    let by_cap_ms = u64::from(steps) * service.shift_step_ms;
+    Estimate {
+        service: service.name.clone(),
+        share,
+        steps,
+        moved_s: drain.start_s + by_cap_ms.div_ceil(1_000).max(drain.ramp_s),
+        stuck,
+    }
+}
+
+/// The weights without the emptied places. Where no other has any, all others share alike.
+fn without(
+    weights: &plan::Weights,
+    service: &settings::Service,
+    emptied: &[id::AzId],
+) -> plan::Weights {
+    let mut rest = weights.clone();
+    rest.retain(|az, _| !emptied.contains(az));
+    if rest.is_empty() {
+        let others = service.azs.iter().filter(|az| !emptied.contains(az));
+        rest = others.map(|az| (az.clone(), 1.0)).collect();
+    }
+    let sum: f64 = rest.values().sum();
+    rest.values_mut().for_each(|weight| *weight /= sum);
+    rest
+}
+
+/// The cap that a service declares.
+pub fn caps_of(service: &settings::Service) -> caps::Config {
+    caps::Config {
+        cap: service.shift_cap,
+        step: time::Duration::from_millis(service.shift_step_ms),
+        ..caps::Config::default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    use std::path;
+
+    fn cooperative() -> Settings {
+        Settings::read(path::Path::new("examples/cooperative")).unwrap()
+    }
+
+    fn drain(target: DrainTarget) -> Drain {
+        Drain {
+            target,
+            start_s: 1_000,
+            ramp_s: 60,
+            end_s: Some(2_000),
+        }
+    }
+
+    #[test]
+    fn a_drain_empties_evenly_and_fills_again() {
+        let drain = drain(DrainTarget::Az("khovd-a".into()));
+        for (at, part) in [
+            (999.0, 1.0),
+            (1_030.0, 0.5),
+            (1_060.0, 0.0),
+            (1_999.0, 0.0),
+            (2_030.0, 0.5),
+            (2_060.0, 1.0),
+        ] {
+            assert!((left(&drain, at) - part).abs() < 1e-9, "at {at}");
+        }
+    }
+
+    /// An operator takes a drain's minute for enough. The cap makes it last longer; a rack would be
+    /// switched off with callers on it.
+    #[test]
+    fn an_estimate_tells_when_the_cap_is_slower_than_the_ramp() {
+        let settings = cooperative();
+        let drain = drain(DrainTarget::Az("khovd-a".into()));
+        let estimates = estimate(&settings, &drain, &collections::BTreeMap::new());
+        assert_eq!(estimates.len(), 3);
+        for estimate in estimates {
+            assert!((estimate.share - 0.5).abs() < 1e-9);
+            let service = settings.service(estimate.service.as_str()).unwrap();
+            let most = caps_of(service).version_share();
+            assert!(f64::from(estimate.steps) >= 0.5 / most);
+            let by_cap = u64::from(estimate.steps) * service.shift_step_ms / 1_000;
+            assert_eq!(estimate.moved_s, 1_000 + by_cap.max(60));
+        }
+    }
+
+    #[test]
+    fn the_whole_fleet_cannot_be_drained() {
+        let mut settings = cooperative();
+        let ledger = settings.teams.values_mut().flat_map(|t| &mut t.services);
+        for service in ledger {
+            service.azs.retain(|az| az.as_str().starts_with("khovd"));
+        }
+        let drain = drain(DrainTarget::Region("khovd".into()));
+        let estimates = estimate(&settings, &drain, &collections::BTreeMap::new());
+        assert!(estimates.iter().all(|estimate| estimate.stuck));
+    }
+}
--- a/src/decisions/grants.rs
+++ b/src/decisions/grants.rs
@@ -256,7 +256,7 @@
         if grant.incarnation != self.incarnation {
             return Err(Refused::NoGrant);
         }
-        let room = self.room();
+        let room = self.headroom();
         let in_hand = self.in_hand();
         let lent = self.lent.get_mut(&grant.number).ok_or(Refused::NoGrant)?;
         if lent.to != *from || now >= lent.until {
@@ -304,7 +304,8 @@
         self.lent.values().map(held).sum()
     }
 
-    /// This VM's share of the limit, less own work and the margin, in slots.
+    /// This VM's share of the limit, less own work and the margin, in slots. Work under grants is let
+    /// in up to here, so that own callers can grow by the margin before a report tells of it.
     pub fn headroom(&self) -> f64 {
         self.room() - self.cfg.margin * self.limit() / f64::from(self.sharers.max(1))
     }
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -8,9 +8,11 @@
 
 pub mod across;
 pub mod caps;
+pub mod drain;
 pub mod grants;
 pub mod links;
 pub mod naive;
+pub mod plan;
 pub mod policy;
 
 #[cfg(test)]
