--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -12,7 +12,7 @@
 //! decides how soon settings move again after an outage and has to stay well under the 5 s, so
 //! [`Limits::max_backoff`] is 2 s. That is enough while each availability zone has one reader. A
 //! process that hears no peers may be one of thousands that all read for themselves: its wait
-//! grows with the fleet so that all of them together stay under [`FLEET_CALLS_PER_S`].
+//! grows with the fleet so that all of them together stay under 1,000 calls a second.
 
 use std::time;
 
