--- /dev/null
+++ b/examples/tryout/report.rs
@@ -0,0 +1,132 @@
+//! What the callers got, and whether a promise broke.
+
+use std::collections;
+
+use super::load;
+
+/// The table and the counts.
+#[derive(Default)]
+pub(crate) struct Report {
+    rows: Vec<(String, collections::BTreeMap<&'static str, Row>)>,
+    keys: Vec<(String, load::Ended)>,
+    second_runs: u64,
+    false_notruns: u64,
+    notes: Vec<String>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Row {
+    sent: u64,
+    answered: u64,
+    notrun: u64,
+    unknown: u64,
+    cut: u64,
+    wrong: u64,
+    took_us: Vec<u64>,
+}
+
+impl Row {
+    fn add(&mut self, record: &load::Record) {
+        self.sent += 1;
+        match record.ended {
+            load::Ended::Answered => self.answered += 1,
+            load::Ended::NotRun => self.notrun += 1,
+            load::Ended::Unknown => self.unknown += 1,
+            load::Ended::Cut => self.cut += 1,
+            load::Ended::Wrong => self.wrong += 1,
+        }
+        if record.ended == load::Ended::Answered {
+            let us = u64::try_from(record.took.as_micros()).unwrap_or(u64::MAX);
+            self.took_us.push(us);
+        }
+    }
+
+    fn quantile_ms(&mut self, quantile: f64) -> f64 {
+        self.took_us.sort_unstable();
+        let last = self.took_us.len().saturating_sub(1);
+        let at = (last as f64 * quantile).round() as usize;
+        self.took_us.get(at).map_or(0.0, |us| *us as f64 / 1000.0)
+    }
+}
+
+impl Report {
+    /// Adds what one scene brought.
+    pub(crate) fn scene(&mut self, name: &str, records: Vec<load::Record>) {
+        let mut rows: collections::BTreeMap<&'static str, Row> = collections::BTreeMap::new();
+        for record in &records {
+            rows.entry(record.service).or_default().add(record);
+        }
+        let keyed = |record: load::Record| Some((record.key?, record.ended));
+        self.keys.extend(records.into_iter().filter_map(keyed));
+        self.rows.push((name.to_owned(), rows));
+    }
+
+    /// A promise that broke.
+    pub(crate) fn broke(&mut self, what: String) {
+        self.notes.push(what);
+    }
+
+    /// Counts second runs and false words of "not run" from what backend servers ran.
+    pub(crate) fn runs(&mut self, runs: &collections::HashMap<String, u32>) {
+        self.second_runs = runs.values().map(|n| u64::from(n.saturating_sub(1))).sum();
+        let false_word = |(key, ended): &&(String, load::Ended)| {
+            *ended == load::Ended::NotRun && runs.contains_key(key)
+        };
+        self.false_notruns = self.keys.iter().filter(false_word).count() as u64;
+    }
+
+    fn total(&self, part: impl Fn(&Row) -> u64) -> u64 {
+        self.rows
+            .iter()
+            .flat_map(|(_, rows)| rows.values())
+            .map(part)
+            .sum()
+    }
+
+    /// Whether a promise broke.
+    pub(crate) fn broken(&self) -> bool {
+        self.second_runs + self.false_notruns + self.total(|r| r.cut + r.wrong) > 0
+            || !self.notes.is_empty()
+            || self.total(|row| row.answered) == 0
+    }
+
+    /// Prints the table; the last line holds the sums.
+    pub(crate) fn print(&self) {
+        println!(
+            "{:<34} {:<13} {:>6} {:>8} {:>7} {:>7} {:>4} {:>6} {:>9} {:>9}",
+            "scene",
+            "service",
+            "sent",
+            "answered",
+            "notrun",
+            "unknown",
+            "cut",
+            "wrong",
+            "p50 ms",
+            "p99 ms"
+        );
+        for (scene, rows) in &self.rows {
+            for (service, row) in rows {
+                let mut row = row.clone();
+                let (p50, p99) = (row.quantile_ms(0.5), row.quantile_ms(0.99));
+                println!(
+                    "{scene:<34} {service:<13} {:>6} {:>8} {:>7} {:>7} {:>4} {:>6} {p50:>9.1} {p99:>9.1}",
+                    row.sent, row.answered, row.notrun, row.unknown, row.cut, row.wrong
+                );
+            }
+        }
+        for note in &self.notes {
+            println!("broken promise: {note}");
+        }
+        println!(
+            "tryout: sent {} answered {} notrun {} unknown {} second_runs {} false_notruns {} cut {}",
+            self.total(|row| row.sent),
+            self.total(|row| row.answered),
+            self.total(|row| row.notrun),
+            self.total(|row| row.unknown),
+            self.second_runs,
+            self.false_notruns,
+            self.total(|row| row.cut),
+        );
+    }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,306 @@
+//! The entry process: it assembles the layers and runs until it is told to stop.
+//!
+//! Connections live on a small runtime; whole requests and ended attempts come as [`Event`]s over
+//! a channel to a pool of workers, which work on the shared tables and never block on a socket. A
+//! request that waits for a slot is a row in its service's desk and holds no thread.
+
+mod answers;
+mod desk;
+mod feed;
+mod route;
+
+use std::collections;
+use std::io::Write;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use crossbeam::channel;
+use parking_lot::Mutex;
+use rand::RngExt;
+
+use crate::coordination::{store, store_http};
+use crate::decisions::{naive, policy};
+use crate::state::{fleet, keys};
+use crate::transport::{client, server};
+use crate::{config, error, id, settings};
+use policy::Policy;
+
+/// How often time passes for the policies.
+const TICK: time::Duration = time::Duration::from_millis(5);
+
+/// How often dated drains and the words of backend servers are looked at again.
+const REFRESH: time::Duration = time::Duration::from_millis(250);
+
+/// Threads that move bytes. They hand everything else to the workers.
+const SOCKET_THREADS: usize = 4;
+
+/// Builds and updates the policies of services.
+pub trait MakePolicy: Send + Sync + 'static {
+    /// What it builds.
+    type Policy: Policy + 'static;
+
+    /// The policy of a service.
+    fn make(
+        &self,
+        cfg: &config::Config,
+        settings: &settings::Settings,
+        service: &settings::Service,
+    ) -> Self::Policy;
+}
+
+/// Builds the naive policy.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MakeNaive;
+
+impl MakePolicy for MakeNaive {
+    type Policy = naive::Naive;
+
+    fn make(
+        &self,
+        _cfg: &config::Config,
+        _settings: &settings::Settings,
+        _service: &settings::Service,
+    ) -> Self::Policy {
+        naive::Naive::new(naive::Config::default())
+    }
+}
+
+/// What the request path reads and coordination feeds. Both parts are replaced whole.
+#[derive(Debug, Default)]
+pub struct Shared {
+    /// The settings in force.
+    pub settings: arc_swap::ArcSwap<settings::Settings>,
+    /// The platform's list of VMs.
+    pub fleet: arc_swap::ArcSwap<fleet::Fleet>,
+}
+
+/// What the workers take from their channel.
+enum Event<P> {
+    /// A whole request came in.
+    Request(server::Request),
+    /// The caller of a request went away.
+    Gone(policy::RequestId),
+    /// An attempt ended.
+    Ended(sync::Arc<desk::Desk<P>>, desk::AttemptEnd),
+    /// A probe ended.
+    Probed(
+        sync::Arc<desk::Desk<P>>,
+        id::VmId,
+        Result<server::Answer, client::Failure>,
+    ),
+    /// The home of a key answered, or did not.
+    Home(server::Reply, Result<server::Answer, client::Failure>),
+}
+
+type Desks<P> = collections::HashMap<id::ServiceId, sync::Arc<desk::Desk<P>>>;
+
+/// Everything that the workers share.
+struct Core<M: MakePolicy> {
+    cfg: config::Config,
+    make: M,
+    log: slog::Logger,
+    incarnation: id::Incarnation,
+    started: time::Instant,
+    shared: sync::Arc<Shared>,
+    desks: arc_swap::ArcSwap<Desks<M::Policy>>,
+    keys: Mutex<keys::Keys<server::Reply>>,
+    client: client::Client,
+    events: channel::Sender<Event<M::Policy>>,
+    stopping: atomic::AtomicBool,
+}
+
+impl<M: MakePolicy> Core<M> {
+    fn now(&self) -> policy::Moment {
+        self.started.elapsed()
+    }
+
+    fn handle(self: &sync::Arc<Self>, event: Event<M::Policy>) {
+        match event {
+            Event::Request(req) => route::request(self, req),
+            Event::Gone(req) => desk::gone(self, req),
+            Event::Ended(desk, end) => desk::ended(self, &desk, end),
+            Event::Probed(desk, vm, result) => desk::probed(self, &desk, &vm, result),
+            Event::Home(reply, result) => route::home_answered(reply, result),
+        }
+    }
+}
+
+struct Sink<M: MakePolicy>(sync::Arc<Core<M>>);
+
+impl<M: MakePolicy> Clone for Sink<M> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<M: MakePolicy> server::Sink for Sink<M> {
+    fn request(&self, req: server::Request) {
+        let _ = self.0.events.send(Event::Request(req));
+    }
+
+    fn gone(&self, id: u64) {
+        let _ = self.0.events.send(Event::Gone(policy::RequestId(id)));
+    }
+
+    fn fault(&self, fault: server::Fault) -> server::Answer {
+        answers::fault(fault)
+    }
+}
+
+/// A running entry process.
+pub struct Entry<M: MakePolicy> {
+    core: sync::Arc<Core<M>>,
+    server: server::Server,
+    /// Dropped last: every connection lives on it.
+    _runtime: tokio::runtime::Runtime,
+}
+
+impl<M: MakePolicy> Entry<M> {
+    /// Starts an entry process, which watches settings and VMs in `platform`.
+    pub fn start<S: store::Store>(
+        cfg: config::Config,
+        make: M,
+        platform: S,
+        log: slog::Logger,
+    ) -> Result<Self, error::Error> {
+        let shared = sync::Arc::new(Shared::default());
+        let entry = Self::start_with(cfg, make, shared, log)?;
+        feed::start(&entry.core.shared, platform, &entry.core.log);
+        Ok(entry)
+    }
+
+    /// Starts an entry process that something else feeds.
+    pub fn start_with(
+        cfg: config::Config,
+        make: M,
+        shared: sync::Arc<Shared>,
+        log: slog::Logger,
+    ) -> Result<Self, error::Error> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(SOCKET_THREADS)
+            .thread_name("sockets")
+            .enable_all()
+            .build()
+            .map_err(|err| error::Error::Config(format!("cannot start threads: {err}")))?;
+        let (events, rx) = channel::unbounded();
+        let (workers, listen) = (cfg.workers, cfg.listen);
+        let key_limits = keys::Limits {
+            ttl: time::Duration::from_millis(cfg.ticket_ttl_ms),
+            ..keys::Limits::default()
+        };
+        let core = sync::Arc::new(Core {
+            cfg,
+            make,
+            log,
+            incarnation: new_incarnation(),
+            started: time::Instant::now(),
+            shared,
+            desks: arc_swap::ArcSwap::default(),
+            keys: Mutex::new(keys::Keys::new(key_limits)),
+            client: client::Client::new(runtime.handle().clone(), client::Config::default()),
+            events,
+            stopping: atomic::AtomicBool::new(false),
+        });
+        let server = server::start(
+            runtime.handle(),
+            listen,
+            server::Limits::default(),
+            Sink(core.clone()),
+        )
+        .map_err(|err| error::Error::Bind {
+            addr: listen.to_string(),
+            setting: "listen",
+            reason: err.to_string(),
+        })?;
+        for _ in 0..workers {
+            let (core, rx) = (sync::Arc::downgrade(&core), rx.clone());
+            thread::spawn(move || work(&core, &rx));
+        }
+        let ticking = sync::Arc::downgrade(&core);
+        thread::spawn(move || tick(&ticking));
+        Ok(Self {
+            core,
+            server,
+            _runtime: runtime,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.server.addr()
+    }
+
+    /// Stops as planned: look-ups stop naming this VM and new requests are told where to go, while
+    /// what is in flight ends and kept answers stay within reach until the last ticket expired.
+    pub fn stop(self) {
+        self.core.stopping.store(true, atomic::Ordering::SeqCst);
+        let ttl = self.core.cfg.lookup_ttl_ms.max(self.core.cfg.ticket_ttl_ms);
+        let until = time::Instant::now() + time::Duration::from_millis(ttl);
+        while time::Instant::now() < until || desk::in_hand(&self.core) > 0 {
+            thread::sleep(TICK);
+        }
+        self.server.stop();
+        while self.server.open() > 0 && time::Instant::now() < until + LAST_BYTES {
+            thread::sleep(TICK);
+        }
+    }
+}
+
+/// How long the last answers may take to leave after everything else has ended.
+const LAST_BYTES: time::Duration = time::Duration::from_secs(10);
+
+fn work<M: MakePolicy>(core: &sync::Weak<Core<M>>, rx: &channel::Receiver<Event<M::Policy>>) {
+    while let Ok(event) = rx.recv() {
+        let Some(core) = core.upgrade() else {
+            return;
+        };
+        core.handle(event);
+    }
+}
+
+fn tick<M: MakePolicy>(core: &sync::Weak<Core<M>>) {
+    let mut refreshed = None;
+    while let Some(core) = core.upgrade() {
+        if refreshed.is_none_or(|at: time::Instant| at.elapsed() >= REFRESH) {
+            desk::refresh(&core);
+            refreshed = Some(time::Instant::now());
+        }
+        for desk in core.desks.load().values() {
+            desk::tick(&core, desk);
+        }
+        drop(core);
+        thread::sleep(TICK);
+    }
+}
+
+/// A restart gets a larger number as long as the wall clock does not go back; the random part
+/// keeps two starts apart even then.
+fn new_incarnation() -> id::Incarnation {
+    let ms = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis());
+    let ms = u64::try_from(ms).unwrap_or(0);
+    id::Incarnation((ms << 16) | u64::from(rand::rng().random::<u16>()))
+}
+
+/// Runs an entry process until it is told to stop by SIGTERM or SIGINT. Prints one line with the
+/// address for callers once it listens.
+pub fn run(cfg: config::Config, log: slog::Logger) -> Result<(), error::Error> {
+    let mut signals = signal_hook::iterator::Signals::new([
+        signal_hook::consts::SIGTERM,
+        signal_hook::consts::SIGINT,
+    ])
+    .map_err(|err| error::Error::Config(format!("cannot wait for signals: {err}")))?;
+    let platform = store_http::Client::new(cfg.store);
+    let entry = Entry::start(cfg, MakeNaive, platform, log)?;
+    println!("listening {}", entry.addr());
+    let _ = std::io::stdout().flush();
+    slog::info!(entry.core.log, "listening"; "addr" => entry.addr().to_string());
+    signals.forever().next();
+    slog::info!(entry.core.log, "stopping; look-ups no longer name this VM");
+    entry.stop();
+    Ok(())
+}
--- /dev/null
+++ b/src/entry/answers.rs
@@ -0,0 +1,73 @@
+//! The HTTP answers of the entry process.
+
+use std::time;
+
+use bytes::Bytes;
+use hyper::{StatusCode, header};
+
+use crate::protocol::{backend, headers, lookup, outcome};
+use crate::transport::server;
+
+/// The answer that tells a problem.
+pub(super) fn problem(problem: &outcome::Problem) -> server::Answer {
+    let body = serde_json::to_vec(&problem.body()).expect("a problem is text and numbers");
+    let mut answer = json(problem.status(), problem.outcome(), body);
+    if let Some(after) = problem.retry_after() {
+        let seconds = whole_seconds(after);
+        answer.headers.insert(header::RETRY_AFTER, seconds.into());
+    }
+    answer
+}
+
+/// Rounded up: a caller that came back early would be refused again.
+fn whole_seconds(after: time::Duration) -> u64 {
+    after.as_secs() + u64::from(after.subsec_nanos() > 0)
+}
+
+/// The answer to a look-up.
+pub(super) fn look_up(lookup: &lookup::Lookup) -> server::Answer {
+    let body = serde_json::to_vec(lookup).expect("a look-up is text and numbers");
+    let mut answer = json(StatusCode::OK, outcome::Outcome::Answered, body);
+    let age = format!("private, max-age={}", lookup.ttl_ms / 1000);
+    if let Ok(age) = age.parse() {
+        answer.headers.insert(header::CACHE_CONTROL, age);
+    }
+    answer
+}
+
+/// A backend server's answer as its caller gets it.
+pub(super) fn backend(answer: &backend::Answer) -> server::Answer {
+    let mut headers = headers::end_to_end(&answer.headers);
+    for name in [headers::LOAD, headers::REQUEST] {
+        headers.remove(name);
+    }
+    let word = header::HeaderValue::from_static(outcome::Outcome::Answered.as_str());
+    headers.insert(headers::OUTCOME, word);
+    server::Answer {
+        status: answer.status,
+        headers,
+        body: answer.body.clone(),
+    }
+}
+
+/// The answer to a request that never became whole.
+pub(super) fn fault(fault: server::Fault) -> server::Answer {
+    problem(&match fault {
+        server::Fault::TooLarge(most) => outcome::Problem::TooLarge(most),
+        server::Fault::Incomplete => outcome::Problem::BodyIncomplete,
+        server::Fault::Busy => outcome::Problem::Busy,
+    })
+}
+
+fn json(status: StatusCode, outcome: outcome::Outcome, body: Vec<u8>) -> server::Answer {
+    let mut answer = server::Answer {
+        status,
+        body: Bytes::from(body),
+        ..server::Answer::default()
+    };
+    let word = header::HeaderValue::from_static(outcome.as_str());
+    answer.headers.insert(headers::OUTCOME, word);
+    let kind = header::HeaderValue::from_static("application/json");
+    answer.headers.insert(header::CONTENT_TYPE, kind);
+    answer
+}
--- /dev/null
+++ b/src/entry/desk.rs
@@ -0,0 +1,540 @@
+//! The desk of one service: its policy, its requests in hand, and the attempts under way.
+//!
+//! One lock covers all three. Actions are carried out while it is held, so that a cancellation
+//! can never overtake the attempt that it is for. Nothing that is done under it waits.
+//!
+//! Two promises are checked here once more, whatever the policy decides: a non-idempotent request
+//! of which an attempt may have run is not sent again, and nothing that may have run is called
+//! not run.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
+use parking_lot::Mutex;
+
+use super::{Core, Event, MakePolicy, answers};
+use crate::coordination::store;
+use crate::decisions::policy;
+use crate::protocol::{backend, backend_http, headers, outcome};
+use crate::state::{fleet, keys};
+use crate::transport::{client, server};
+use crate::{id, settings};
+use backend::Wire;
+use policy::{Action, Ended, Fate, Place, Policy};
+
+/// How long a probe may take.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// The most bytes of an answer to a probe.
+const PROBE_BYTES: usize = 4096;
+
+/// How long to come back after where the policy has no say.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// A request in hand.
+pub(super) struct Pending {
+    /// Where the answer goes; `None` once the caller is gone.
+    pub(super) reply: Option<server::Reply>,
+    /// The method.
+    pub(super) method: Method,
+    /// The path under the service, with its query.
+    pub(super) path: String,
+    /// The caller's headers.
+    pub(super) headers: HeaderMap,
+    /// The body.
+    pub(super) body: Bytes,
+    /// The key, where the request has one.
+    pub(super) key: Option<String>,
+    /// Whether it may run twice.
+    pub(super) idempotent: bool,
+    /// Holds the body's share of the process's memory.
+    pub(super) _permit: Option<tokio::sync::OwnedSemaphorePermit>,
+    /// Attempts under way.
+    pub(super) attempts: Vec<(Place, client::Attempt)>,
+    /// An attempt ended of which nobody can say that it did not run.
+    pub(super) maybe_run: bool,
+    /// The answer that came in last.
+    pub(super) answer: Option<backend::Answer>,
+}
+
+/// How an attempt ended.
+pub(super) struct AttemptEnd {
+    req: policy::RequestId,
+    number: u64,
+    at: Place,
+    wire: sync::Arc<backend_http::Http>,
+    result: Result<server::Answer, client::Failure>,
+}
+
+/// A backend server as the desk reaches it.
+struct Known {
+    addr: net::SocketAddr,
+    wire: sync::Arc<backend_http::Http>,
+    said_leaving: bool,
+}
+
+struct Inner<P> {
+    policy: P,
+    pending: collections::HashMap<policy::RequestId, Pending>,
+    backends: collections::BTreeMap<id::VmId, Known>,
+    shown: Option<Vec<policy::Backend>>,
+    next_attempt: u64,
+    actions: Vec<Action>,
+}
+
+/// The desk of one service.
+pub(super) struct Desk<P> {
+    service: id::ServiceId,
+    body_bytes: atomic::AtomicUsize,
+    inner: Mutex<Inner<P>>,
+}
+
+impl<P: Policy> Desk<P> {
+    fn new(service: &settings::Service, policy: P) -> Self {
+        Self {
+            service: service.name.clone(),
+            body_bytes: atomic::AtomicUsize::new(service.max_body_bytes),
+            inner: Mutex::new(Inner {
+                policy,
+                pending: collections::HashMap::new(),
+                backends: collections::BTreeMap::new(),
+                shown: None,
+                next_attempt: 1,
+                actions: Vec::new(),
+            }),
+        }
+    }
+}
+
+/// Brings a request to a service's desk.
+pub(super) fn arrive<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    desk: &sync::Arc<Desk<M::Policy>>,
+    arrival: policy::Arrival,
+    pending: Pending,
+) {
+    let mut inner = desk.inner.lock();
+    let (id, now) = (arrival.id, core.now());
+    inner.pending.insert(id, pending);
+    step(core, desk, &mut inner, |policy, out| {
+        policy.arrive(now, arrival, out);
+    });
+    // The caller may have gone before the request got here, and nothing else would tell.
+    let closed = |reply: &server::Reply| reply.is_closed();
+    let gone = inner
+        .pending
+        .get(&id)
+        .is_some_and(|pending| pending.reply.as_ref().is_some_and(closed));
+    if gone {
+        caller_gone(core, desk, &mut inner, id);
+    }
+}
+
+/// The caller of a request went away.
+pub(super) fn gone<M: MakePolicy>(core: &sync::Arc<Core<M>>, req: policy::RequestId) {
+    for desk in core.desks.load().values() {
+        let mut inner = desk.inner.lock();
+        if inner.pending.contains_key(&req) {
+            return caller_gone(core, desk, &mut inner, req);
+        }
+    }
+}
+
+/// Idempotent work stops. Other work goes on, and its answer is kept for the resend.
+fn caller_gone<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    desk: &sync::Arc<Desk<M::Policy>>,
+    inner: &mut Inner<M::Policy>,
+    req: policy::RequestId,
+) {
+    let Some(pending) = inner.pending.get_mut(&req) else {
+        return;
+    };
+    pending.reply = None;
+    if pending.idempotent {
+        let now = core.now();
+        step(core, desk, inner, |policy, out| policy.gone(now, req, out));
+    }
+}
+
+/// An attempt ended.
+pub(super) fn ended<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    desk: &sync::Arc<Desk<M::Policy>>,
+    end: AttemptEnd,
+) {
+    let mut inner = desk.inner.lock();
+    let (how, report, answer) = read(&end);
+    if let Some(pending) = inner.pending.get_mut(&end.req) {
+        pending.attempts.retain(|(at, _)| *at != end.at);
+        let not_run = matches!(how, Ended::Shed | Ended::NotSent);
+        pending.maybe_run |= !not_run;
+        if answer.is_some() {
+            pending.answer = answer;
+        }
+    }
+    if let (Place::Backend(vm), Some(report)) = (&end.at, report) {
+        said_leaving(&mut inner, vm, report.leaving);
+    }
+    let now = core.now();
+    step(core, desk, &mut inner, |policy, out| {
+        policy.ended(now, end.req, &end.at, how, report, out);
+    });
+}
+
+/// What an attempt's end means, with the answer if there is one for the caller.
+fn read(end: &AttemptEnd) -> (Ended, Option<policy::Report>, Option<backend::Answer>) {
+    let answer = match &end.result {
+        Ok(answer) => answer,
+        Err(failure) => return (failed(*failure), None, None),
+    };
+    let answer = backend::Answer {
+        status: answer.status,
+        headers: answer.headers.clone(),
+        body: answer.body.clone(),
+    };
+    let Some(reading) = end.wire.read(end.number, &answer) else {
+        return (Ended::Lost, None, None);
+    };
+    let kept = matches!(reading.how, Ended::Answered | Ended::Failed).then_some(answer);
+    (reading.how, reading.report, kept)
+}
+
+fn failed(failure: client::Failure) -> Ended {
+    match failure {
+        client::Failure::NotSent => Ended::NotSent,
+        client::Failure::Lost => Ended::Lost,
+        client::Failure::TimedOut => Ended::TimedOut,
+        client::Failure::Cancelled => Ended::Cancelled,
+    }
+}
+
+/// A probe ended.
+pub(super) fn probed<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    desk: &sync::Arc<Desk<M::Policy>>,
+    vm: &id::VmId,
+    result: Result<server::Answer, client::Failure>,
+) {
+    let report = result.ok().and_then(|answer| {
+        backend_http::parse_load(headers::text(&answer.headers, headers::LOAD)?)
+    });
+    let mut inner = desk.inner.lock();
+    if let Some(report) = report {
+        said_leaving(&mut inner, vm, report.leaving);
+    }
+    let now = core.now();
+    step(core, desk, &mut inner, |policy, out| {
+        policy.report(now, vm, report, out);
+    });
+}
+
+fn said_leaving<P>(inner: &mut Inner<P>, vm: &id::VmId, leaving: bool) {
+    if let Some(known) = inner.backends.get_mut(vm) {
+        known.said_leaving = leaving;
+    }
+}
+
+/// Time passed.
+pub(super) fn tick<M: MakePolicy>(core: &sync::Arc<Core<M>>, desk: &sync::Arc<Desk<M::Policy>>) {
+    let now = core.now();
+    let mut inner = desk.inner.lock();
+    step(core, desk, &mut inner, |policy, out| policy.tick(now, out));
+}
+
+/// Requests in hand at all desks.
+pub(super) fn in_hand<M: MakePolicy>(core: &Core<M>) -> usize {
+    let desks = core.desks.load();
+    let in_hand = |desk: &sync::Arc<Desk<M::Policy>>| desk.inner.lock().pending.len();
+    desks.values().map(in_hand).sum()
+}
+
+/// Tells the policy something and carries out what it decides.
+fn step<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    desk: &sync::Arc<Desk<M::Policy>>,
+    inner: &mut Inner<M::Policy>,
+    tell: impl FnOnce(&mut M::Policy, &mut Vec<Action>),
+) {
+    let mut actions = std::mem::take(&mut inner.actions);
+    tell(&mut inner.policy, &mut actions);
+    for action in actions.drain(..) {
+        match action {
+            Action::Send { req, to, deadline } => send(core, desk, inner, req, to, deadline),
+            Action::Cancel { req, to } => cancel(inner, req, &to),
+            Action::Settle { req, fate } => settle(core, inner, req, fate),
+            Action::Probe { to } => probe(core, desk, inner, to),
+        }
+    }
+    inner.actions = actions;
+}
+
+fn send<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    desk: &sync::Arc<Desk<M::Policy>>,
+    inner: &mut Inner<M::Policy>,
+    req: policy::RequestId,
+    to: Place,
+    deadline: policy::Moment,
+) {
+    let number = inner.next_attempt;
+    inner.next_attempt += 1;
+    let target = target(core, desk, inner, &to);
+    let Some(pending) = inner.pending.get_mut(&req) else {
+        return;
+    };
+    let twice = !pending.idempotent && (pending.maybe_run || !pending.attempts.is_empty());
+    if twice {
+        slog::crit!(core.log, "the policy would run a request twice"; "service" => desk.service.as_str());
+    }
+    let events = core.events.clone();
+    let (at, desk) = (to.clone(), desk.clone());
+    let (Some((addr, wire, prefix)), false) = (target, twice) else {
+        let wire = sync::Arc::default();
+        let result = Err(client::Failure::NotSent);
+        let end = AttemptEnd {
+            req,
+            number,
+            at,
+            wire,
+            result,
+        };
+        let _ = events.send(Event::Ended(desk, end));
+        return;
+    };
+    let timeout = deadline.saturating_sub(core.now());
+    let body_bytes = desk.body_bytes.load(atomic::Ordering::Relaxed);
+    let mut forward = backend::Forward {
+        attempt: number,
+        method: pending.method.clone(),
+        path: format!("{prefix}{}", pending.path),
+        headers: pending.headers.clone(),
+        body: pending.body.clone(),
+        timeout,
+    };
+    if let (Place::Az(_), Ok(az)) = (&to, core.cfg.az.as_str().parse()) {
+        forward.headers.insert(headers::ORIGIN_AZ, az);
+    }
+    let call = client::Call {
+        to: addr,
+        req: wire.encode(forward),
+        timeout,
+        body_bytes,
+    };
+    let attempt = core.client.send(call, move |result| {
+        let end = AttemptEnd {
+            req,
+            number,
+            at,
+            wire,
+            result,
+        };
+        let _ = events.send(Event::Ended(desk, end));
+    });
+    pending.attempts.push((to, attempt));
+}
+
+type Target = (net::SocketAddr, sync::Arc<backend_http::Http>, String);
+
+/// Where an attempt goes, and the prefix of its path there.
+fn target<M: MakePolicy>(
+    core: &Core<M>,
+    desk: &Desk<M::Policy>,
+    inner: &Inner<M::Policy>,
+    to: &Place,
+) -> Option<Target> {
+    match to {
+        Place::Backend(vm) => {
+            let known = inner.backends.get(vm)?;
+            Some((known.addr, known.wire.clone(), String::new()))
+        }
+        Place::Az(az) => {
+            let fleet = core.shared.fleet.load();
+            let live = |vm: &&store::Vm| vm.az == *az && vm.state == store::VmState::Live;
+            let there: Vec<_> = fleet.entries().filter(live).collect();
+            let turn = usize::try_from(inner.next_attempt).unwrap_or(0);
+            let vm = there.get(turn % there.len().max(1))?;
+            let wire = sync::Arc::default();
+            Some((vm.addr, wire, format!("/{}", desk.service)))
+        }
+    }
+}
+
+fn cancel<P>(inner: &mut Inner<P>, req: policy::RequestId, to: &Place) {
+    let Some(pending) = inner.pending.get_mut(&req) else {
+        return;
+    };
+    let at = pending.attempts.iter().position(|(at, _)| at == to);
+    if let Some(at) = at {
+        pending.attempts.swap_remove(at).1.cancel();
+    }
+}
+
+fn settle<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    inner: &mut Inner<M::Policy>,
+    req: policy::RequestId,
+    fate: Fate,
+) {
+    let Some(pending) = inner.pending.remove(&req) else {
+        return;
+    };
+    let maybe_run = pending.maybe_run || !pending.attempts.is_empty();
+    match (fate, pending.answer) {
+        (Fate::Answer, Some(answer)) => {
+            let told = answers::backend(&answer);
+            let end = keys::End::Answer(answer);
+            tell(
+                core,
+                pending.reply,
+                pending.key.as_deref(),
+                Some(end),
+                &told,
+            );
+        }
+        (Fate::NotRun { why, retry_after }, _) if !maybe_run => {
+            let told = answers::problem(&outcome::Problem::Refused(why, retry_after));
+            tell(core, pending.reply, pending.key.as_deref(), None, &told);
+        }
+        (Fate::NotRun { retry_after, .. } | Fate::Unknown { retry_after }, _) => {
+            unknown(core, pending.reply, pending.key.as_deref(), retry_after);
+        }
+        (Fate::Answer, None) => {
+            unknown(core, pending.reply, pending.key.as_deref(), RETRY_AFTER);
+        }
+    }
+}
+
+fn unknown<M: MakePolicy>(
+    core: &Core<M>,
+    reply: Option<server::Reply>,
+    key: Option<&str>,
+    retry_after: time::Duration,
+) {
+    let problem = outcome::Problem::Lost(retry_after);
+    let told = answers::problem(&problem);
+    tell(core, reply, key, Some(keys::End::Unknown(problem)), &told);
+}
+
+/// Tells the caller, and everybody who sent the same key meanwhile. No `end`: it did not run.
+fn tell<M: MakePolicy>(
+    core: &Core<M>,
+    reply: Option<server::Reply>,
+    key: Option<&str>,
+    end: Option<keys::End>,
+    told: &server::Answer,
+) {
+    if let Some(key) = key {
+        let mut keys = core.keys.lock();
+        let waiters = match end {
+            Some(end) => keys.end(core.now(), key, end),
+            None => keys.not_run(key),
+        };
+        drop(keys);
+        for waiter in waiters {
+            waiter.send(told.clone());
+        }
+    }
+    if let Some(reply) = reply {
+        reply.send(told.clone());
+    }
+}
+
+fn probe<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    desk: &sync::Arc<Desk<M::Policy>>,
+    inner: &Inner<M::Policy>,
+    to: id::VmId,
+) {
+    let Some(known) = inner.backends.get(&to) else {
+        return;
+    };
+    let call = client::Call {
+        to: known.addr,
+        req: known.wire.probe(),
+        timeout: PROBE_TIMEOUT,
+        body_bytes: PROBE_BYTES,
+    };
+    let (events, desk) = (core.events.clone(), desk.clone());
+    let _attempt = core.client.send(call, move |result| {
+        let _ = events.send(Event::Probed(desk, to, result));
+    });
+}
+
+/// Brings the desks in line with the settings, the list of VMs and what backend servers said.
+pub(super) fn refresh<M: MakePolicy>(core: &sync::Arc<Core<M>>) {
+    let settings = core.shared.settings.load_full();
+    let fleet = core.shared.fleet.load_full();
+    let old = core.desks.load_full();
+    let mut desks = super::Desks::with_capacity(old.len());
+    for service in settings.services() {
+        let desk = old.get(&service.name).cloned().unwrap_or_else(|| {
+            let policy = core.make.make(&core.cfg, &settings, service);
+            sync::Arc::new(Desk::new(service, policy))
+        });
+        desk.body_bytes
+            .store(service.max_body_bytes, atomic::Ordering::Relaxed);
+        set_backends(core, &desk, service, &settings, &fleet);
+        desks.insert(service.name.clone(), desk);
+    }
+    // A service that was taken out ends what it has in hand first.
+    for (name, desk) in old.iter() {
+        if !desks.contains_key(name) && !desk.inner.lock().pending.is_empty() {
+            desks.insert(name.clone(), desk.clone());
+        }
+    }
+    if desks.len() != old.len() || desks.keys().any(|name| !old.contains_key(name)) {
+        core.desks.store(sync::Arc::new(desks));
+    }
+}
+
+fn set_backends<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    desk: &sync::Arc<Desk<M::Policy>>,
+    service: &settings::Service,
+    settings: &settings::Settings,
+    fleet: &fleet::Fleet,
+) {
+    let now_s = wall_clock_s();
+    let mut inner = desk.inner.lock();
+    let mut backends = collections::BTreeMap::new();
+    let mut shown = Vec::new();
+    for vm in fleet.backends(&service.name, &core.cfg.az) {
+        let known = inner.backends.remove(&vm.id);
+        let known = known.filter(|known| known.addr == vm.addr);
+        let known = known.unwrap_or_else(|| Known {
+            addr: vm.addr,
+            wire: sync::Arc::default(),
+            said_leaving: false,
+        });
+        shown.push(policy::Backend {
+            id: vm.id.clone(),
+            slots: service.slots,
+            leaving: vm.state == store::VmState::Leaving
+                || known.said_leaving
+                || fleet::drained(vm, settings, now_s),
+        });
+        backends.insert(vm.id.clone(), known);
+    }
+    inner.backends = backends;
+    if inner.shown.as_ref() == Some(&shown) {
+        return;
+    }
+    let now = core.now();
+    step(core, desk, &mut inner, |policy, out| {
+        policy.set_backends(now, &shown, out);
+    });
+    inner.shown = Some(shown);
+}
+
+/// Seconds since 1970, for drains that operators dated.
+pub(super) fn wall_clock_s() -> u64 {
+    time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_secs())
+}
--- /dev/null
+++ b/src/entry/route.rs
@@ -0,0 +1,331 @@
+//! What a request asks for, and whether it may go on to its service's desk.
+
+use std::hash;
+use std::hash::Hasher;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use hyper::{Method, header};
+use rand::RngExt;
+
+use super::{Core, Event, MakePolicy, answers, desk};
+use crate::decisions::policy;
+use crate::protocol::{backend, headers, lookup, outcome, ticket};
+use crate::state::keys;
+use crate::transport::{client, server};
+use crate::{id, settings};
+use outcome::Problem;
+
+/// The path of look-ups.
+const LOOKUP: &str = "lookup";
+
+/// Takes a request.
+pub(super) fn request<M: MakePolicy>(core: &sync::Arc<Core<M>>, req: server::Request) {
+    let path = req.uri.path().to_owned();
+    let mut parts = path.trim_start_matches('/').splitn(2, '/');
+    let first = parts.next().unwrap_or_default();
+    let rest = parts.next();
+    match (first, rest) {
+        (LOOKUP, Some(service)) => {
+            let answer = look_up(core, &req.method, service);
+            req.reply.send(answer);
+        }
+        ("", _) | (LOOKUP, None) => refuse(req.reply, &Problem::UnknownPath),
+        (service, rest) => {
+            let path = format!("/{}", rest.unwrap_or_default());
+            serve(core, req, service, &path);
+        }
+    }
+}
+
+fn refuse(reply: server::Reply, problem: &Problem) {
+    reply.send(answers::problem(problem));
+}
+
+fn look_up<M: MakePolicy>(core: &Core<M>, method: &Method, service: &str) -> server::Answer {
+    if *method != Method::GET {
+        return answers::problem(&Problem::LookupMethod);
+    }
+    match find(core, service) {
+        Some(lookup) => answers::look_up(&lookup),
+        None => answers::problem(&Problem::UnknownService(service.to_owned())),
+    }
+}
+
+fn find<M: MakePolicy>(core: &Core<M>, service: &str) -> Option<lookup::Lookup> {
+    let settings = core.shared.settings.load();
+    let service = settings.service(service)?;
+    let stopping = core.stopping.load(atomic::Ordering::SeqCst);
+    let mut entries =
+        core.shared
+            .fleet
+            .load()
+            .look_up(&core.cfg.az, &settings, desk::wall_clock_s());
+    entries.retain(|entry| !stopping || entry.vm != core.cfg.vm);
+    Some(lookup::Lookup {
+        service: service.name.clone(),
+        ttl_ms: core.cfg.lookup_ttl_ms,
+        ticket: (!stopping).then(|| new_ticket(core).to_string()),
+        ticket_ttl_ms: core.cfg.ticket_ttl_ms,
+        entries,
+    })
+}
+
+fn new_ticket<M: MakePolicy>(core: &Core<M>) -> ticket::Ticket {
+    ticket::Ticket {
+        vm: core.cfg.vm.clone(),
+        incarnation: core.incarnation,
+        issued_ms: u64::try_from(core.now().as_millis()).unwrap_or(u64::MAX),
+        random: rand::rng().random(),
+    }
+}
+
+/// What a request asks for, in the words of the settings.
+struct Asked<'a> {
+    service: &'a settings::Service,
+    op: &'a settings::Operation,
+    timeout: time::Duration,
+    key: Option<ticket::Key>,
+}
+
+fn serve<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    req: server::Request,
+    service: &str,
+    path: &str,
+) {
+    let settings = core.shared.settings.load();
+    let sent_across = origin(core, &req) != policy::Origin::Caller;
+    let asked = match check(&settings, &req, service, path, sent_across) {
+        Ok(asked) => asked,
+        Err(problem) => return refuse(req.reply, &problem),
+    };
+    let Some(key) = &asked.key else {
+        if core.stopping.load(atomic::Ordering::SeqCst) {
+            return refuse(req.reply, &stopping());
+        }
+        return bring(core, req, &asked, path);
+    };
+    if key.ticket.vm != core.cfg.vm {
+        return ask_home(core, req, &asked);
+    }
+    if key.ticket.incarnation != core.incarnation {
+        return refuse(req.reply, &Problem::TicketVoid);
+    }
+    let print = fingerprint(&req, path);
+    let (now, stops) = (core.now(), core.stopping.load(atomic::Ordering::SeqCst));
+    let mut req = req;
+    let admission = core.keys.lock().admit(now, key, print, req.reply);
+    match admission {
+        keys::Admission::Run(reply) if stops => {
+            core.keys.lock().not_run(&key.text);
+            refuse(reply, &stopping());
+        }
+        keys::Admission::Run(reply) => {
+            req.reply = reply;
+            bring(core, req, &asked, path);
+        }
+        keys::Admission::Joined => {}
+        keys::Admission::Ended(keys::End::Answer(answer), reply) => {
+            reply.send(answers::backend(&answer));
+        }
+        keys::Admission::Ended(keys::End::AnswerGone, reply) => {
+            refuse(reply, &Problem::AnswerGone);
+        }
+        keys::Admission::Ended(keys::End::Unknown(problem), reply)
+        | keys::Admission::Refused(problem, reply) => refuse(reply, &problem),
+    }
+}
+
+fn stopping() -> Problem {
+    Problem::Refused(policy::Refusal::Stopping, time::Duration::ZERO)
+}
+
+fn check<'a>(
+    settings: &'a settings::Settings,
+    req: &server::Request,
+    service: &str,
+    path: &str,
+    sent_across: bool,
+) -> Result<Asked<'a>, Problem> {
+    let found = settings.service(service);
+    let service = found.ok_or_else(|| Problem::UnknownService(service.to_owned()))?;
+    let op = service.operation(req.method.as_str(), path);
+    let (_, op) = op.ok_or_else(|| Problem::UnknownOperation {
+        service: service.name.to_string(),
+        method: req.method.to_string(),
+        path: path.to_owned(),
+    })?;
+    if req.body.len() > service.max_body_bytes {
+        return Err(Problem::TooLarge(service.max_body_bytes));
+    }
+    let patience = time::Duration::from_millis(op.patience_ms);
+    let timeout = headers::timeout(&req.headers)
+        .map_err(Problem::BadTimeout)?
+        .unwrap_or(patience);
+    let key = match headers::text(&req.headers, headers::KEY) {
+        // A key on an idempotent operation does no harm and decides nothing. The entry VM that
+        // sent a request across has decided about its key.
+        _ if op.idempotent || sent_across => None,
+        None => return Err(Problem::NoKey),
+        Some(own) => {
+            let ticket = headers::text(&req.headers, headers::TICKET);
+            Some(ticket::Key::parse(own, ticket)?)
+        }
+    };
+    Ok(Asked {
+        service,
+        op,
+        timeout,
+        key,
+    })
+}
+
+/// Brings a request that may run to its service's desk.
+fn bring<M: MakePolicy>(
+    core: &sync::Arc<Core<M>>,
+    req: server::Request,
+    asked: &Asked<'_>,
+    path: &str,
+) {
+    let key = asked.key.as_ref().map(|key| key.text.clone());
+    let desk = core.desks.load().get(&asked.service.name).cloned();
+    let Some(desk) = desk else {
+        if let Some(key) = &key {
+            core.keys.lock().not_run(key);
+        }
+        let why = policy::Refusal::NoBackend;
+        return refuse(req.reply, &Problem::Refused(why, super::REFRESH));
+    };
+    let arrival = policy::Arrival {
+        id: policy::RequestId(req.id),
+        caller: caller(&req),
+        fingerprint: fingerprint(&req, path),
+        origin: origin(core, &req),
+        idempotent: asked.op.idempotent,
+        worth: asked.op.worth,
+        typical: time::Duration::from_secs_f64(asked.op.typical_ms / 1000.0),
+        deadline: core.now() + asked.timeout,
+        bytes: req.body.len() as u64,
+    };
+    let pending = desk::Pending {
+        method: req.method,
+        path: with_query(path, req.uri.query()),
+        headers: headers::end_to_end(&req.headers),
+        body: req.body,
+        key,
+        idempotent: asked.op.idempotent,
+        _permit: req.permit,
+        attempts: Vec::new(),
+        maybe_run: false,
+        answer: None,
+        reply: Some(req.reply),
+    };
+    desk::arrive(core, &desk, arrival, pending);
+}
+
+fn with_query(path: &str, query: Option<&str>) -> String {
+    match query {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    }
+}
+
+/// Who asks: credentials where there are some, since many callers may share one address.
+fn caller(req: &server::Request) -> policy::CallerId {
+    let mut hasher = hash::DefaultHasher::new();
+    match req.headers.get(header::AUTHORIZATION) {
+        Some(credentials) => hasher.write(credentials.as_bytes()),
+        None => hash::Hash::hash(&req.from.ip(), &mut hasher),
+    }
+    policy::CallerId(hasher.finish())
+}
+
+/// What is asked. Credentials count, so that two callers who share a ticket and happen on one key
+/// never get one another's answer.
+fn fingerprint(req: &server::Request, path: &str) -> policy::Fingerprint {
+    let mut hasher = hash::DefaultHasher::new();
+    hash::Hash::hash(req.method.as_str(), &mut hasher);
+    hash::Hash::hash(path, &mut hasher);
+    hash::Hash::hash(&req.uri.query(), &mut hasher);
+    for name in [header::AUTHORIZATION, header::COOKIE] {
+        let value = req.headers.get(name).map(header::HeaderValue::as_bytes);
+        hash::Hash::hash(&value, &mut hasher);
+    }
+    hasher.write(&req.body);
+    policy::Fingerprint(hasher.finish())
+}
+
+/// Where a request entered. Only entry VMs are believed: a caller that could say so would get
+/// around the check of its key.
+fn origin<M: MakePolicy>(core: &Core<M>, req: &server::Request) -> policy::Origin {
+    let Some(az) = headers::text(&req.headers, headers::ORIGIN_AZ) else {
+        return policy::Origin::Caller;
+    };
+    let fleet = core.shared.fleet.load();
+    let az = id::AzId::from(az);
+    let known = fleet
+        .entries()
+        .any(|vm| vm.az == az && vm.addr.ip() == req.from.ip());
+    if known {
+        policy::Origin::Az(az)
+    } else {
+        policy::Origin::Caller
+    }
+}
+
+/// Passes a request on to the home of its key, which alone knows whether the key is new. If the
+/// home does not answer, nobody can tell whether an earlier send of the key ran.
+fn ask_home<M: MakePolicy>(core: &sync::Arc<Core<M>>, req: server::Request, asked: &Asked<'_>) {
+    let Some(key) = &asked.key else {
+        return refuse(req.reply, &Problem::NoKey);
+    };
+    let fleet = core.shared.fleet.load();
+    // A request that was passed on once and still is not at home would go round for ever.
+    let passed_on = req.headers.contains_key(headers::VIA);
+    let home = fleet.vm(&key.ticket.vm).filter(|_| !passed_on);
+    let Some(home) = home else {
+        return refuse(req.reply, &Problem::TicketVoid);
+    };
+    let mut out = hyper::Request::new(req.body);
+    *out.method_mut() = req.method;
+    *out.uri_mut() = req
+        .uri
+        .path_and_query()
+        .map_or_else(hyper::Uri::default, |path| hyper::Uri::from(path.clone()));
+    *out.headers_mut() = headers::end_to_end(&req.headers);
+    let timeout_ms = u64::try_from(asked.timeout.as_millis()).unwrap_or(u64::MAX);
+    out.headers_mut()
+        .insert(headers::TIMEOUT, timeout_ms.into());
+    if let Ok(via) = core.cfg.vm.as_str().parse() {
+        out.headers_mut().insert(headers::VIA, via);
+    }
+    let call = client::Call {
+        to: home.addr,
+        req: out,
+        timeout: asked.timeout,
+        body_bytes: asked.service.max_body_bytes,
+    };
+    let (events, reply) = (core.events.clone(), req.reply);
+    let _attempt = core.client.send(call, move |result| {
+        let _ = events.send(Event::Home(reply, result));
+    });
+}
+
+/// The home of a key answered, or did not.
+pub(super) fn home_answered(reply: server::Reply, result: Result<server::Answer, client::Failure>) {
+    let Ok(answer) = result else {
+        return refuse(reply, &Problem::HomeSilent);
+    };
+    // The home's own word about the outcome stands.
+    let mut told = answers::backend(&backend::Answer {
+        status: answer.status,
+        headers: answer.headers.clone(),
+        body: answer.body,
+    });
+    if let Some(word) = answer.headers.get(headers::OUTCOME) {
+        told.headers.insert(headers::OUTCOME, word.clone());
+    }
+    reply.send(told);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod coordination;
 pub mod decisions;
+pub mod entry;
 pub mod error;
 pub mod exit_codes;
 pub mod id;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,1 +1,8 @@
 //! Messages and headers, their checks and their codecs.
+
+pub mod backend;
+pub mod backend_http;
+pub mod headers;
+pub mod lookup;
+pub mod outcome;
+pub mod ticket;
--- /dev/null
+++ b/src/protocol/ticket.rs
@@ -0,0 +1,172 @@
+//! Tickets and the keys that callers make of them.
+//!
+//! What goes wrong without them: a booking whose answer was lost is sent again, through another
+//! entry VM, and runs a second time; one bay is billed to two members. A ticket names the one
+//! process whose memory decides whether a key is new. The caller appends `.` and its own sequence
+//! number or key, so that one cached look-up serves many requests. No other process ever decides
+//! about such a key, so nothing has to be agreed on, and a partition or an outage of the store
+//! cannot cause a second run.
+
+use std::fmt;
+use std::str;
+use std::time;
+
+use crate::decisions::policy;
+use crate::id;
+
+/// The longest key, in bytes.
+pub const MAX_KEY_BYTES: usize = 200;
+
+const VERSION: &str = "t1";
+
+data! {
+    /// What an entry process hands out: `t1.<vm>.<incarnation>.<issued>.<random>`.
+    #[derive(Eq)]
+    pub struct Ticket {
+        /// The entry VM that issued it.
+        pub vm: id::VmId,
+        /// The start of the process that issued it.
+        pub incarnation: id::Incarnation,
+        /// When, on the clock of that process, in milliseconds since its start.
+        pub issued_ms: u64,
+        /// Tells apart tickets issued in the same millisecond.
+        pub random: u64,
+    }
+
+    /// The key of one request: a ticket and the caller's part.
+    #[derive(Eq)]
+    pub struct Key {
+        /// The ticket.
+        pub ticket: Ticket,
+        /// The whole text, which is what gets compared.
+        pub text: String,
+    }
+}
+
+/// A text that is not a key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// It does not begin with a ticket.
+    #[error(
+        "the key does not begin with a ticket; ask /lookup/<service> for one and append `.` and a \
+         number of your own, or send the ticket as Bulrushwind-Ticket beside your own key"
+    )]
+    NoTicket,
+    /// It is a ticket and nothing else.
+    #[error("the key is a bare ticket; append `.` and a number that this caller has not used yet")]
+    NoSequence,
+    /// It is too long.
+    #[error("the key has {0} bytes; use at most {MAX_KEY_BYTES}")]
+    TooLong(usize),
+    /// It holds something else than visible ASCII characters.
+    #[error("the key holds a character that is not visible ASCII; use letters, digits and `-`")]
+    Character,
+}
+
+impl Ticket {
+    /// When it was issued, on the clock of the process that issued it.
+    pub fn issued(&self) -> policy::Moment {
+        time::Duration::from_millis(self.issued_ms)
+    }
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (vm, issued, random) = (hex(self.vm.as_str()), self.issued_ms, self.random);
+        write!(
+            f,
+            "{VERSION}.{vm}.{}.{issued:x}.{random:x}",
+            self.incarnation
+        )
+    }
+}
+
+impl Key {
+    /// Reads a key. `own` is the text of the key header, `ticket` that of the ticket header, which
+    /// is put before a key that does not begin with a ticket itself.
+    pub fn parse(own: &str, ticket: Option<&str>) -> Result<Self, Error> {
+        let text = match ticket {
+            Some(ticket) if !own.starts_with(&format!("{VERSION}.")) => format!("{ticket}.{own}"),
+            _ => own.to_owned(),
+        };
+        if text.len() > MAX_KEY_BYTES {
+            return Err(Error::TooLong(text.len()));
+        }
+        if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(Error::Character);
+        }
+        let mut parts = text.splitn(6, '.');
+        if parts.next() != Some(VERSION) {
+            return Err(Error::NoTicket);
+        }
+        let ticket = Ticket {
+            vm: parts.next().and_then(unhex).ok_or(Error::NoTicket)?,
+            incarnation: id::Incarnation(number(parts.next())?),
+            issued_ms: number(parts.next())?,
+            random: number(parts.next())?,
+        };
+        if parts.next().is_none_or(str::is_empty) {
+            return Err(Error::NoSequence);
+        }
+        Ok(Self { ticket, text })
+    }
+}
+
+fn number(part: Option<&str>) -> Result<u64, Error> {
+    part.and_then(|part| u64::from_str_radix(part, 16).ok())
+        .ok_or(Error::NoTicket)
+}
+
+/// A VM's name may hold a dot, which parts the fields of a ticket.
+fn hex(text: &str) -> String {
+    use fmt::Write;
+    text.bytes().fold(String::new(), |mut out, byte| {
+        let _ = write!(out, "{byte:02x}");
+        out
+    })
+}
+
+fn unhex(text: &str) -> Option<id::VmId> {
+    let bytes: Option<Vec<u8>> = (0..text.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(text.get(at..at + 2)?, 16).ok())
+        .collect();
+    Some(str::from_utf8(&bytes?).ok()?.into())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ticket() -> Ticket {
+        Ticket {
+            vm: "entry.1".into(),
+            incarnation: id::Incarnation(77),
+            issued_ms: 1234,
+            random: 9,
+        }
+    }
+
+    #[test]
+    fn a_key_is_read_back() {
+        let key = Key::parse(&format!("{}.5", ticket()), None).unwrap();
+        assert_eq!(key.ticket, ticket());
+        let own = Key::parse("bay-7.b", Some(&ticket().to_string())).unwrap();
+        assert_eq!(own.ticket, ticket());
+        assert!(own.text.ends_with(".bay-7.b"));
+    }
+
+    #[test]
+    fn what_is_no_key_is_told_apart() {
+        let bare = ticket().to_string();
+        assert_eq!(Key::parse("order-1", None), Err(Error::NoTicket));
+        assert_eq!(Key::parse("t1.zz.1.1.1.1", None), Err(Error::NoTicket));
+        assert_eq!(Key::parse(&bare, None), Err(Error::NoSequence));
+        assert_eq!(
+            Key::parse(&format!("{bare}."), None),
+            Err(Error::NoSequence)
+        );
+        assert_eq!(Key::parse("a b", None), Err(Error::Character));
+        assert_eq!(Key::parse(&"a".repeat(300), None), Err(Error::TooLong(300)));
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,4 +2,9 @@
 //!
 //! They exist for the tests, the benchmarks and the example; no product code uses them.
 
+pub mod backend;
+pub mod caller;
+pub mod control;
+pub mod processes;
+pub mod run;
 pub mod store;
--- /dev/null
+++ b/src/standin/processes.rs
@@ -0,0 +1,111 @@
+//! Starts the programs as processes of their own, for tests and the example.
+//!
+//! Each program prints `listening <address>` once it takes connections. A process is killed when
+//! its handle is dropped, so that a failed test leaves none behind.
+
+use std::io;
+use std::io::BufRead;
+use std::net;
+use std::path;
+use std::process;
+use std::thread;
+use std::time;
+
+use crate::coordination::{store as platform, store_http};
+use crate::settings;
+use platform::Store;
+
+/// A process that listens.
+#[derive(Debug)]
+pub struct Process {
+    child: process::Child,
+    addr: net::SocketAddr,
+}
+
+impl Process {
+    /// Starts `program` and waits until it listens. Its log goes to `log`, where given.
+    pub fn start<I, A>(program: &path::Path, args: I) -> io::Result<Self>
+    where
+        I: IntoIterator<Item = A>,
+        A: AsRef<std::ffi::OsStr>,
+    {
+        let mut child = process::Command::new(program)
+            .args(args)
+            .stdin(process::Stdio::null())
+            .stdout(process::Stdio::piped())
+            .spawn()?;
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let mut lines = io::BufReader::new(stdout).lines();
+        let line = lines.next().unwrap_or_else(|| Ok(String::new()))?;
+        let addr = line.strip_prefix("listening ").and_then(|a| a.parse().ok());
+        // Something must read on, or the process could block on a full pipe.
+        thread::spawn(move || lines.for_each(drop));
+        match addr {
+            Some(addr) => Ok(Self { child, addr }),
+            None => {
+                let _ = child.kill();
+                let status = child.wait()?;
+                let text = format!("{} did not listen: {status}", program.display());
+                Err(io::Error::other(text))
+            }
+        }
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Sends it a signal by name, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let status = process::Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status()?;
+        if status.success() {
+            return Ok(());
+        }
+        Err(io::Error::other(format!("kill -{name}: {status}")))
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits until it has ended, at most `limit`.
+    pub fn wait(&mut self, limit: time::Duration) -> io::Result<process::ExitStatus> {
+        let until = time::Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if time::Instant::now() >= until {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            thread::sleep(time::Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Writes settings into the store at `addr`, each team under its key.
+pub fn put_settings(addr: net::SocketAddr, settings: &settings::Settings) -> io::Result<()> {
+    let store = store_http::Client::new(addr);
+    for (name, team) in &settings.teams {
+        let key = format!("settings/{name}");
+        let now = store.get(&key).map_err(io::Error::other)?;
+        let expect = now.map_or(platform::Revision(0), |entry| entry.revision);
+        let value = serde_json::json!({ "text": team.to_toml() }).to_string();
+        store
+            .compare_and_swap(&key, expect, value.as_bytes(), None)
+            .map_err(io::Error::other)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/standin/run.rs
@@ -0,0 +1,97 @@
+//! The stand-ins as commands.
+
+use std::fs;
+use std::io::Write;
+use std::net;
+use std::path;
+use std::thread;
+
+use super::{backend, store};
+use crate::error;
+
+/// Calls that the stand-in store answers at a time. Each waiting watch holds one.
+const STORE_THREADS: usize = 64;
+
+/// Which stand-in to run.
+#[derive(Clone, Debug, clap::Subcommand)]
+pub enum Standin {
+    /// The platform's store and list of VMs.
+    Store {
+        /// Where to listen.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: net::SocketAddr,
+    },
+    /// One backend server.
+    Backend {
+        /// Where to listen.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: net::SocketAddr,
+        /// Requests that it works on at a time.
+        #[arg(long, default_value_t = 3)]
+        slots: usize,
+        /// How long it works on one, in milliseconds.
+        #[arg(long, default_value_t = 5)]
+        work_ms: u64,
+        /// How long after its start it works at a third of its speed, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        cold_ms: u64,
+        /// A file to which each key that runs is appended.
+        #[arg(long)]
+        journal: Option<path::PathBuf>,
+    },
+}
+
+/// Runs a stand-in until the process is ended. Prints `listening <address>` first.
+pub fn run(standin: &Standin) -> Result<(), error::Error> {
+    match standin {
+        Standin::Store { listen } => {
+            let memory = store::Memory::default();
+            let server = store::serve(&memory, *listen, STORE_THREADS)
+                .map_err(|err| bind_error(*listen, &err))?;
+            wait(server.addr());
+        }
+        Standin::Backend {
+            listen,
+            slots,
+            work_ms,
+            cold_ms,
+            journal,
+        } => {
+            let journal = journal.as_deref().map(open).transpose()?;
+            let behaviour = backend::Behaviour {
+                slots: *slots,
+                work_ms: *work_ms,
+                cold_ms: *cold_ms,
+                ..backend::Behaviour::default()
+            };
+            let backend = backend::Backend::start(*listen, behaviour, journal)
+                .map_err(|err| bind_error(*listen, &err))?;
+            wait(backend.addr());
+        }
+    }
+    Ok(())
+}
+
+fn open(path: &path::Path) -> Result<fs::File, error::Error> {
+    let opened = fs::File::options().create(true).append(true).open(path);
+    opened.map_err(|source| error::Error::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn bind_error(addr: net::SocketAddr, err: &std::io::Error) -> error::Error {
+    error::Error::Bind {
+        addr: addr.to_string(),
+        setting: "--listen",
+        reason: err.to_string(),
+    }
+}
+
+fn wait(addr: net::SocketAddr) {
+    println!("listening {addr}");
+    let _ = std::io::stdout().flush();
+    loop {
+        thread::park();
+    }
+}
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time;
 
+use super::control;
 use crate::coordination::{store, store_http};
 use crate::id;
 use store::Store;
@@ -367,6 +368,9 @@
 }
 
 fn answer(memory: &Memory, mut req: tiny_http::Request) {
+    if req.url() == control::PATH {
+        return change(memory, req);
+    }
     let call = match serde_json::from_reader(req.as_reader()) {
         Ok(call) => call,
         Err(err) => {
@@ -388,6 +392,17 @@
     let _ = req.respond(tiny_http::Response::from_data(body));
 }
 
+fn change(memory: &Memory, mut req: tiny_http::Request) {
+    let status = match serde_json::from_reader(req.as_reader()) {
+        Ok(control) => {
+            control::perform(memory, control);
+            200
+        }
+        Err(_) => 400,
+    };
+    let _ = req.respond(tiny_http::Response::empty(status));
+}
+
 fn perform(memory: &Memory, call: store_http::Call) -> Result<store_http::Reply, store::Error> {
     Ok(match call {
         store_http::Call::Get { key } => store_http::Reply::Entry(memory.get(&key)?),
--- /dev/null
+++ b/src/state/fleet.rs
@@ -0,0 +1,88 @@
+//! The platform's list of VMs as the request path reads it.
+
+use std::collections;
+use std::net;
+
+use crate::coordination::store;
+use crate::protocol::lookup;
+use crate::{id, settings};
+
+/// The VMs that are there, by what they do. Replaced whole when the list changes.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    vms: collections::BTreeMap<id::VmId, store::Vm>,
+}
+
+impl Fleet {
+    /// The fleet of a list.
+    pub fn new(vms: Vec<store::Vm>) -> Self {
+        let vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+        Self { vms }
+    }
+
+    /// One VM.
+    pub fn vm(&self, vm: &id::VmId) -> Option<&store::Vm> {
+        self.vms.get(vm)
+    }
+
+    /// The backend servers of a service in one availability zone.
+    pub fn backends<'a>(
+        &'a self,
+        service: &'a id::ServiceId,
+        az: &'a id::AzId,
+    ) -> impl Iterator<Item = &'a store::Vm> {
+        self.vms.values().filter(move |vm| {
+            vm.az == *az
+                && matches!(&vm.role, store::VmRole::Backend { service: of } if of == service)
+        })
+    }
+
+    /// The entry VMs.
+    pub fn entries(&self) -> impl Iterator<Item = &store::Vm> {
+        self.vms
+            .values()
+            .filter(|vm| matches!(vm.role, store::VmRole::Entry { .. }))
+    }
+
+    /// The addresses that requests may go to.
+    pub fn addrs(&self) -> collections::HashSet<net::SocketAddr> {
+        self.vms.values().map(|vm| vm.addr).collect()
+    }
+
+    /// The entry VMs that a caller should use: those of `az` first, then those of its region,
+    /// then the rest. A leaving one is not named, and neither is one that a drain covers.
+    pub fn look_up(
+        &self,
+        az: &id::AzId,
+        settings: &settings::Settings,
+        now_s: u64,
+    ) -> Vec<lookup::EntryVm> {
+        let region = settings.region_of(az);
+        let mut found: Vec<_> = self
+            .entries()
+            .filter(|vm| vm.state == store::VmState::Live && !drained(vm, settings, now_s))
+            .map(|vm| {
+                let near = region.is_some_and(|region| region.azs.contains(&vm.az));
+                let rank = (vm.az != *az, !near);
+                let entry = lookup::EntryVm {
+                    vm: vm.id.clone(),
+                    az: vm.az.clone(),
+                    addr: vm.addr,
+                };
+                (rank, entry)
+            })
+            .collect();
+        found.sort_by_key(|(rank, _)| *rank);
+        found.into_iter().map(|(_, entry)| entry).collect()
+    }
+}
+
+/// Whether a drain in the settings covers a VM itself at this time.
+pub fn drained(vm: &store::Vm, settings: &settings::Settings, now_s: u64) -> bool {
+    settings.drains().any(|drain| {
+        let begun = drain.start_s <= now_s;
+        let over = drain.end_s.is_some_and(|end| end <= now_s);
+        let covers = matches!(&drain.target, settings::DrainTarget::Vm(of) if *of == vm.id);
+        covers && begun && !over
+    })
+}
--- /dev/null
+++ b/src/transport/client.rs
@@ -0,0 +1,286 @@
+//! A client that keeps connections and uses each for one request at a time.
+//!
+//! Two things would break promises here. A connection whose answer was given up on may still
+//! bring it, and the next request on it would get another caller's answer: such a connection is
+//! closed, never used again. And an attempt that failed before its first byte was sent must be
+//! told apart from one that failed after, since only the first may be called not run.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
+use hyper::client::conn::http1;
+use hyper::{Method, StatusCode, header};
+use hyper_util::rt;
+use tokio::sync::oneshot;
+
+use super::server;
+
+/// How the client treats connections.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// How long connecting may take.
+    pub connect_timeout: time::Duration,
+    /// Idle connections kept for one address.
+    pub idle: usize,
+    /// How long an idle connection is used again.
+    pub idle_timeout: time::Duration,
+    /// The bytes of an answer's line and headers.
+    pub head_bytes: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            connect_timeout: time::Duration::from_secs(1),
+            idle: 16,
+            idle_timeout: time::Duration::from_secs(20),
+            head_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// Why an attempt brought no complete answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the request was sent.
+    NotSent,
+    /// It was sent, and the connection broke, or what came is not a complete answer.
+    Lost,
+    /// It was sent, and no complete answer came in time.
+    TimedOut,
+    /// It was cancelled.
+    Cancelled,
+}
+
+/// An attempt under way. Dropped, it goes on to its end.
+#[derive(Debug)]
+pub struct Attempt(oneshot::Sender<()>);
+
+impl Attempt {
+    /// Closes the attempt's connection, which tells the other side to stop.
+    pub fn cancel(self) {
+        let _ = self.0.send(());
+    }
+}
+
+/// A request and the bounds on its answer.
+#[derive(Debug)]
+pub struct Call {
+    /// Where to.
+    pub to: net::SocketAddr,
+    /// The request.
+    pub req: hyper::Request<Bytes>,
+    /// How long the answer is waited for.
+    pub timeout: time::Duration,
+    /// The bytes of the answer's body.
+    pub body_bytes: usize,
+}
+
+/// One connection. Dropped, it is closed.
+#[derive(Debug)]
+struct Conn {
+    tx: http1::SendRequest<Full<Bytes>>,
+    task: tokio::task::AbortHandle,
+    idle_since: time::Instant,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A client. Clones share its connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    shared: sync::Arc<Shared>,
+    runtime: tokio::runtime::Handle,
+}
+
+#[derive(Debug)]
+struct Shared {
+    cfg: Config,
+    idle: parking_lot::Mutex<collections::HashMap<net::SocketAddr, Vec<Conn>>>,
+    connects: atomic::AtomicU64,
+}
+
+impl Client {
+    /// A client whose connections live on `runtime`.
+    pub fn new(runtime: tokio::runtime::Handle, cfg: Config) -> Self {
+        let shared = Shared {
+            cfg,
+            idle: parking_lot::Mutex::default(),
+            connects: atomic::AtomicU64::new(0),
+        };
+        Self {
+            shared: sync::Arc::new(shared),
+            runtime,
+        }
+    }
+
+    /// Connections opened so far.
+    pub fn connects(&self) -> u64 {
+        self.shared.connects.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Closes the idle connections to addresses that `keep` does not want.
+    pub fn retain(&self, keep: impl Fn(&net::SocketAddr) -> bool) {
+        self.shared.idle.lock().retain(|addr, _| keep(addr));
+    }
+
+    /// Sends a request and calls `done` once, on the runtime, with how it ended.
+    pub fn send<F>(&self, call: Call, done: F) -> Attempt
+    where
+        F: FnOnce(Result<server::Answer, Failure>) + Send + 'static,
+    {
+        let (tx, rx) = oneshot::channel();
+        let shared = self.shared.clone();
+        self.runtime.spawn(async move {
+            let result = attempt(&shared, call, rx).await;
+            done(result);
+        });
+        Attempt(tx)
+    }
+}
+
+async fn attempt(
+    shared: &Shared,
+    call: Call,
+    cancel: oneshot::Receiver<()>,
+) -> Result<server::Answer, Failure> {
+    let sent = atomic::AtomicBool::new(false);
+    let timeout = call.timeout;
+    let cancelled = async {
+        // A dropped handle is no cancellation.
+        if cancel.await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    };
+    let failure = tokio::select! {
+        biased;
+        result = exchange(shared, call, &sent) => return result,
+        () = cancelled => Failure::Cancelled,
+        () = tokio::time::sleep(timeout) => Failure::TimedOut,
+    };
+    if failure == Failure::TimedOut && !sent.load(atomic::Ordering::Relaxed) {
+        return Err(Failure::NotSent);
+    }
+    Err(failure)
+}
+
+async fn exchange(
+    shared: &Shared,
+    call: Call,
+    sent: &atomic::AtomicBool,
+) -> Result<server::Answer, Failure> {
+    let head_only = call.req.method() == Method::HEAD;
+    let mut req = call.req.map(Full::new);
+    let host = header::HeaderValue::from_str(&call.to.to_string());
+    if let Ok(host) = host {
+        req.headers_mut().insert(header::HOST, host);
+    }
+    loop {
+        let (mut conn, reused) = match take_idle(shared, call.to).await {
+            Some(conn) => (conn, true),
+            None => (connect(shared, call.to).await?, false),
+        };
+        sent.store(true, atomic::Ordering::Relaxed);
+        match conn.tx.try_send_request(req).await {
+            Ok(res) => {
+                let answer = read_answer(res, call.body_bytes, head_only).await?;
+                put_idle(shared, call.to, conn);
+                return Ok(answer);
+            }
+            Err(mut err) => {
+                // The request comes back only where no byte of it was written.
+                let Some(unsent) = err.take_message() else {
+                    return Err(Failure::Lost);
+                };
+                sent.store(false, atomic::Ordering::Relaxed);
+                if !reused {
+                    return Err(Failure::NotSent);
+                }
+                req = unsent;
+            }
+        }
+    }
+}
+
+/// Reads a whole answer. One without a stated length ends where its connection does, so that a
+/// cut one looks whole: it counts as incomplete.
+async fn read_answer(
+    res: hyper::Response<hyper::body::Incoming>,
+    body_bytes: usize,
+    head_only: bool,
+) -> Result<server::Answer, Failure> {
+    let (parts, body) = res.into_parts();
+    let bodiless = head_only
+        || parts.status == StatusCode::NO_CONTENT
+        || parts.status == StatusCode::NOT_MODIFIED
+        || parts.status.is_informational();
+    let framed = parts.headers.contains_key(header::CONTENT_LENGTH)
+        || parts.headers.contains_key(header::TRANSFER_ENCODING);
+    if !bodiless && !framed && !body.is_end_stream() {
+        return Err(Failure::Lost);
+    }
+    let whole = Limited::new(body, body_bytes)
+        .collect()
+        .await
+        .map_err(|_| Failure::Lost)?;
+    Ok(server::Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: whole.to_bytes(),
+    })
+}
+
+async fn take_idle(shared: &Shared, to: net::SocketAddr) -> Option<Conn> {
+    loop {
+        let mut conn = shared.idle.lock().get_mut(&to)?.pop()?;
+        let fresh = conn.idle_since.elapsed() < shared.cfg.idle_timeout;
+        if fresh && !conn.tx.is_closed() && conn.tx.ready().await.is_ok() {
+            return Some(conn);
+        }
+    }
+}
+
+fn put_idle(shared: &Shared, to: net::SocketAddr, mut conn: Conn) {
+    if conn.tx.is_closed() {
+        return;
+    }
+    conn.idle_since = time::Instant::now();
+    let mut idle = shared.idle.lock();
+    let conns = idle.entry(to).or_default();
+    if conns.len() < shared.cfg.idle {
+        conns.push(conn);
+    }
+}
+
+async fn connect(shared: &Shared, to: net::SocketAddr) -> Result<Conn, Failure> {
+    shared.connects.fetch_add(1, atomic::Ordering::Relaxed);
+    let connecting = tokio::net::TcpStream::connect(to);
+    let stream = tokio::time::timeout(shared.cfg.connect_timeout, connecting)
+        .await
+        .map_err(|_| Failure::NotSent)?
+        .map_err(|_| Failure::NotSent)?;
+    let _ = stream.set_nodelay(true);
+    let (tx, conn) = http1::Builder::new()
+        .max_buf_size(shared.cfg.head_bytes)
+        .handshake(rt::TokioIo::new(stream))
+        .await
+        .map_err(|_| Failure::NotSent)?;
+    let task = tokio::spawn(async move {
+        let _ = conn.await;
+    });
+    Ok(Conn {
+        tx,
+        task: task.abort_handle(),
+        idle_since: time::Instant::now(),
+    })
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,1 +1,4 @@
 //! Sockets: an HTTP server for callers and operators, a pooled client for backend servers, links to peers.
+
+pub mod client;
+pub mod server;
--- /dev/null
+++ b/src/transport/server.rs
@@ -0,0 +1,346 @@
+//! The HTTP server for callers: it turns bytes into whole requests and hands them on.
+//!
+//! Each connection is a small task on a runtime of a few threads, so that slow senders, idle
+//! connections and requests that wait for a slot hold no thread. A request reaches its [`Sink`]
+//! only when its body is complete; a half-sent one never does. All that a caller can make the
+//! process hold is bounded: connections, header bytes, the time for headers and for a body, the
+//! bytes of one body and of all bodies together.
+
+use std::convert;
+use std::io;
+use std::net;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::{HeaderMap, Method, StatusCode, Uri, header, service};
+use hyper_util::rt;
+use tokio::sync::{oneshot, watch};
+
+/// Bodies are counted against [`Limits::all_bodies`] in units of so many bytes.
+const BODY_UNIT: usize = 1024;
+
+/// The bounds on what callers can make a process hold.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections at a time. More are closed at once.
+    pub connections: usize,
+    /// The bytes of a request's line and headers.
+    pub head_bytes: usize,
+    /// How long a request's line and headers may take, and a connection may idle.
+    pub head_timeout: time::Duration,
+    /// How long a body may take.
+    pub body_timeout: time::Duration,
+    /// The bytes of one body.
+    pub body_bytes: usize,
+    /// The bytes of all bodies held at a time.
+    pub all_bodies: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 8192,
+            head_bytes: 16 * 1024,
+            head_timeout: time::Duration::from_secs(30),
+            body_timeout: time::Duration::from_secs(10),
+            body_bytes: 1 << 20,
+            all_bodies: 32 << 20,
+        }
+    }
+}
+
+/// A whole request.
+#[derive(Debug)]
+pub struct Request {
+    /// Its number, unique in its server.
+    pub id: u64,
+    /// Where it came from.
+    pub from: net::SocketAddr,
+    /// The method.
+    pub method: Method,
+    /// The path and the query.
+    pub uri: Uri,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Where its answer goes.
+    pub reply: Reply,
+    /// Holds the body's share of [`Limits::all_bodies`].
+    pub permit: Option<tokio::sync::OwnedSemaphorePermit>,
+}
+
+/// Where the answer to one request goes. Dropped unused, it closes the connection.
+#[derive(Debug)]
+pub struct Reply(oneshot::Sender<Answer>);
+
+impl Reply {
+    /// Answers. An answer to a caller that went away is dropped.
+    pub fn send(self, answer: Answer) {
+        let _ = self.0.send(answer);
+    }
+
+    /// Whether the caller went away.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+}
+
+/// An answer.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Why a request never became whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Its body is larger than allowed.
+    TooLarge(usize),
+    /// Its body did not arrive in time, or not in full.
+    Incomplete,
+    /// The process holds as many bodies as it can.
+    Busy,
+}
+
+/// What takes requests. Calls must not block.
+pub trait Sink: Clone + Send + Sync + 'static {
+    /// A whole request came in.
+    fn request(&self, req: Request);
+
+    /// The caller of a request went away before its answer.
+    fn gone(&self, id: u64);
+
+    /// The answer to a request that never became whole.
+    fn fault(&self, fault: Fault) -> Answer;
+}
+
+/// A running server. It stops when dropped.
+#[derive(Debug)]
+pub struct Server {
+    addr: net::SocketAddr,
+    open: sync::Arc<atomic::AtomicUsize>,
+    stop: watch::Sender<bool>,
+}
+
+impl Server {
+    /// Where it listens.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Connections that are open now.
+    pub fn open(&self) -> usize {
+        self.open.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Takes no more connections, and closes each one when its request in hand is answered.
+    pub fn stop(&self) {
+        let _ = self.stop.send(true);
+    }
+}
+
+struct Shared<S> {
+    sink: S,
+    limits: Limits,
+    bodies: sync::Arc<tokio::sync::Semaphore>,
+    next_id: atomic::AtomicU64,
+    open: sync::Arc<atomic::AtomicUsize>,
+}
+
+/// Listens on `addr` and hands what comes to `sink`.
+pub fn start<S: Sink>(
+    runtime: &tokio::runtime::Handle,
+    addr: net::SocketAddr,
+    limits: Limits,
+    sink: S,
+) -> io::Result<Server> {
+    let listener = net::TcpListener::bind(addr)?;
+    listener.set_nonblocking(true)?;
+    let bound = listener.local_addr()?;
+    let open = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let (stop, stopped) = watch::channel(false);
+    let shared = sync::Arc::new(Shared {
+        bodies: sync::Arc::new(tokio::sync::Semaphore::new(limits.all_bodies / BODY_UNIT)),
+        sink,
+        limits,
+        next_id: atomic::AtomicU64::new(1),
+        open: open.clone(),
+    });
+    runtime.spawn(accept(listener, shared, stopped));
+    Ok(Server {
+        addr: bound,
+        open,
+        stop,
+    })
+}
+
+async fn accept<S: Sink>(
+    listener: net::TcpListener,
+    shared: sync::Arc<Shared<S>>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+        return;
+    };
+    loop {
+        let accepted = tokio::select! {
+            _ = stopped.wait_for(|stop| *stop) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, from)) = accepted else {
+            // Out of file handles: accepting at once again would spin.
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+            continue;
+        };
+        let open = Open::new(&shared.open);
+        if shared.open.load(atomic::Ordering::Relaxed) > shared.limits.connections {
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        let (shared, stopped) = (shared.clone(), stopped.clone());
+        tokio::spawn(async move {
+            serve(stream, from, shared, stopped).await;
+            drop(open);
+        });
+    }
+}
+
+/// Counts one open connection.
+struct Open(sync::Arc<atomic::AtomicUsize>);
+
+impl Open {
+    fn new(open: &sync::Arc<atomic::AtomicUsize>) -> Self {
+        open.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+async fn serve<S: Sink>(
+    stream: tokio::net::TcpStream,
+    from: net::SocketAddr,
+    shared: sync::Arc<Shared<S>>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let handler = service::service_fn(|req| {
+        let shared = shared.clone();
+        async move { Ok::<_, convert::Infallible>(handle(&shared, from, req).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(shared.limits.head_timeout)
+        .max_buf_size(shared.limits.head_bytes)
+        .serve_connection(rt::TokioIo::new(stream), handler);
+    let mut conn = pin::pin!(conn);
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        _ = stopped.wait_for(|stop| *stop) => conn.as_mut().graceful_shutdown(),
+    }
+    let _ = conn.await;
+}
+
+async fn handle<S: Sink>(
+    shared: &Shared<S>,
+    from: net::SocketAddr,
+    req: hyper::Request<Incoming>,
+) -> hyper::Response<Full<Bytes>> {
+    let (parts, body) = req.into_parts();
+    let (body, permit) = match read_body(shared, body).await {
+        Ok(read) => read,
+        Err(fault) => return response(shared.sink.fault(fault), true),
+    };
+    let id = shared.next_id.fetch_add(1, atomic::Ordering::Relaxed);
+    let (tx, rx) = oneshot::channel();
+    let mut waiting = Waiting {
+        sink: &shared.sink,
+        id,
+        answered: false,
+    };
+    shared.sink.request(Request {
+        id,
+        from,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        reply: Reply(tx),
+        permit,
+    });
+    let answer = rx.await;
+    waiting.answered = true;
+    match answer {
+        Ok(answer) => response(answer, false),
+        Err(_) => response(shared.sink.fault(Fault::Busy), true),
+    }
+}
+
+/// Tells the sink when the connection closes before the answer: the task is dropped then.
+struct Waiting<'a, S: Sink> {
+    sink: &'a S,
+    id: u64,
+    answered: bool,
+}
+
+impl<S: Sink> Drop for Waiting<'_, S> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.sink.gone(self.id);
+        }
+    }
+}
+
+type Permit = Option<tokio::sync::OwnedSemaphorePermit>;
+
+async fn read_body<S: Sink>(shared: &Shared<S>, body: Incoming) -> Result<(Bytes, Permit), Fault> {
+    let limits = &shared.limits;
+    if body.is_end_stream() {
+        return Ok((Bytes::new(), None));
+    }
+    let most = body.size_hint().upper().unwrap_or(limits.body_bytes as u64);
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
+    if most > limits.body_bytes {
+        return Err(Fault::TooLarge(limits.body_bytes));
+    }
+    let units = u32::try_from(most.div_ceil(BODY_UNIT)).unwrap_or(u32::MAX);
+    let permit = shared
+        .bodies
+        .clone()
+        .try_acquire_many_owned(units)
+        .map_err(|_| Fault::Busy)?;
+    let read = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.body_timeout, read).await {
+        Ok(Ok(whole)) => Ok((whole.to_bytes(), Some(permit))),
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+            Err(Fault::TooLarge(limits.body_bytes))
+        }
+        Ok(Err(_)) | Err(_) => Err(Fault::Incomplete),
+    }
+}
+
+fn response(answer: Answer, close: bool) -> hyper::Response<Full<Bytes>> {
+    let mut res = hyper::Response::new(Full::new(answer.body));
+    *res.status_mut() = answer.status;
+    *res.headers_mut() = answer.headers;
+    if close {
+        let value = header::HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, value);
+    }
+    res
+}
--- /dev/null
+++ b/tests/testenv/mod.rs
@@ -0,0 +1,140 @@
+//! A small deployment of separate processes for the tests of the whole path.
+
+use std::net;
+use std::path;
+use std::thread;
+use std::time;
+
+use bulrushwind::coordination::store;
+use bulrushwind::standin::{caller, control, processes};
+use bulrushwind::{config, settings};
+
+/// How long a condition may take. Far more than any machine needs.
+pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(60);
+
+/// The availability zone of everything that a test does not place elsewhere.
+pub(crate) const AZ: &str = "ub-a";
+
+/// A store, and what runs with it.
+pub(crate) struct TestEnv {
+    pub(crate) store: processes::Process,
+    dir: tempfile::TempDir,
+}
+
+impl TestEnv {
+    /// A store that holds the cooperative's settings.
+    pub(crate) fn new() -> Self {
+        Self::with(|_| {})
+    }
+
+    /// A store that holds the cooperative's settings with a change.
+    pub(crate) fn with(change: impl FnOnce(&mut settings::Settings)) -> Self {
+        let program = path::Path::new(env!("CARGO_BIN_EXE_bulrushwind-standin"));
+        let store = processes::Process::start(program, ["store"]).unwrap();
+        let root = path::Path::new("examples/cooperative");
+        let mut settings = settings::Settings::read(root).unwrap();
+        change(&mut settings);
+        processes::put_settings(store.addr(), &settings).unwrap();
+        let dir = tempfile::tempdir().unwrap();
+        Self { store, dir }
+    }
+
+    /// Starts a backend server of a service.
+    pub(crate) fn backend(&self, name: &str, service: &str, args: &[&str]) -> processes::Process {
+        let program = path::Path::new(env!("CARGO_BIN_EXE_bulrushwind-standin"));
+        let args = ["backend"].iter().chain(args);
+        let backend = processes::Process::start(program, args).unwrap();
+        self.list_backend(name, service, backend.addr(), store::VmState::Live);
+        backend
+    }
+
+    /// Puts a backend server on the list of VMs.
+    pub(crate) fn list_backend(
+        &self,
+        name: &str,
+        service: &str,
+        addr: net::SocketAddr,
+        state: store::VmState,
+    ) {
+        self.list(store::Vm {
+            id: name.into(),
+            az: AZ.into(),
+            addr,
+            role: store::VmRole::Backend {
+                service: service.into(),
+            },
+            state,
+        });
+    }
+
+    /// Puts a VM on the list.
+    pub(crate) fn list(&self, vm: store::Vm) {
+        control::send(self.store.addr(), &control::Control::PutVm { vm }).unwrap();
+    }
+
+    /// Starts an entry VM and waits until it knows the settings.
+    pub(crate) fn entry(&self, name: &str) -> processes::Process {
+        self.entry_with(name, |_| {})
+    }
+
+    /// Starts an entry VM with a change of its configuration.
+    pub(crate) fn entry_with(
+        &self,
+        name: &str,
+        change: impl FnOnce(&mut config::Config),
+    ) -> processes::Process {
+        let any = "127.0.0.1:0".parse().unwrap();
+        let mut cfg = config::Config {
+            vm: name.into(),
+            az: AZ.into(),
+            listen: any,
+            operators_listen: any,
+            peers_listen: any,
+            store: self.store.addr(),
+            workers: 2,
+            lookup_ttl_ms: 500,
+            ticket_ttl_ms: 60_000,
+        };
+        change(&mut cfg);
+        let file = self.dir.path().join(format!("{name}.toml"));
+        std::fs::write(&file, toml::to_string(&cfg).unwrap()).unwrap();
+        let program = path::Path::new(env!("CARGO_BIN_EXE_bulrushwind-entry"));
+        let args = ["--config".as_ref(), file.as_os_str()];
+        let entry = processes::Process::start(program, args).unwrap();
+        self.list(store::Vm {
+            id: name.into(),
+            az: cfg.az,
+            addr: entry.addr(),
+            role: store::VmRole::Entry { peers: any },
+            state: store::VmState::Live,
+        });
+        let caller = caller::Caller::default();
+        wait_for("the entry VM knows itself and the settings", || {
+            caller
+                .look_up(entry.addr(), "ledger")
+                .is_ok_and(|found| found.entries.iter().any(|e| e.vm.as_str() == name))
+        });
+        entry
+    }
+}
+
+/// Waits until `condition` holds.
+pub(crate) fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let until = time::Instant::now() + LIMIT;
+    while !condition() {
+        assert!(time::Instant::now() < until, "never came true: {what}");
+        thread::sleep(time::Duration::from_millis(10));
+    }
+}
+
+/// Waits until an entry VM brings requests of a service to a backend server.
+pub(crate) fn wait_answered(entry: net::SocketAddr, path: &str) {
+    let caller = caller::Caller::default();
+    wait_for("a request is answered", || {
+        let ask = caller::Ask {
+            path,
+            ..caller::Ask::default()
+        };
+        caller.ask(entry, &ask).is_ok_and(|told| told.status == 200)
+    });
+}
