--- a/examples/tryout/deployment.rs
+++ b/examples/tryout/deployment.rs
@@ -74,13 +74,11 @@
         let cfg = config::Config {
             vm: name.as_str().into(),
             az: az.into(),
-            listen: any,
-            operators_listen: any,
-            peers_listen: any,
             store: self.store.addr(),
             workers: 2,
             lookup_ttl_ms: LOOKUP_TTL_MS,
             ticket_ttl_ms: TICKET_TTL_MS,
+            ..config::Config::default()
         };
         let file = self.dir.path().join(format!("{name}.toml"));
         std::fs::write(&file, toml::to_string(&cfg).map_err(io::Error::other)?)?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::path;
 
+use crate::settings::keys;
 use crate::{error, id};
 
 data! {
@@ -22,6 +23,9 @@
         pub peers_listen: net::SocketAddr,
         /// The platform's store.
         pub store: net::SocketAddr,
+        /// The public root keys, which sign the teams' key rings.
+        #[serde(default)]
+        pub root_keys: Vec<keys::PublicKey>,
         /// Threads that carry requests to backend servers.
         #[serde(default = "default_workers")]
         pub workers: usize,
@@ -31,6 +35,30 @@
         /// How long a key that was spent is remembered, in milliseconds.
         #[serde(default = "default_ticket_ttl_ms")]
         pub ticket_ttl_ms: u64,
+        /// The secrets by which entry VMs prove to each other that they belong to one fleet, 64
+        /// hexadecimal digits each. The first signs, all are accepted. None: no links to peers.
+        #[serde(default)]
+        pub peer_secrets: Vec<String>,
+    }
+}
+
+/// For tests and examples: free ports on this machine.
+impl Default for Config {
+    fn default() -> Self {
+        let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            vm: "entry".into(),
+            az: "az".into(),
+            listen: any,
+            operators_listen: any,
+            peers_listen: any,
+            store: any,
+            root_keys: Vec::new(),
+            workers: default_workers(),
+            lookup_ttl_ms: default_lookup_ttl_ms(),
+            ticket_ttl_ms: default_ticket_ttl_ms(),
+            peer_secrets: Vec::new(),
+        }
     }
 }
 
@@ -47,7 +75,7 @@
 }
 
 fn default_workers() -> usize {
-    64
+    4
 }
 
 fn default_lookup_ttl_ms() -> u64 {
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -6,6 +6,10 @@
 //! decision can be read, tested and measured on its own. The entry process and the benchmark
 //! drive the same [`policy::Policy`].
 
+pub mod across;
+pub mod caps;
+pub mod grants;
+pub mod links;
 pub mod naive;
 pub mod policy;
 
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,6 +3,8 @@
 pub mod backend;
 pub mod backend_http;
 pub mod headers;
+pub mod hello;
 pub mod lookup;
 pub mod outcome;
+pub mod peer;
 pub mod ticket;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,6 +5,7 @@
 pub mod backend;
 pub mod caller;
 pub mod control;
+pub mod model;
 pub mod processes;
 pub mod run;
 pub mod store;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,3 +6,4 @@
 
 pub mod fleet;
 pub mod keys;
+pub mod lookup;
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -87,13 +87,11 @@
         let mut cfg = config::Config {
             vm: name.into(),
             az: AZ.into(),
-            listen: any,
-            operators_listen: any,
-            peers_listen: any,
             store: self.store.addr(),
             workers: 2,
             lookup_ttl_ms: 500,
             ticket_ttl_ms: 60_000,
+            ..config::Config::default()
         };
         change(&mut cfg);
         let file = self.dir.path().join(format!("{name}.toml"));
