--- a/src/config.rs
+++ b/src/config.rs
@@ -26,7 +26,7 @@
         /// The public root keys, which sign the teams' key rings.
         #[serde(default)]
         pub root_keys: Vec<keys::PublicKey>,
-        /// Threads that carry requests to backend servers.
+        /// Threads that decide about requests. None of them ever waits for a socket.
         #[serde(default = "default_workers")]
         pub workers: usize,
         /// How long a look-up's answer may be kept by callers, in milliseconds.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,6 @@
 //! The entry process: it assembles the layers and runs until it is told to stop.
 //!
-//! Connections live on a small runtime; whole requests and ended attempts come as [`Event`]s over
+//! Connections live on a small runtime; whole requests and ended attempts come as events over
 //! a channel to a pool of workers, which work on the shared tables and never block on a socket. A
 //! request that waits for a slot is a row in its service's desk and holds no thread.
 
