Bring signed settings to every node and keep them from going back

Cause: plain reads of the store by every VM revert with a restored store, do not scale, and leave a VM that boots during an outage with nothing.

Change: a pure node (settings held by a total order of ranks, membership, choice of reader, budget of store calls), driven by a thread in the process and by a play in virtual time in the tests.

Two tests failed first: when the store is put back and written to before the watch returns, its revisions run on past the watch's and the watch tells nothing of what lies between. Ruled out: resuming only after failures, as a restore need not show as one.

--- /dev/null
+++ b/src/coordination/membership.rs
@@ -0,0 +1,386 @@
+//! Which VMs there are: the platform's list, which lags, joined with what the links to peers show.
+//!
+//! The list says late that an entry VM died and late that it is leaving; the links show both at
+//! once, but only for the VMs that this process is linked to, and a link that broke may be our own
+//! fault. So [`View::vms`] takes the list and marks as leaving an entry VM that said so itself, or
+//! that was linked and has not been for [`LOST_AFTER`]. Otherwise look-ups would go on naming a
+//! dead entry VM until the list caught up, and callers would wait for their timeouts. When most
+//! links are lost the fault is more likely ours, and the list stands.
+//!
+//! A VM that starts anew has a larger incarnation, which ends what was said of the earlier one. A
+//! paused process loses its links and gets them back; one that returns after a partition does so
+//! as well. A list without a single row is taken for a fault of the platform and left out.
+//!
+//! Links cost memory and messages, so a process keeps few of them however large the fleet is:
+//! all of its availability zone while that is small, else [`FANOUT`] drawn by hash and the next by
+//! name, which joins all into one ring; and a few to each other availability zone, shared out
+//! over the VMs of our own once there are more than [`LINKS_PER_AZ`] of these.
+
+use std::collections;
+use std::hash::{Hash, Hasher};
+use std::time;
+
+use super::{peers, store};
+use crate::decisions::policy;
+use crate::id;
+
+/// An availability zone with up to so many entry VMs is linked in full.
+pub const FULL_AZ: usize = 12;
+
+/// Links drawn inside a larger availability zone. Each is drawn by one side and used by both.
+pub const FANOUT: usize = 6;
+
+/// Entry VMs of ours that keep links to one other availability zone, and links of each.
+pub const LINKS_PER_AZ: usize = 2;
+
+/// How long a link may be gone before its VM is taken for lost: a restart of a process takes less,
+/// and a link that broke is dialled again several times meanwhile.
+pub const LOST_AFTER: time::Duration = time::Duration::from_secs(3);
+
+/// What this process knows of the VMs.
+#[derive(Debug)]
+pub struct View {
+    own: id::VmId,
+    az: id::AzId,
+    rows: Vec<store::Vm>,
+    hash: u64,
+    peers: collections::BTreeMap<id::VmId, Peer>,
+    leaving: collections::BTreeMap<id::VmId, id::Incarnation>,
+    lost: collections::BTreeSet<id::VmId>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    incarnation: id::Incarnation,
+    az: id::AzId,
+    lost: Option<policy::Moment>,
+}
+
+impl View {
+    /// The view of an entry VM that knows no other yet.
+    pub fn new(own: id::VmId, az: id::AzId) -> Self {
+        Self {
+            own,
+            az,
+            rows: Vec::new(),
+            hash: 0,
+            peers: collections::BTreeMap::new(),
+            leaving: collections::BTreeMap::new(),
+            lost: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Takes the platform's list. False: it is the one that we have, or none.
+    pub fn listed(&mut self, mut rows: Vec<store::Vm>) -> bool {
+        rows.sort_by(|a, b| a.id.cmp(&b.id));
+        let hash = hash_of(&rows);
+        if rows.is_empty() || hash == self.hash {
+            return false;
+        }
+        let listed: collections::BTreeSet<_> = rows.iter().map(|vm| &vm.id).collect();
+        self.peers
+            .retain(|vm, peer| peer.lost.is_none() || listed.contains(vm));
+        self.leaving.retain(|vm, _| listed.contains(vm));
+        self.rows = rows;
+        self.hash = hash;
+        true
+    }
+
+    /// Takes the links as they are now. True: the view changed.
+    pub fn linked(&mut self, now: policy::Moment, links: &[peers::Linked]) -> bool {
+        for (vm, peer) in &mut self.peers {
+            let open = links.iter().any(|link| link.vm == *vm);
+            peer.lost = (!open).then(|| peer.lost.unwrap_or(now));
+        }
+        for link in links {
+            let peer = Peer {
+                incarnation: link.incarnation,
+                az: link.az.clone(),
+                lost: None,
+            };
+            self.peers.insert(link.vm.clone(), peer);
+            if self
+                .leaving
+                .get(&link.vm)
+                .is_some_and(|i| *i < link.incarnation)
+            {
+                self.leaving.remove(&link.vm);
+            }
+        }
+        let lost = self.lost(now);
+        let changed = lost != self.lost;
+        self.lost = lost;
+        changed
+    }
+
+    /// An entry VM said that it stops. False: we knew, or it has started anew since.
+    pub fn left(&mut self, vm: &id::VmId, incarnation: id::Incarnation) -> bool {
+        let restarted = self
+            .peers
+            .get(vm)
+            .is_some_and(|p| p.incarnation > incarnation);
+        !restarted && self.leaving.insert(vm.clone(), incarnation) != Some(incarnation)
+    }
+
+    /// A hash of the platform's list, to see whether another process has the same. 0: none yet.
+    pub fn list_hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// The platform's list as it came.
+    pub fn list(&self) -> &[store::Vm] {
+        &self.rows
+    }
+
+    /// The list, with the entry VMs marked as leaving that are lost or said that they leave.
+    pub fn vms(&self) -> Vec<store::Vm> {
+        let mut rows = self.rows.clone();
+        for row in &mut rows {
+            let leaves = self.lost.contains(&row.id) || self.leaving.contains_key(&row.id);
+            if is_entry(row) && leaves {
+                row.state = store::VmState::Leaving;
+            }
+        }
+        rows
+    }
+
+    /// The entry VMs to keep links to.
+    pub fn targets(&self) -> Vec<peers::Target> {
+        let mut wanted = collections::BTreeSet::new();
+        let azs = self.azs();
+        let none = Vec::new();
+        let own = azs.get(&self.az).unwrap_or(&none);
+        wanted.extend(self.inside(own));
+        for (az, vms) in &azs {
+            if *az != self.az && self.links_to(az, own) {
+                wanted.extend(draw(self.own.as_str(), vms, LINKS_PER_AZ));
+            }
+        }
+        wanted.remove(&self.own);
+        self.rows
+            .iter()
+            .filter(|row| wanted.contains(&row.id))
+            .filter_map(target)
+            .collect()
+    }
+
+    /// Whether messages inside the availability zone have to be passed on: not all are linked.
+    pub fn relays(&self) -> bool {
+        self.own_az().count() > FULL_AZ
+    }
+
+    /// Entry VMs on the list, ourselves too.
+    pub fn entries(&self) -> usize {
+        self.rows.iter().filter(|row| is_entry(row)).count()
+    }
+
+    /// Whether our availability zone has other entry VMs on the list and none of them is linked.
+    pub fn is_alone(&self) -> bool {
+        let others = self.own_az().filter(|row| row.id != self.own).count();
+        let linked = self
+            .peers
+            .values()
+            .any(|p| p.lost.is_none() && p.az == self.az);
+        others > 0 && !linked
+    }
+
+    fn own_az(&self) -> impl Iterator<Item = &store::Vm> {
+        self.rows
+            .iter()
+            .filter(|row| is_entry(row) && row.az == self.az)
+    }
+
+    fn azs(&self) -> collections::BTreeMap<id::AzId, Vec<id::VmId>> {
+        let mut azs = collections::BTreeMap::<_, Vec<_>>::new();
+        for row in self.rows.iter().filter(|row| is_entry(row)) {
+            azs.entry(row.az.clone()).or_default().push(row.id.clone());
+        }
+        azs
+    }
+
+    fn inside(&self, own: &[id::VmId]) -> Vec<id::VmId> {
+        if own.len() <= FULL_AZ {
+            return own.to_vec();
+        }
+        let mut wanted = draw(self.own.as_str(), own, FANOUT);
+        let next = own.iter().find(|vm| **vm > self.own);
+        wanted.extend(next.or(own.first()).cloned());
+        wanted
+    }
+
+    /// Whether this VM is one of those that link our availability zone to another.
+    fn links_to(&self, az: &id::AzId, own: &[id::VmId]) -> bool {
+        own.len() <= LINKS_PER_AZ || draw(az.as_str(), own, LINKS_PER_AZ).contains(&self.own)
+    }
+
+    /// Entry VMs whose links are gone for long, unless most are.
+    fn lost(&self, now: policy::Moment) -> collections::BTreeSet<id::VmId> {
+        let lost: collections::BTreeSet<_> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.lost.is_some_and(|at| now >= at + LOST_AFTER))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        if 2 * lost.len() > self.peers.len() {
+            return collections::BTreeSet::new();
+        }
+        lost
+    }
+}
+
+fn is_entry(vm: &store::Vm) -> bool {
+    matches!(vm.role, store::VmRole::Entry { .. })
+}
+
+fn target(vm: &store::Vm) -> Option<peers::Target> {
+    match vm.role {
+        store::VmRole::Entry { peers } => Some(peers::Target {
+            vm: Some(vm.id.clone()),
+            addr: peers,
+        }),
+        store::VmRole::Backend { .. } => None,
+    }
+}
+
+/// Draws `count` VMs by a hash with `salt`: each caller draws its own, and the same ones again
+/// when others come and go.
+fn draw(salt: &str, vms: &[id::VmId], count: usize) -> Vec<id::VmId> {
+    let mut ranked: Vec<_> = vms.iter().filter(|vm| vm.as_str() != salt).collect();
+    ranked.sort_by_key(|vm| hash_of(&(salt, vm.as_str())));
+    ranked.truncate(count);
+    ranked.into_iter().cloned().collect()
+}
+
+/// The same in every process of one version: the keys of this hasher are fixed.
+fn hash_of<T: Hash>(value: &T) -> u64 {
+    let mut hasher = collections::hash_map::DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(az: usize, n: usize) -> store::Vm {
+        let addr = "127.0.0.1:1".parse().unwrap();
+        store::Vm {
+            id: name(az, n),
+            az: format!("az-{az}").as_str().into(),
+            addr,
+            role: store::VmRole::Entry { peers: addr },
+            state: store::VmState::Live,
+        }
+    }
+
+    fn name(az: usize, n: usize) -> id::VmId {
+        format!("entry-{az}-{n}").as_str().into()
+    }
+
+    fn fleet(azs: usize, per_az: usize) -> Vec<store::Vm> {
+        (0..azs)
+            .flat_map(|az| (0..per_az).map(move |n| entry(az, n)))
+            .collect()
+    }
+
+    fn view(rows: Vec<store::Vm>) -> View {
+        let mut view = View::new(name(0, 0), "az-0".into());
+        view.listed(rows);
+        view
+    }
+
+    fn link(n: usize, incarnation: u64) -> peers::Linked {
+        peers::Linked {
+            vm: name(0, n),
+            az: "az-0".into(),
+            incarnation: id::Incarnation(incarnation),
+        }
+    }
+
+    fn state(view: &View, vm: &id::VmId) -> store::VmState {
+        let rows = view.vms();
+        rows.iter().find(|row| row.id == *vm).unwrap().state
+    }
+
+    /// The fleet grows to thousands of VMs. If each kept links to all, heartbeats and memory
+    /// would grow with the fleet until control took more than the callers' requests.
+    #[test]
+    fn links_stay_few_and_join_all_as_the_fleet_grows() {
+        assert_eq!(view(fleet(6, 2)).targets().len(), 11, "12 VMs: all");
+        for (azs, per_az) in [(10, 20), (14, 40)] {
+            let rows = fleet(azs, per_az);
+            let mut degree = collections::BTreeMap::<id::VmId, usize>::new();
+            let mut graph = collections::BTreeMap::<id::VmId, Vec<id::VmId>>::new();
+            for row in &rows {
+                let mut view = View::new(row.id.clone(), row.az.clone());
+                view.listed(rows.clone());
+                for target in view.targets() {
+                    let vm = target.vm.unwrap();
+                    *degree.entry(vm.clone()).or_default() += 1;
+                    *degree.entry(row.id.clone()).or_default() += 1;
+                    graph.entry(vm.clone()).or_default().push(row.id.clone());
+                    graph.entry(row.id.clone()).or_default().push(vm);
+                }
+            }
+            assert!(*degree.values().max().unwrap() <= 30, "{degree:?}");
+            let mut seen = collections::BTreeSet::from([name(0, 0)]);
+            let mut todo = vec![name(0, 0)];
+            while let Some(vm) = todo.pop() {
+                for next in &graph[&vm] {
+                    if seen.insert(next.clone()) {
+                        todo.push(next.clone());
+                    }
+                }
+            }
+            assert_eq!(seen.len(), rows.len(), "all are joined");
+        }
+    }
+
+    /// An entry VM dies and the platform's list still has it as live. Look-ups that go on naming
+    /// it send callers into a timeout.
+    #[test]
+    fn a_dead_entry_vm_is_marked_before_the_list_says_so() {
+        let mut view = view(fleet(1, 4));
+        let at = policy::Moment::from_secs;
+        view.linked(at(1), &[link(1, 1), link(2, 1), link(3, 1)]);
+        assert!(!view.linked(at(2), &[link(2, 1), link(3, 1)]));
+        assert_eq!(state(&view, &name(0, 1)), store::VmState::Live);
+        assert!(view.linked(at(6), &[link(2, 1), link(3, 1)]));
+        assert_eq!(state(&view, &name(0, 1)), store::VmState::Leaving);
+        view.linked(at(7), &[link(1, 2), link(2, 1), link(3, 1)]);
+        assert_eq!(state(&view, &name(0, 1)), store::VmState::Live);
+    }
+
+    /// This VM loses its own way to the peers. If it took all others for dead, its look-ups would
+    /// name itself alone, and every caller of its region would come to it.
+    #[test]
+    fn a_vm_that_is_cut_off_believes_the_list() {
+        let mut view = view(fleet(1, 4));
+        let at = policy::Moment::from_secs;
+        view.linked(at(1), &[link(1, 1), link(2, 1), link(3, 1)]);
+        view.linked(at(2), &[]);
+        assert_eq!(state(&view, &name(0, 1)), store::VmState::Live);
+    }
+
+    /// An entry VM stops as planned and is started again under the same address. Peers that kept
+    /// the word of the earlier process would never use it again.
+    #[test]
+    fn a_restart_ends_the_word_that_it_leaves() {
+        let mut view = view(fleet(1, 4));
+        let at = policy::Moment::from_secs;
+        view.linked(at(1), &[link(1, 1), link(2, 1)]);
+        assert!(view.left(&name(0, 1), id::Incarnation(1)));
+        assert_eq!(state(&view, &name(0, 1)), store::VmState::Leaving);
+        view.linked(at(2), &[link(1, 2), link(2, 1)]);
+        assert_eq!(state(&view, &name(0, 1)), store::VmState::Live);
+        assert!(!view.left(&name(0, 1), id::Incarnation(1)), "late word");
+    }
+
+    /// The platform answers with no VMs at all. Taken at its word, no caller would be served.
+    #[test]
+    fn an_empty_list_is_not_believed() {
+        let mut view = view(fleet(1, 4));
+        assert!(!view.listed(Vec::new()));
+        assert_eq!(view.list().len(), 4);
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,7 +1,13 @@
 //! What entry processes agree on with one another and with the platform.
 
+pub mod action;
+pub mod book;
 pub mod budget;
+pub mod driver;
+pub mod membership;
+pub mod node;
 pub mod peers;
 pub mod reader;
+pub mod settings_sync;
 pub mod store;
 pub mod store_http;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -15,6 +15,7 @@
 use rand::RngExt;
 
 use crate::id;
+use crate::metrics as names;
 use crate::protocol::{hello, peer};
 use crate::transport::peer as link;
 
@@ -42,22 +43,12 @@
 /// How often a dialler looks whether its peer is still linked.
 const CHECK_EVERY: time::Duration = time::Duration::from_millis(250);
 
-/// Messages that were refused: malformed, too large, of a newer version, or from one without a
-/// proof. The label `why` tells which.
-pub const REFUSED: &str = "bulrushwind_peer_refused_total";
-
-/// Messages that were dropped because a queue was full. The label `queue` tells which.
-pub const DROPPED: &str = "bulrushwind_peer_dropped_total";
-
-/// Bytes of messages, by `direction`.
-pub const BYTES: &str = "bulrushwind_peer_bytes_total";
-
 data! {
     /// An entry VM that this process wants a link to.
     #[derive(Eq)]
     pub struct Target {
-        /// Its name.
-        pub vm: id::VmId,
+        /// Its name. None: whoever answers there, to find the fleet.
+        pub vm: Option<id::VmId>,
         /// Where it listens for peers.
         pub addr: net::SocketAddr,
     }
@@ -104,7 +95,7 @@
 struct Shared {
     me: link::Me,
     links: parking_lot::Mutex<collections::BTreeMap<id::VmId, Vec<Open>>>,
-    diallers: parking_lot::Mutex<collections::BTreeMap<id::VmId, Dialler>>,
+    diallers: parking_lot::Mutex<collections::BTreeMap<net::SocketAddr, Dialler>>,
     counts: parking_lot::Mutex<Counts>,
     tx: crossbeam::channel::Sender<Received>,
     log: slog::Logger,
@@ -117,7 +108,7 @@
 }
 
 struct Dialler {
-    addr: net::SocketAddr,
+    vm: Option<id::VmId>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -162,22 +153,23 @@
     pub fn set_targets(&self, targets: &[Target]) {
         let Some(runtime) = &self.runtime else { return };
         let mut diallers = self.shared.diallers.lock();
-        diallers.retain(|vm, dialler| {
+        diallers.retain(|addr, dialler| {
             let keep = targets
                 .iter()
-                .any(|t| t.vm == *vm && t.addr == dialler.addr);
+                .any(|t| t.addr == *addr && t.vm == dialler.vm);
             if !keep {
                 dialler.task.abort();
             }
             keep
         });
         for target in targets {
-            if target.vm == self.shared.me.vm || diallers.contains_key(&target.vm) {
+            let own = target.vm.as_ref() == Some(&self.shared.me.vm) || target.addr == self.addr;
+            if own || diallers.contains_key(&target.addr) {
                 continue;
             }
             let task = runtime.spawn(keep_dialling(self.shared.clone(), target.clone()));
-            let addr = target.addr;
-            diallers.insert(target.vm.clone(), Dialler { addr, task });
+            let vm = target.vm.clone();
+            diallers.insert(target.addr, Dialler { vm, task });
         }
     }
 
@@ -191,9 +183,16 @@
         self.send_where(message, |_, open| open.az == *az)
     }
 
-    /// Sends to every linked peer and returns how many there are.
-    pub fn to_all(&self, message: &peer::Message) -> usize {
-        self.send_where(message, |_, _| true)
+    /// Sends to every linked peer but `except` and returns how many there are.
+    pub fn to_all(&self, except: Option<&id::VmId>, message: &peer::Message) -> usize {
+        self.send_where(message, |vm, _| Some(vm) != except)
+    }
+
+    /// Sends to every linked peer of our own availability zone but `except` and returns how many
+    /// there are.
+    pub fn to_own_az(&self, except: Option<&id::VmId>, message: &peer::Message) -> usize {
+        let az = &self.shared.me.az;
+        self.send_where(message, |vm, open| open.az == *az && Some(vm) != except)
     }
 
     /// The peers that are linked now.
@@ -316,7 +315,7 @@
 
     fn refuse(&self, why: &str, from: &id::VmId) {
         self.counts.lock().refused += 1;
-        metrics::counter!(REFUSED).increment(1);
+        metrics::counter!(names::PEER_REFUSED).increment(1);
         slog::warn!(self.log, "refused from a peer"; "peer" => %from, "why" => why);
     }
 
@@ -325,7 +324,7 @@
         counts.sent += 1;
         counts.sent_bytes += len as u64;
         drop(counts);
-        metrics::counter!(BYTES, "direction" => "sent").increment(len as u64);
+        metrics::counter!(names::PEER_BYTES, "direction" => "sent").increment(len as u64);
         if dropped > 0 {
             self.count_dropped("link", dropped);
         }
@@ -336,12 +335,12 @@
         counts.received += 1;
         counts.received_bytes += len as u64;
         drop(counts);
-        metrics::counter!(BYTES, "direction" => "received").increment(len as u64);
+        metrics::counter!(names::PEER_BYTES, "direction" => "received").increment(len as u64);
     }
 
     fn count_dropped(&self, queue: &'static str, dropped: usize) {
         self.counts.lock().dropped += dropped as u64;
-        metrics::counter!(DROPPED, "queue" => queue).increment(dropped as u64);
+        metrics::counter!(names::PEER_DROPPED, "queue" => queue).increment(dropped as u64);
     }
 
     fn is_linked(&self, vm: &id::VmId) -> bool {
@@ -394,24 +393,27 @@
 }
 
 async fn keep_dialling(shared: sync::Arc<Shared>, target: Target) {
-    if shared.me.vm > target.vm {
+    let mut vm = target.vm.clone();
+    if vm.as_ref().is_some_and(|vm| shared.me.vm > *vm) {
         tokio::time::sleep(YIELD + jitter(YIELD)).await;
     }
     let mut backoff = MIN_BACKOFF;
     loop {
-        if shared.is_linked(&target.vm) {
+        if vm.as_ref().is_some_and(|vm| shared.is_linked(vm)) {
             backoff = MIN_BACKOFF;
             tokio::time::sleep(CHECK_EVERY).await;
             continue;
         }
         match link::dial(target.addr, &shared.me).await {
-            Ok(link) if link.hello.vm == target.vm => {
+            Ok(link) if target.vm.as_ref().is_none_or(|vm| link.hello.vm == *vm) => {
                 backoff = MIN_BACKOFF;
+                vm = Some(link.hello.vm.clone());
                 shared.carry(link).await;
             }
             Ok(link) => shared.refuse("another VM than was dialled", &link.hello.vm),
             Err(err) => {
-                slog::debug!(shared.log, "dial failed"; "peer" => %target.vm, "why" => %err);
+                let addr = target.addr;
+                slog::debug!(shared.log, "dial failed"; "addr" => %addr, "why" => %err);
             }
         }
         tokio::time::sleep(backoff / 2 + jitter(backoff)).await;
@@ -450,7 +452,7 @@
 
     fn target(peers: &Peers) -> Target {
         Target {
-            vm: peers.shared.me.vm.clone(),
+            vm: Some(peers.shared.me.vm.clone()),
             addr: peers.addr(),
         }
     }
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -70,17 +70,18 @@
     /// Time has passed.
     fn tick(&mut self, now: policy::Moment, out: &mut Vec<Out>);
 
-    /// A heartbeat came from `from`, its own or one that it passed on.
+    /// A heartbeat came from `from`, its own or one that it passed on. True: it is the first
+    /// copy, to be passed on where not all are linked.
     fn alive(
         &mut self,
         now: policy::Moment,
         from: &id::VmId,
         alive: &peer::Alive,
         out: &mut Vec<Out>,
-    );
+    ) -> bool;
 
-    /// An accusation came.
-    fn accuse(&mut self, now: policy::Moment, accuse: &peer::Accuse, out: &mut Vec<Out>);
+    /// An accusation came. True: it is the first copy, to be passed on where not all are linked.
+    fn accuse(&mut self, now: policy::Moment, accuse: &peer::Accuse, out: &mut Vec<Out>) -> bool;
 
     /// This process cannot reach the store.
     fn store_lost(&mut self, now: policy::Moment);
@@ -143,14 +144,23 @@
         _from: &id::VmId,
         alive: &peer::Alive,
         _out: &mut Vec<Out>,
-    ) {
+    ) -> bool {
         let known = self.heard.get(&alive.vm).map(|(seq, _)| *seq);
-        if alive.vm != self.own && known.is_none_or(|seq| seq < alive.seq) {
+        let first = alive.vm != self.own && known.is_none_or(|seq| seq < alive.seq);
+        if first {
             self.heard.insert(alive.vm.clone(), (alive.seq, now));
         }
+        first
     }
 
-    fn accuse(&mut self, _now: policy::Moment, _accuse: &peer::Accuse, _out: &mut Vec<Out>) {}
+    fn accuse(
+        &mut self,
+        _now: policy::Moment,
+        _accuse: &peer::Accuse,
+        _out: &mut Vec<Out>,
+    ) -> bool {
+        false
+    }
 
     fn store_lost(&mut self, _now: policy::Moment) {}
 
@@ -173,6 +183,8 @@
     /// The last heartbeat of each, also of those that fell silent: one that a peer passes on must
     /// not bring a dead reader back.
     seen: collections::BTreeMap<id::VmId, (id::Incarnation, u64)>,
+    /// The last accusation of each, and when it came.
+    accusations: collections::BTreeMap<id::VmId, ((id::Incarnation, u64), policy::Moment)>,
     reader: Option<id::VmId>,
 }
 
@@ -199,6 +211,7 @@
             contenders: collections::BTreeMap::new(),
             timeouts: collections::BTreeMap::new(),
             seen: collections::BTreeMap::new(),
+            accusations: collections::BTreeMap::new(),
             reader: None,
         }
     }
@@ -222,9 +235,9 @@
         from: &id::VmId,
         alive: &peer::Alive,
         out: &mut Vec<Out>,
-    ) {
+    ) -> bool {
         if alive.vm == self.own || self.is_old(alive) {
-            return;
+            return false;
         }
         self.seen
             .insert(alive.vm.clone(), (alive.incarnation, alive.seq));
@@ -234,17 +247,23 @@
             .insert(alive.vm.clone(), Contender { beat, until });
         self.update();
         self.check(from, alive, out);
+        true
     }
 
-    fn accuse(&mut self, now: policy::Moment, accuse: &peer::Accuse, out: &mut Vec<Out>) {
-        let own = accuse.vm == self.own && accuse.incarnation == self.beat.incarnation;
-        if own && accuse.phase == self.beat.phase {
-            self.count(now);
+    fn accuse(&mut self, now: policy::Moment, accuse: &peer::Accuse, out: &mut Vec<Out>) -> bool {
+        if accuse.vm == self.own {
+            let ours = (accuse.incarnation, accuse.phase);
+            if ours == (self.beat.incarnation, self.beat.phase) {
+                self.count(now);
+            }
+            return false;
         }
-        if accuse.vm != self.own && self.is_first(accuse) {
+        let first = self.is_first(now, accuse);
+        if first {
             let message = peer::Message::Accuse(accuse.clone());
             out.push(Out::One(accuse.vm.clone(), message));
         }
+        first
     }
 
     fn store_lost(&mut self, now: policy::Moment) {
@@ -336,12 +355,12 @@
         self.update();
     }
 
-    /// Whether this accusation is passed on: only while we do not agree with it, as far as we
-    /// have heard the accused ourselves.
-    fn is_first(&self, accuse: &peer::Accuse) -> bool {
-        self.contenders
-            .get(&accuse.vm)
-            .is_some_and(|c| c.beat.phase == accuse.phase)
+    /// Whether an accusation over the same silence was not passed on yet.
+    fn is_first(&mut self, now: policy::Moment, accuse: &peer::Accuse) -> bool {
+        let timeout = self.timing.timeout;
+        let said = (accuse.incarnation, accuse.phase);
+        let before = self.accusations.insert(accuse.vm.clone(), (said, now));
+        before.is_none_or(|(what, at)| what != said || now >= at + timeout)
     }
 
     fn is_old(&self, alive: &peer::Alive) -> bool {
@@ -362,6 +381,7 @@
         counter: 0,
         phase: 0,
         seq: 0,
+        list: 0,
     }
 }
 
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -51,7 +51,7 @@
     }
 
     /// Whether a VM takes work.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, Hash)]
     #[serde(rename_all = "snake_case")]
     pub enum VmState {
         /// It works.
@@ -61,7 +61,7 @@
     }
 
     /// What a VM does.
-    #[derive(Eq)]
+    #[derive(Eq, Hash)]
     #[serde(rename_all = "snake_case")]
     pub enum VmRole {
         /// It runs an entry process.
@@ -77,7 +77,7 @@
     }
 
     /// One row of the platform's list of VMs, which lags.
-    #[derive(Eq)]
+    #[derive(Eq, Hash)]
     pub struct Vm {
         /// Its name.
         pub id: id::VmId,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -55,6 +55,10 @@
 pub const PEERS: &str = "bulrushwind_peers";
 /// Bytes to and from other entry VMs.
 pub const PEER_BYTES: &str = "bulrushwind_peer_bytes_total";
+/// Messages and connections from peers that were refused.
+pub const PEER_REFUSED: &str = "bulrushwind_peer_refused_total";
+/// Messages to or from peers that were dropped because a queue was full.
+pub const PEER_DROPPED: &str = "bulrushwind_peer_dropped_total";
 /// Log lines that were held back because too many were alike.
 pub const LOG_SUPPRESSED: &str = "bulrushwind_log_suppressed_total";
 /// Processor time of the process.
@@ -244,6 +248,18 @@
         &["direction"],
         "Bytes to and from other entry VMs.",
     ),
+    metric(
+        PEER_REFUSED,
+        Kind::Counter,
+        &[],
+        "Messages and connections from peers that were refused: forged, malformed, too large or of a newer version.",
+    ),
+    metric(
+        PEER_DROPPED,
+        Kind::Counter,
+        &["queue"],
+        "Messages to a slow peer (link) or from a fast one (inbox) that were dropped.",
+    ),
     metric(
         LOG_SUPPRESSED,
         Kind::Counter,
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -48,8 +48,10 @@
         Want(Vec<String>),
         /// The platform's list of VMs, as the reader of the availability zone last saw it.
         Vms(VmList),
-        /// One availability zone in short, for the others.
-        Summary(Summary),
+        /// The sender asks for the list of VMs.
+        WantVms,
+        /// An entry process is about to stop as planned.
+        Leaving(Leaving),
     }
 
     /// A heartbeat of one that contends for reader.
@@ -65,6 +67,8 @@
         pub phase: u64,
         /// Counts its heartbeats, so that each is passed on once.
         pub seq: u64,
+        /// A hash of the list of VMs that it goes by.
+        pub list: u64,
     }
 
     /// Word to a reader that its heartbeats did not arrive.
@@ -108,29 +112,21 @@
         pub hash: u64,
     }
 
-    /// Rows of the platform's list that one availability zone needs.
+    /// The platform's list of VMs.
     pub struct VmList {
-        /// The reader that read it, and its process start.
+        /// The reader that read it.
         pub reader: id::VmId,
-        /// Which start of the reader.
-        pub incarnation: id::Incarnation,
-        /// Counts this reader's lists.
-        pub seq: u64,
         /// The rows.
         pub rows: Vec<store::Vm>,
     }
 
-    /// One availability zone in a few numbers, whatever its size.
+    /// Word of an entry process that stops.
     #[derive(Eq)]
-    pub struct Summary {
-        /// The availability zone.
-        pub az: id::AzId,
-        /// Its entry VMs that run.
-        pub entries: u32,
-        /// Its backend servers that take work.
-        pub backends: u32,
-        /// The settings that it has in force.
-        pub digest: Digest,
+    pub struct Leaving {
+        /// Its VM.
+        pub vm: id::VmId,
+        /// Its process start. A later one of the same VM is not leaving.
+        pub incarnation: id::Incarnation,
     }
 }
 
@@ -187,6 +183,7 @@
             counter: 2,
             phase: 3,
             seq: 4,
+            list: 5,
         })
     }
 
--- a/src/standin/elections.rs
+++ b/src/standin/elections.rs
@@ -169,8 +169,12 @@
         for arrived in vm.held.drain(..) {
             let from = &names[arrived.from];
             match arrived.message {
-                peer::Message::Alive(alive) => vm.election.alive(now, from, &alive, &mut out),
-                peer::Message::Accuse(accuse) => vm.election.accuse(now, &accuse, &mut out),
+                peer::Message::Alive(alive) => {
+                    vm.election.alive(now, from, &alive, &mut out);
+                }
+                peer::Message::Accuse(accuse) => {
+                    vm.election.accuse(now, &accuse, &mut out);
+                }
                 _ => {}
             }
         }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,6 +8,8 @@
 pub mod elections;
 pub mod fabric;
 pub mod model;
+pub mod nodes;
+pub mod operator;
 pub mod processes;
 pub mod run;
 pub mod store;
--- /dev/null
+++ b/src/standin/nodes.rs
@@ -0,0 +1,572 @@
+//! Entry processes that agree, in virtual time: real [`node::Node`]s over a network and a store
+//! with faults, from one seed.
+//!
+//! Only what lies around a node is played here: links that come up, break and are noticed late,
+//! calls to the store that take time, a store that is down, slow, out of reach for some, put back
+//! to an older state or read from a copy that lags.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use super::{fabric, store as memory};
+use crate::coordination::{action, book, budget, node, peers, reader, store};
+use crate::decisions::policy;
+use crate::protocol::peer;
+use crate::settings::keys;
+use crate::{id, settings};
+use action::{Action, Note, Prefix};
+use store::Store;
+
+/// How finely time passes.
+pub const STEP: time::Duration = time::Duration::from_millis(50);
+
+/// How long a watch waits.
+const WATCH_WAIT: time::Duration = time::Duration::from_secs(25);
+
+/// A link that carries nothing in one direction is noticed and cut after this.
+const LINK_IDLE: time::Duration = time::Duration::from_secs(10);
+
+/// A link that could be there is, after this.
+const LINK_UP: time::Duration = time::Duration::from_millis(150);
+
+/// Where a node is and what it has cost.
+pub struct Process {
+    /// The node. None: the process is not running.
+    pub node: Option<node::Node>,
+    /// Its name.
+    pub vm: id::VmId,
+    /// Its availability zone.
+    pub az: usize,
+    /// It stands still.
+    pub paused: bool,
+    /// It cannot reach the store.
+    pub no_store: bool,
+    /// The settings in force.
+    pub settings: sync::Arc<settings::Settings>,
+    /// Calls to the store.
+    pub calls: u64,
+    /// Bytes that the store answered with.
+    pub store_bytes: u64,
+    /// Messages sent to peers.
+    pub messages: u64,
+    /// Bytes sent to peers.
+    pub peer_bytes: u64,
+    /// What operators were told.
+    pub notes: Vec<Note>,
+    starts: u64,
+    targets: collections::BTreeSet<usize>,
+    held: Vec<node::Event>,
+    versions: collections::BTreeMap<id::TeamId, book::Rank>,
+}
+
+/// A call under way.
+struct Call {
+    process: usize,
+    start: u64,
+    what: What,
+    until: policy::Moment,
+}
+
+enum What {
+    List(Prefix),
+    Watch(Prefix, store::Revision),
+    Write(String, store::Revision, sync::Arc<str>),
+    Vms,
+}
+
+/// What a play starts from.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Availability zones.
+    pub azs: usize,
+    /// Entry processes in each.
+    pub per_az: usize,
+    /// Sets everything that is drawn.
+    pub seed: u64,
+    /// The links.
+    pub link: fabric::Link,
+    /// The public root keys.
+    pub roots: Vec<keys::PublicKey>,
+    /// How long the store takes to answer.
+    pub store_delay: time::Duration,
+    /// Whether processes know the others' addresses from their own configuration.
+    pub seeds: bool,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            azs: 3,
+            per_az: 2,
+            seed: 1,
+            link: fabric::Link::default(),
+            roots: Vec::new(),
+            store_delay: time::Duration::from_millis(5),
+            seeds: true,
+        }
+    }
+}
+
+/// The processes, their network and their store.
+pub struct Nodes {
+    /// The processes.
+    pub processes: Vec<Process>,
+    /// The network between them.
+    pub fabric: fabric::Fabric<sync::Arc<peer::Message>>,
+    /// The store.
+    pub store: memory::Memory,
+    /// The store answers nobody.
+    pub down: bool,
+    /// Full reads show this instead of the truth.
+    pub stale: Option<store::Snapshot>,
+    /// How long the store takes to answer.
+    pub store_delay: time::Duration,
+    cfg: Config,
+    now: policy::Moment,
+    calls: collections::BTreeMap<(policy::Moment, u64), Call>,
+    numbered: u64,
+    links: collections::BTreeMap<(usize, usize), Pair>,
+}
+
+#[derive(Default)]
+struct Pair {
+    up: bool,
+    since: policy::Moment,
+    good: bool,
+}
+
+impl Nodes {
+    /// Starts all processes at once.
+    pub fn new(cfg: Config) -> Self {
+        let count = cfg.azs * cfg.per_az;
+        let mut nodes = Self {
+            processes: (0..count).map(|i| Process::new(i, cfg.per_az)).collect(),
+            fabric: fabric::Fabric::new(cfg.seed, cfg.link),
+            store: memory::Memory::default(),
+            down: false,
+            stale: None,
+            store_delay: cfg.store_delay,
+            now: policy::Moment::ZERO,
+            calls: collections::BTreeMap::new(),
+            numbered: 0,
+            links: collections::BTreeMap::new(),
+            cfg,
+        };
+        for i in 0..count {
+            nodes.store.put_vm(row(i, nodes.cfg.per_az));
+            nodes.start(i);
+        }
+        nodes
+    }
+
+    /// The time.
+    pub fn now(&self) -> policy::Moment {
+        self.now
+    }
+
+    /// Starts a process anew, with nothing.
+    pub fn start(&mut self, i: usize) {
+        let process = &mut self.processes[i];
+        process.starts += 1;
+        process.held.clear();
+        process.targets.clear();
+        process.versions.clear();
+        process.settings = sync::Arc::default();
+        let seeds = (0..self.cfg.azs * self.cfg.per_az).map(addr);
+        let cfg = node::Config {
+            vm: process.vm.clone(),
+            az: az_id(process.az),
+            incarnation: id::Incarnation(process.starts),
+            roots: self.cfg.roots.clone(),
+            seeds: seeds.filter(|_| self.cfg.seeds).collect(),
+            seed: self.cfg.seed ^ ((i as u64) << 32) ^ process.starts,
+            limits: budget::Limits::default(),
+            timing: reader::Timing::default(),
+        };
+        process.node = Some(node::Node::new(cfg, self.now));
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, i: usize) {
+        self.processes[i].node = None;
+        self.links.retain(|(a, b), _| *a != i && *b != i);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: time::Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// Lets time pass until something holds, at most `span`. None: it did not.
+    pub fn run_until<F: Fn(&Self) -> bool>(
+        &mut self,
+        span: time::Duration,
+        holds: F,
+    ) -> Option<time::Duration> {
+        let from = self.now;
+        while self.now < from + span {
+            if holds(self) {
+                return Some(self.now - from);
+            }
+            self.step();
+        }
+        None
+    }
+
+    /// Lets one step of time pass.
+    ///
+    /// # Panics
+    ///
+    /// When a process's settings go back.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.move_links();
+        for arrived in self.fabric.arrived(self.now) {
+            let linked = self.is_linked(arrived.from, arrived.to);
+            let from = self.processes[arrived.from].vm.clone();
+            let to = &mut self.processes[arrived.to];
+            if to.node.is_some() && linked {
+                let message = (*arrived.message).clone();
+                to.held.push(node::Event::Message(from, message));
+            }
+        }
+        self.answer_calls();
+        for i in 0..self.processes.len() {
+            self.turn(i);
+        }
+    }
+
+    /// Whether all processes that run have a version of a team's settings in force.
+    pub fn all_have(&self, team: &str, version: u64) -> bool {
+        let running = self.processes.iter().filter(|p| p.node.is_some());
+        running
+            .into_iter()
+            .all(|p| p.version(team) == Some(version))
+    }
+
+    /// The highest rank of a key that the store or a running process holds.
+    pub fn highest(&self, key: &str) -> Option<book::Rank> {
+        let nodes = self.processes.iter().filter_map(|p| p.node.as_ref());
+        nodes.filter_map(|node| node.sync().book().rank(key)).max()
+    }
+
+    /// Sets both directions between two groups of processes.
+    pub fn set_links(&mut self, from: &[usize], to: &[usize], both: bool, link: fabric::Link) {
+        for (a, b) in from.iter().flat_map(|a| to.iter().map(move |b| (*a, *b))) {
+            if a != b {
+                self.fabric.set(a, b, link);
+                if both {
+                    self.fabric.set(b, a, link);
+                }
+            }
+        }
+    }
+
+    /// The processes of one availability zone, and all others.
+    pub fn split(&self, az: usize) -> (Vec<usize>, Vec<usize>) {
+        (0..self.processes.len()).partition(|i| self.processes[*i].az == az)
+    }
+
+    fn turn(&mut self, i: usize) {
+        let linked = self.linked(i);
+        let now = self.now;
+        let process = &mut self.processes[i];
+        if process.paused {
+            return;
+        }
+        let mut events = std::mem::take(&mut process.held);
+        events.push(node::Event::Links(linked));
+        events.push(node::Event::Tick);
+        let Some(node) = &mut process.node else {
+            return;
+        };
+        let mut out = Vec::new();
+        for event in events {
+            node.step(now, event, &mut out);
+        }
+        process.check();
+        for action in out {
+            self.act(i, action);
+        }
+    }
+
+    fn act(&mut self, i: usize, action: Action) {
+        let process = &mut self.processes[i];
+        match action {
+            Action::List(prefix) => self.call(i, What::List(prefix)),
+            Action::Watch(prefix, after) => self.call(i, What::Watch(prefix, after)),
+            Action::Write { key, expect, value } => self.call(i, What::Write(key, expect, value)),
+            Action::ReadVms => self.call(i, What::Vms),
+            Action::InForce(settings) => process.settings = settings,
+            Action::Vms(_) => {}
+            Action::Log(note) => process.notes.push(note),
+            Action::Targets(targets) => {
+                let ports = targets.iter().map(|t| usize::from(t.addr.port()) - 1);
+                process.targets = ports.collect();
+            }
+            Action::Send(to, message) => {
+                let to = self.processes.iter().position(|p| p.vm == to);
+                self.send(i, to.into_iter().collect(), message);
+            }
+            Action::ToAll { except, message } => {
+                let to = self.peers_of(i, except.as_ref(), false);
+                self.send(i, to, message);
+            }
+            Action::ToOwnAz { except, message } => {
+                let to = self.peers_of(i, except.as_ref(), true);
+                self.send(i, to, message);
+            }
+        }
+    }
+
+    fn send(&mut self, i: usize, to: Vec<usize>, message: peer::Message) {
+        let bytes = peer::encode(&message).len() as u64;
+        let message = sync::Arc::new(message);
+        for to in to {
+            if self.is_linked(i, to) {
+                self.processes[i].messages += 1;
+                self.processes[i].peer_bytes += bytes;
+                self.fabric.send(self.now, i, to, message.clone());
+            }
+        }
+    }
+
+    fn peers_of(&self, i: usize, except: Option<&id::VmId>, own_az: bool) -> Vec<usize> {
+        let az = self.processes[i].az;
+        self.neighbours(i)
+            .filter(|j| Some(&self.processes[*j].vm) != except)
+            .filter(|j| !own_az || self.processes[*j].az == az)
+            .collect()
+    }
+
+    fn neighbours(&self, i: usize) -> impl Iterator<Item = usize> {
+        let open = self.links.iter().filter(|(_, pair)| pair.up);
+        open.filter_map(move |((a, b), _)| {
+            if *a == i {
+                Some(*b)
+            } else {
+                (*b == i).then_some(*a)
+            }
+        })
+    }
+
+    fn linked(&self, i: usize) -> Vec<peers::Linked> {
+        self.neighbours(i)
+            .map(|j| peers::Linked {
+                vm: self.processes[j].vm.clone(),
+                az: az_id(self.processes[j].az),
+                incarnation: id::Incarnation(self.processes[j].starts),
+            })
+            .collect()
+    }
+
+    fn is_linked(&self, a: usize, b: usize) -> bool {
+        let pair = self.links.get(&(a.min(b), a.max(b)));
+        pair.is_some_and(|pair| pair.up)
+    }
+
+    fn move_links(&mut self) {
+        let mut wanted = collections::BTreeSet::new();
+        for (i, process) in self.processes.iter().enumerate() {
+            for j in process.targets.iter().filter(|j| **j != i) {
+                let running = process.node.is_some() && self.processes[*j].node.is_some();
+                if running {
+                    wanted.insert((i.min(*j), i.max(*j)));
+                }
+            }
+        }
+        self.links.retain(|pair, _| wanted.contains(pair));
+        for (a, b) in wanted {
+            let good = self.fabric.link(a, b).loss < 1.0 && self.fabric.link(b, a).loss < 1.0;
+            let now = self.now;
+            let pair = self.links.entry((a, b)).or_insert(Pair {
+                up: false,
+                since: now,
+                good,
+            });
+            if pair.good != good {
+                pair.good = good;
+                pair.since = now;
+            }
+            let noticed = if good { LINK_UP } else { LINK_IDLE };
+            if now >= pair.since + noticed {
+                pair.up = good;
+            }
+        }
+    }
+
+    fn call(&mut self, i: usize, what: What) {
+        self.processes[i].calls += 1;
+        self.numbered += 1;
+        let call = Call {
+            process: i,
+            start: self.processes[i].starts,
+            what,
+            until: self.now + WATCH_WAIT,
+        };
+        let due = self.now + self.store_delay;
+        self.calls.insert((due, self.numbered), call);
+    }
+
+    fn answer_calls(&mut self) {
+        let later = self.calls.split_off(&(self.now, u64::MAX));
+        for ((_, number), call) in std::mem::replace(&mut self.calls, later) {
+            let process = &self.processes[call.process];
+            if process.node.is_none() || process.starts != call.start {
+                continue;
+            }
+            let lost = self.down || process.no_store;
+            match self.answer(&call, lost) {
+                Some((event, bytes)) => {
+                    let process = &mut self.processes[call.process];
+                    process.store_bytes += bytes;
+                    process.held.push(event);
+                }
+                None => {
+                    self.calls.insert((self.now + STEP, number), call);
+                }
+            }
+        }
+    }
+
+    fn answer(&self, call: &Call, lost: bool) -> Option<(node::Event, u64)> {
+        let store = &self.store;
+        let gone = || store::Error::Unavailable("out of reach".to_owned());
+        Some(match &call.what {
+            What::List(prefix) => {
+                let result = if lost {
+                    Err(gone())
+                } else {
+                    self.list(*prefix)
+                };
+                let bytes = result.as_ref().map_or(0, |s| size(&s.entries));
+                (node::Event::Listed(*prefix, result), bytes)
+            }
+            What::Watch(prefix, after) => {
+                let zero = time::Duration::ZERO;
+                let result = if lost {
+                    Err(gone())
+                } else {
+                    store.watch(prefix.as_str(), *after, zero)
+                };
+                let bytes = match &result {
+                    Ok(store::Watch::Events { entries, .. }) => {
+                        if entries.is_empty() && self.now < call.until {
+                            return None;
+                        }
+                        size(entries)
+                    }
+                    _ => 0,
+                };
+                (node::Event::Watched(*prefix, result), bytes)
+            }
+            What::Write(key, expect, value) => {
+                let result = if lost {
+                    Err(gone())
+                } else {
+                    store.compare_and_swap(key, *expect, value.as_bytes(), None)
+                };
+                (node::Event::Wrote(key.clone(), result), 0)
+            }
+            What::Vms => {
+                let result = if lost { Err(gone()) } else { store.vms() };
+                let bytes = result.as_ref().map_or(0, json);
+                (node::Event::Vms(result), bytes)
+            }
+        })
+    }
+
+    fn list(&self, prefix: Prefix) -> Result<store::Snapshot, store::Error> {
+        let mut snapshot = match &self.stale {
+            Some(stale) => stale.clone(),
+            None => self.store.list(prefix.as_str())?,
+        };
+        snapshot
+            .entries
+            .retain(|e| e.key.starts_with(prefix.as_str()));
+        Ok(snapshot)
+    }
+}
+
+impl Process {
+    fn new(i: usize, per_az: usize) -> Self {
+        let row = row(i, per_az);
+        Self {
+            node: None,
+            vm: row.id,
+            az: i / per_az,
+            paused: false,
+            no_store: false,
+            settings: sync::Arc::default(),
+            calls: 0,
+            store_bytes: 0,
+            messages: 0,
+            peer_bytes: 0,
+            notes: Vec::new(),
+            starts: 0,
+            targets: collections::BTreeSet::new(),
+            held: Vec::new(),
+            versions: collections::BTreeMap::new(),
+        }
+    }
+
+    /// The version of a team's settings in force.
+    pub fn version(&self, team: &str) -> Option<u64> {
+        self.versions.get(team).map(|rank| rank.version)
+    }
+
+    /// Whether this process takes itself for the reader.
+    pub fn is_reader(&self) -> bool {
+        let node = self.node.as_ref();
+        node.is_some_and(|node| node.reader() == Some(&self.vm))
+    }
+
+    /// Settings in force never go back while a process runs.
+    fn check(&mut self) {
+        let Some(node) = &self.node else { return };
+        let versions = node.sync().book().versions();
+        for (team, before) in &self.versions {
+            let now = versions.get(team);
+            assert!(
+                now.is_some_and(|now| now >= before),
+                "{}: team {team} went back from {before:?} to {now:?}",
+                self.vm
+            );
+        }
+        self.versions.clone_from(versions);
+    }
+}
+
+fn row(i: usize, per_az: usize) -> store::Vm {
+    store::Vm {
+        id: format!("entry-{i:04}").as_str().into(),
+        az: az_id(i / per_az),
+        addr: addr(i),
+        role: store::VmRole::Entry { peers: addr(i) },
+        state: store::VmState::Live,
+    }
+}
+
+fn az_id(az: usize) -> id::AzId {
+    format!("az-{az:02}").as_str().into()
+}
+
+/// The port stands for the index of the process.
+fn addr(i: usize) -> net::SocketAddr {
+    let port = u16::try_from(i + 1).expect("plays are small");
+    (net::Ipv4Addr::LOCALHOST, port).into()
+}
+
+fn size(entries: &[store::Entry]) -> u64 {
+    let bytes = entries.iter().map(|e| e.key.len() + e.value.len() + 32);
+    bytes.sum::<usize>() as u64
+}
+
+fn json<T: serde::Serialize>(value: &T) -> u64 {
+    serde_json::to_vec(value).map_or(0, |text| text.len() as u64)
+}
--- /dev/null
+++ b/src/standin/operator.rs
@@ -0,0 +1,123 @@
+//! A stand-in for an operator who applies settings, with the keys that go with it.
+//!
+//! It does what `bulrushwind apply` does to the store: reads, signs a higher version, writes by
+//! compare-and-swap, and reads back when the reply was lost.
+
+use crate::coordination::store;
+use crate::id;
+use crate::settings::{envelope, keys};
+use store::Store;
+
+/// Keys that are the same in every run. They protect nothing.
+const ROOT: u8 = 1;
+
+/// The root key of plays and tests.
+pub fn root() -> keys::SecretKey {
+    secret(ROOT)
+}
+
+/// A team key of plays and tests, by its number.
+pub fn team_key(number: u8) -> keys::SecretKey {
+    secret(100 + number)
+}
+
+/// A ring with the given keys, signed by [`root`], as it stands in the store.
+///
+/// # Panics
+///
+/// When a ring does not hold so many keys.
+pub fn ring(team: &str, version: u64, keys: &[(u8, Option<u64>)]) -> keys::KeyRing {
+    let keys = keys
+        .iter()
+        .map(|(number, until)| keys::TeamKey {
+            holder: format!("operator-{number}"),
+            public: team_key(*number).public(),
+            until: *until,
+        })
+        .collect();
+    keys::KeyRing::sign(team.into(), version, keys, &root()).expect("few keys")
+}
+
+/// Writes a team's key ring, whatever was there.
+pub fn put_ring<S: Store>(platform: &S, ring: &keys::KeyRing) -> Result<(), store::Error> {
+    put(platform, &keys::store_key(&ring.team), &ring.encode())
+}
+
+/// Puts settings in the store, with a key ring of key 0.
+pub fn publish<S: Store>(
+    platform: &S,
+    team: &str,
+    text: &str,
+    now_ms: u64,
+) -> Result<u64, store::Error> {
+    put_ring(platform, &ring(team, 1, &[(0, None)]))?;
+    apply(platform, team, text, 0, now_ms)
+}
+
+/// Applies settings, signed by a key, and returns their version. `now_ms` is the time of day.
+pub fn apply<S: Store>(
+    platform: &S,
+    team: &str,
+    text: &str,
+    key: u8,
+    now_ms: u64,
+) -> Result<u64, store::Error> {
+    let at = envelope::store_key(&team.into());
+    let (expect, base) = read(platform, &at)?;
+    apply_on(platform, team, text, key, (expect, base), now_ms)
+}
+
+/// The revision and version that an operator's plan starts from.
+pub fn read<S: Store>(platform: &S, at: &str) -> Result<(store::Revision, u64), store::Error> {
+    let entry = platform.get(at)?;
+    let base = entry.as_ref().and_then(|e| version(&e.value)).unwrap_or(0);
+    Ok((entry.map_or(store::Revision(0), |e| e.revision), base))
+}
+
+/// Applies settings on what an earlier [`read`] gave.
+pub fn apply_on<S: Store>(
+    platform: &S,
+    team: &str,
+    text: &str,
+    key: u8,
+    (expect, base): (store::Revision, u64),
+    now_ms: u64,
+) -> Result<u64, store::Error> {
+    let team = id::TeamId::from(team);
+    let version = (base + 1).max(now_ms);
+    let change = format!("{team}-{version}-{key}");
+    let envelope = envelope::Envelope::sign(
+        team.clone(),
+        version,
+        change.as_str().into(),
+        text.to_owned(),
+        &team_key(key),
+    );
+    let bytes = envelope.encode().expect("small settings");
+    let at = envelope::store_key(&team);
+    match platform.compare_and_swap(&at, expect, &bytes, None) {
+        Ok(_) => Ok(version),
+        Err(store::Error::Unknown(why)) => {
+            let written = platform.get(&at)?.is_some_and(|e| e.value == bytes);
+            written.then_some(version).ok_or(store::Error::Unknown(why))
+        }
+        Err(err) => Err(err),
+    }
+}
+
+fn put<S: Store>(platform: &S, key: &str, value: &[u8]) -> Result<(), store::Error> {
+    let expect = platform
+        .get(key)?
+        .map_or(store::Revision(0), |e| e.revision);
+    platform.compare_and_swap(key, expect, value, None)?;
+    Ok(())
+}
+
+fn version(value: &[u8]) -> Option<u64> {
+    envelope::Envelope::decode(value).ok().map(|e| e.version)
+}
+
+fn secret(number: u8) -> keys::SecretKey {
+    let hex = format!("{number:02x}").repeat(32);
+    keys::SecretKey::parse(&format!("bulrushwind-secret-key {hex}")).expect("64 digits")
+}
