--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! What entry processes agree on with one another and with the platform.
 
 pub mod peers;
+pub mod plan_writer;
 pub mod store;
 pub mod store_http;
--- a/src/decisions/caps.rs
+++ b/src/decisions/caps.rs
@@ -24,6 +24,7 @@
 use std::time;
 
 use super::policy;
+use crate::settings;
 
 /// Parts that a step is counted in. More would be more exact and cost more memory; with 8 at most
 /// an eighth of the cap is lost to counting moves over longer than arrivals.
@@ -59,6 +60,15 @@
 }
 
 impl Config {
+    /// The cap that a service declares.
+    pub fn of(service: &settings::Service) -> Self {
+        Self {
+            cap: service.shift_cap,
+            step: time::Duration::from_millis(service.shift_step_ms),
+            ..Self::default()
+        }
+    }
+
     /// Checks that the values are in range.
     pub fn check(&self) -> Result<(), &'static str> {
         if !(self.cap > 0.0 && self.cap <= 1.0) {
--- a/src/decisions/drain.rs
+++ b/src/decisions/drain.rs
@@ -113,7 +113,7 @@
     mut now: plan::ByRegion,
     emptied: &[id::AzId],
 ) -> Estimate {
-    let most = caps_of(service).version_share();
+    let most = caps::Config::of(service).version_share();
     let target: plan::ByRegion = now
         .iter()
         .map(|(region, weights)| (region.clone(), without(weights, service, emptied)))
@@ -158,15 +158,6 @@
     rest
 }
 
-/// The cap that a service declares.
-pub fn caps_of(service: &settings::Service) -> caps::Config {
-    caps::Config {
-        cap: service.shift_cap,
-        step: time::Duration::from_millis(service.shift_step_ms),
-        ..caps::Config::default()
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -212,7 +203,7 @@
         for estimate in estimates {
             assert!((estimate.share - 0.5).abs() < 1e-9);
             let service = settings.service(estimate.service.as_str()).unwrap();
-            let most = caps_of(service).version_share();
+            let most = caps::Config::of(service).version_share();
             assert!(f64::from(estimate.steps) >= 0.5 / most);
             let by_cap = u64::from(estimate.steps) * service.shift_step_ms / 1_000;
             assert_eq!(estimate.moved_s, 1_000 + by_cap.max(60));
