--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,6 +5,8 @@
 pub mod backend;
 pub mod caller;
 pub mod control;
+pub mod elections;
+pub mod fabric;
 pub mod model;
 pub mod processes;
 pub mod run;
