Decide inside an availability zone: admission, queue, placement, ejection, quarantine

Each decision is a module of its own whose head names the load pattern that it answers; dispatch puts them together behind the policy boundary.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -4,7 +4,7 @@
 use std::path;
 use std::time;
 
-use bulrushwind::decisions::naive;
+use bulrushwind::decisions::{across, dispatch, naive};
 use bulrushwind::standin::model::{self, best, load, patterns, run, tally};
 
 const LASTS: time::Duration = time::Duration::from_secs(20);
@@ -25,17 +25,26 @@
                 |_, _| {},
             );
             row(&case, "naive", best, &t);
+            let ours = |site: &run::Site| {
+                let cfg = dispatch::Config {
+                    seed: site.index as u64,
+                    ..Default::default()
+                };
+                let az = case.dep.azs[site.az].id.clone();
+                dispatch::Dispatch::new(cfg, across::Across::new(across::Config::default(), az))
+            };
+            let t = run::run(&case.dep, &case.pattern, &calls, ours, |_, _| {});
+            row(&case, "ours", best, &t);
         }
     }
 }
 
 fn row(case: &patterns::Case, who: &str, best: f64, t: &tally::Tally) {
     println!(
-        "{:<12} {:<28} {:<6} offered {:>8} worth {:>8} best {:>8.0} share {:.3} p50 {:>8.1} p99 {:>8.1} hot {:.2} att {} ops {:?} ref {:?} unk {} viol {} crashes {}",
+        "{:<12} {:<28} {:<6} worth {:>8} best {:>8.0} share {:.3} p50 {:>8.1} p99 {:>8.1} hot {:.2} att {} ops {:?} ref {:?} unk {} viol {} crashes {} probes {} slowref {} ord {:?}",
         case.dep.name,
         case.pattern.name,
         who,
-        t.offered,
         t.worth,
         best,
         t.worth as f64 / best,
@@ -47,6 +56,9 @@
         t.refused,
         t.unknown,
         t.violations(),
-        t.crashes
+        t.crashes,
+        t.probes,
+        t.slowest_refusal_us / 1000,
+        t.ordinary
     );
 }
--- /dev/null
+++ b/src/decisions/ejection.rs
@@ -0,0 +1,248 @@
+//! Which backend servers get no work because they fail.
+//!
+//! Load pattern: one backend server that fails fast, or is down. Without this it draws more work
+//! than the sound ones, since it is always idle, and answers all of it with failures. One notices
+//! it as one backend server with many runs, very short ones, and callers with errors.
+//!
+//! A backend server is out after a few failures in a row, or once half of its answers fail. After
+//! a while a probe asks how it is, and a few reads try it before it counts as sound. Each return
+//! to the same state doubles the wait. At most half of the backend servers are out as outliers:
+//! when all fail alike, the cause lies elsewhere, and taking them out would only overload the
+//! rest. One that refuses connections or breaks them is out whatever the others do, since nothing
+//! runs there.
+
+use std::time;
+
+use super::{policy, range};
+
+/// Thresholds of ejection.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Failed answers or timeouts in a row. Three: with one answer in a hundred failing by chance
+    /// it happens once in a million.
+    pub in_a_row: u32,
+    /// Broken or refused connections in a row. One may be an idle connection that was closed.
+    pub broken_in_a_row: u32,
+    /// The share of failures among the last [`Self::window`] answers.
+    pub share: f64,
+    /// Over how many answers that share is taken.
+    pub window: f64,
+    /// The largest share of backend servers that may be out as outliers.
+    pub max_out: f64,
+    /// How long the first time out lasts.
+    pub first: time::Duration,
+    /// How long a time out lasts at most.
+    pub longest: time::Duration,
+    /// Answers in a row that end a trial.
+    pub trial: u32,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            in_a_row: 3,
+            broken_in_a_row: 2,
+            share: 0.5,
+            window: 20.0,
+            max_out: 0.5,
+            first: time::Duration::from_millis(500),
+            longest: time::Duration::from_secs(20),
+            trial: 5,
+        }
+    }
+}
+
+impl Config {
+    /// Checks the ranges.
+    pub fn check(&self) -> Result<(), range::Error> {
+        range::check("ejection.in_a_row", f64::from(self.in_a_row), 1.0..=100.0)?;
+        let broken = f64::from(self.broken_in_a_row);
+        range::check("ejection.broken_in_a_row", broken, 1.0..=100.0)?;
+        range::check("ejection.share", self.share, 0.05..=1.0)?;
+        range::check("ejection.window", self.window, 2.0..=10_000.0)?;
+        range::check("ejection.max_out", self.max_out, 0.0..=0.9)?;
+        range::check("ejection.first", self.first.as_secs_f64(), 0.05..=60.0)?;
+        let longest = self.longest.as_secs_f64();
+        range::check("ejection.longest", longest, 0.05..=600.0)?;
+        range::check("ejection.trial", f64::from(self.trial), 1.0..=1_000.0)
+    }
+}
+
+/// Whether a backend server gets work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It does.
+    In,
+    /// It gets a few reads, one at a time, to see whether it is sound again.
+    Trial,
+    /// It does not.
+    Out {
+        /// When a probe may ask how it is.
+        until: policy::Moment,
+        /// It takes no connections.
+        down: bool,
+    },
+}
+
+/// The failures of one backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Health {
+    state: State,
+    failures: f64,
+    in_a_row: u32,
+    broken: u32,
+    good: u32,
+    times: u32,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self {
+            state: State::In,
+            failures: 0.0,
+            in_a_row: 0,
+            broken: 0,
+            good: 0,
+            times: 0,
+        }
+    }
+}
+
+impl Health {
+    /// Whether it gets work.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// An answer came. Returns whether a trial ended well.
+    pub fn answered(&mut self, cfg: &Config) -> bool {
+        self.failures -= self.failures / cfg.window;
+        self.in_a_row = 0;
+        self.broken = 0;
+        self.good += 1;
+        if self.good >= cfg.window as u32 {
+            self.times = 0;
+        }
+        if self.state != State::Trial || self.good < cfg.trial {
+            return false;
+        }
+        self.state = State::In;
+        self.failures = 0.0;
+        true
+    }
+
+    /// It failed at a request, or took too long. Returns whether it ought to be out as an
+    /// outlier.
+    pub fn failed(&mut self, cfg: &Config) -> bool {
+        self.failures += (1.0 - self.failures) / cfg.window;
+        self.in_a_row += 1;
+        self.good = 0;
+        match self.state {
+            State::In => self.in_a_row >= cfg.in_a_row || self.failures > cfg.share,
+            State::Trial => true,
+            State::Out { .. } => false,
+        }
+    }
+
+    /// It refused or broke a connection. Returns whether it ought to be out as down.
+    pub fn broke(&mut self, cfg: &Config) -> bool {
+        self.broken += 1;
+        self.good = 0;
+        match self.state {
+            State::In => self.broken >= cfg.broken_in_a_row,
+            State::Trial => true,
+            State::Out { .. } => false,
+        }
+    }
+
+    /// Takes it out.
+    pub fn eject(&mut self, cfg: &Config, now: policy::Moment, down: bool) {
+        let wait = cfg.first * 2_u32.saturating_pow(self.times.min(16));
+        let until = now + wait.min(cfg.longest);
+        // What is down comes back when it comes back; waiting longer each time finds nothing out.
+        self.times += u32::from(!down);
+        self.good = 0;
+        self.state = State::Out { until, down };
+    }
+
+    /// Whether a probe may ask how it is.
+    pub fn due(&self, now: policy::Moment) -> bool {
+        matches!(self.state, State::Out { until, .. } if until <= now)
+    }
+
+    /// A probe came back. Returns whether it is on trial now.
+    pub fn probed(&mut self, cfg: &Config, now: policy::Moment, answered: bool) -> bool {
+        let State::Out { down, .. } = self.state else {
+            return false;
+        };
+        if !answered {
+            let until = now + cfg.first;
+            self.state = State::Out { until, down };
+            return false;
+        }
+        self.in_a_row = 0;
+        self.broken = 0;
+        self.good = 0;
+        self.state = State::Trial;
+        true
+    }
+}
+
+/// Whether one more of `members` may be out as an outlier.
+pub fn room(cfg: &Config, members: usize, out: usize) -> bool {
+    (out + 1) as f64 <= members as f64 * cfg.max_out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: policy::Moment = policy::Moment::from_secs(1);
+
+    /// A backend server's disk is full: it fails each request in half a millisecond.
+    #[test]
+    fn failures_in_a_row_put_it_out() {
+        let (mut health, cfg) = (Health::default(), Config::default());
+        assert!(!health.failed(&cfg) && !health.failed(&cfg) && health.failed(&cfg));
+    }
+
+    #[test]
+    fn a_failure_now_and_then_does_not() {
+        let (mut health, cfg) = (Health::default(), Config::default());
+        for _ in 0..1_000 {
+            assert!(!health.failed(&cfg));
+            health.answered(&cfg);
+            health.answered(&cfg);
+        }
+    }
+
+    #[test]
+    fn each_time_out_is_longer_until_it_is_sound_for_long() {
+        let (mut health, cfg) = (Health::default(), Config::default());
+        let mut waits = Vec::new();
+        for _ in 0..3 {
+            health.eject(&cfg, NOW, false);
+            let State::Out { until, .. } = health.state() else {
+                panic!("it is not out");
+            };
+            waits.push((until - NOW).as_millis());
+            assert!(health.due(until) && health.probed(&cfg, until, true));
+        }
+        assert_eq!(waits, [500, 1_000, 2_000]);
+    }
+
+    #[test]
+    fn a_trial_ends_after_a_few_answers() {
+        let (mut health, cfg) = (Health::default(), Config::default());
+        health.eject(&cfg, NOW, true);
+        assert!(health.probed(&cfg, NOW * 2, true));
+        let ended: Vec<_> = (0..5).map(|_| health.answered(&cfg)).collect();
+        assert_eq!(ended, [false, false, false, false, true]);
+    }
+
+    #[test]
+    fn half_of_them_stay() {
+        let cfg = Config::default();
+        assert!(room(&cfg, 2, 0) && !room(&cfg, 2, 1) && !room(&cfg, 1, 0));
+    }
+}
--- /dev/null
+++ b/src/decisions/limit.rs
@@ -0,0 +1,123 @@
+//! How many requests this VM keeps in flight at one backend server.
+//!
+//! Load pattern: saturation. Several entry VMs share a backend server, and each sees only its own
+//! requests. If each filled all slots, the rest would wait in the backend server's own queue,
+//! where the order is first come first served: a booking would wait behind reads, and a request
+//! that its caller has given up on would still run. One notices it as latency that grows at the
+//! backend server while the queue here is short.
+//!
+//! The limit never exceeds the slots, because more can only wait. It sinks while the backend
+//! server reports a queue, or sheds, and rises again while there is none. Where reports cannot be
+//! believed, the time that answers take stands in for them.
+
+use super::range;
+
+/// Thresholds of the limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// The queue at a backend server, as a share of its slots, above which the limit sinks. Half
+    /// the slots keeps them all busy over the delay between an answer and the next request.
+    pub queue: f64,
+    /// Without a believed report: how many times the usual time answers may take before the limit
+    /// sinks. Work varies by about a half; 2.5 is clear of that.
+    pub pace: f64,
+    /// What one answer takes from or adds to the limit. 0.1 halves a limit of 3 within 15
+    /// answers, about 50 ms at load, and does not follow single answers.
+    pub step: f64,
+    /// What is left of the limit when the backend server sheds.
+    pub shed: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            queue: 0.5,
+            pace: 2.5,
+            step: 0.1,
+            shed: 0.7,
+        }
+    }
+}
+
+impl Config {
+    /// Checks the ranges.
+    pub fn check(&self) -> Result<(), range::Error> {
+        range::check("limit.queue", self.queue, 0.0..=10.0)?;
+        range::check("limit.pace", self.pace, 1.0..=100.0)?;
+        range::check("limit.step", self.step, 0.001..=1.0)?;
+        range::check("limit.shed", self.shed, 0.1..=1.0)
+    }
+}
+
+/// The limit at one backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    value: f64,
+    slots: f64,
+}
+
+impl Limit {
+    /// As many as there are slots.
+    pub fn new(slots: u32) -> Self {
+        let slots = f64::from(slots.max(1));
+        Self {
+            value: slots,
+            slots,
+        }
+    }
+
+    /// The limit now: at least 1, at most the slots.
+    pub fn get(&self) -> usize {
+        self.value.round() as usize
+    }
+
+    /// An answer came. `queued` is what the backend server believably says waits there, `pace`
+    /// how many times the usual time answers take.
+    pub fn answered(&mut self, cfg: &Config, queued: Option<u32>, pace: f64) {
+        let full = match queued {
+            Some(queued) => f64::from(queued) > cfg.queue * self.slots,
+            None => pace > cfg.pace,
+        };
+        self.set(match full {
+            true => self.value - cfg.step,
+            false => self.value + cfg.step,
+        });
+    }
+
+    /// The backend server refused a request.
+    pub fn shed(&mut self, cfg: &Config) {
+        self.set(self.value * cfg.shed);
+    }
+
+    fn set(&mut self, value: f64) {
+        self.value = value.clamp(1.0, self.slots);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn it_sinks_under_a_queue_and_rises_after() {
+        let (mut limit, cfg) = (Limit::new(4), Config::default());
+        (0..100).for_each(|_| limit.answered(&cfg, Some(5), 1.0));
+        assert_eq!(limit.get(), 1);
+        (0..100).for_each(|_| limit.answered(&cfg, Some(0), 1.0));
+        assert_eq!(limit.get(), 4);
+    }
+
+    #[test]
+    fn slow_answers_stand_in_for_reports() {
+        let (mut limit, cfg) = (Limit::new(3), Config::default());
+        (0..100).for_each(|_| limit.answered(&cfg, None, 9.0));
+        assert_eq!(limit.get(), 1);
+    }
+
+    #[test]
+    fn a_refusal_takes_effect_at_once() {
+        let (mut limit, cfg) = (Limit::new(3), Config::default());
+        limit.shed(&cfg);
+        assert_eq!(limit.get(), 2);
+    }
+}
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -7,9 +7,24 @@
 //! drive the same [`policy::Policy`].
 
 pub mod across;
+pub mod admission;
+pub mod dispatch;
+pub mod ejection;
 pub mod grants;
+pub mod limit;
+pub mod members;
 pub mod naive;
+pub mod placement;
 pub mod policy;
+pub mod probe;
+pub mod quarantine;
+pub mod queue;
+pub mod ramp;
+pub mod range;
+pub mod retry;
+mod serve;
+pub mod trust;
+mod upkeep;
 
 #[cfg(test)]
 mod tests {
--- /dev/null
+++ b/src/decisions/probe.rs
@@ -0,0 +1,110 @@
+//! When a backend server is asked how it is.
+//!
+//! Load pattern: any. A probe occupies a slot for about 6 ms, a sixth of a percent of a backend
+//! server for each one a second. Without probes, one that is out can only be tried with callers'
+//! requests; with too many, each VM's probes take slots from callers. One notices it as probes
+//! that are a visible share of attempts.
+//!
+//! Answers tell more than probes and cost nothing, so only what gets no work is probed: a backend
+//! server that is out and whose time is up, or one that is held in reserve because it is slow.
+//! The time that a probe takes shows whether a slow one has recovered.
+
+use std::time;
+
+use super::{policy, range};
+
+/// Thresholds of probes.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// The least time between two probes of this VM. With 2 entry VMs in an availability zone,
+    /// 250 ms bounds probes to 8 a second, 5% of one slot.
+    pub gap: time::Duration,
+    /// The least time between two probes of one backend server.
+    pub each: time::Duration,
+    /// After this long a probe counts as not answered.
+    pub patience: time::Duration,
+    /// How long a sound backend server works on a probe.
+    pub typical: time::Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            gap: time::Duration::from_millis(250),
+            each: time::Duration::from_millis(500),
+            patience: time::Duration::from_secs(1),
+            typical: time::Duration::from_millis(6),
+        }
+    }
+}
+
+impl Config {
+    /// Checks the ranges.
+    pub fn check(&self) -> Result<(), range::Error> {
+        range::check("probe.gap", self.gap.as_secs_f64(), 0.01..=60.0)?;
+        range::check("probe.each", self.each.as_secs_f64(), 0.01..=60.0)?;
+        range::check("probe.patience", self.patience.as_secs_f64(), 0.01..=60.0)?;
+        range::check("probe.typical", self.typical.as_secs_f64(), 0.0001..=10.0)
+    }
+}
+
+/// The probes of one backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Watch {
+    sent: Option<policy::Moment>,
+    last: Option<policy::Moment>,
+}
+
+impl Watch {
+    /// Whether it may be probed now.
+    pub fn ready(&self, cfg: &Config, now: policy::Moment) -> bool {
+        self.sent.is_none() && self.last.is_none_or(|last| last + cfg.each <= now)
+    }
+
+    /// A probe was sent.
+    pub fn sent(&mut self, now: policy::Moment) {
+        self.sent = Some(now);
+        self.last = Some(now);
+    }
+
+    /// A probe came back. Returns how many times the usual time it took, or `None` where none was
+    /// awaited.
+    pub fn back(&mut self, cfg: &Config, now: policy::Moment) -> Option<f64> {
+        let took = now.saturating_sub(self.sent.take()?);
+        Some(took.as_secs_f64() / cfg.typical.as_secs_f64())
+    }
+
+    /// Whether a probe has just run out of time.
+    pub fn lost(&mut self, cfg: &Config, now: policy::Moment) -> bool {
+        let lost = self.sent.is_some_and(|sent| sent + cfg.patience <= now);
+        if lost {
+            self.sent = None;
+        }
+        lost
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_at_a_time_and_not_too_often() {
+        let (mut watch, cfg) = (Watch::default(), Config::default());
+        let ms = time::Duration::from_millis;
+        assert!(watch.ready(&cfg, ms(0)));
+        watch.sent(ms(0));
+        assert!(!watch.ready(&cfg, ms(900)));
+        assert_eq!(watch.back(&cfg, ms(60)), Some(10.0));
+        assert!(!watch.ready(&cfg, ms(499)) && watch.ready(&cfg, ms(500)));
+    }
+
+    #[test]
+    fn a_probe_without_an_answer_is_lost_once() {
+        let (mut watch, cfg) = (Watch::default(), Config::default());
+        watch.sent(time::Duration::ZERO);
+        let now = cfg.patience;
+        assert!(watch.lost(&cfg, now) && !watch.lost(&cfg, now));
+        assert_eq!(watch.back(&cfg, now), None);
+    }
+}
--- /dev/null
+++ b/src/decisions/quarantine.rs
@@ -0,0 +1,242 @@
+//! Requests that crash backend servers.
+//!
+//! Load pattern: now and then one request crashes each backend server that runs it, and its
+//! caller sends it again. Without this, retries carry it from one backend server to the next
+//! until none is left. One notices it as backend servers that die one after the other, each a few
+//! milliseconds after a certain request.
+//!
+//! A crash says only what was in flight, so each of these fingerprints becomes a suspect. A
+//! suspect is tried alone: on a backend server with nothing else of this VM in flight, and only
+//! while another one is up. An answer clears it. A second crash bans it for
+//! [`Config::ban`], here and, as an [`Entry`], on the VMs that are told. Two crashes and not one,
+//! because the first names a handful of innocent requests too.
+
+use std::collections;
+use std::time;
+
+use super::{policy, range};
+
+/// Thresholds of quarantine.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// How long a fingerprint stays a suspect without another crash.
+    pub suspect: time::Duration,
+    /// How long a fingerprint is banned: longer than callers keep asking, short enough that a
+    /// repaired service is not held back for long.
+    pub ban: time::Duration,
+    /// Fingerprints that are kept. The oldest suspects go first.
+    pub most: usize,
+    /// Suspects that may wait to be tried.
+    pub waiting: usize,
+    /// Connections of one backend server that break within this time are one crash.
+    pub one_crash: time::Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            suspect: time::Duration::from_secs(60),
+            ban: time::Duration::from_secs(120),
+            most: 10_000,
+            waiting: 32,
+            one_crash: time::Duration::from_millis(200),
+        }
+    }
+}
+
+impl Config {
+    /// Checks the ranges.
+    pub fn check(&self) -> Result<(), range::Error> {
+        let suspect = self.suspect.as_secs_f64();
+        range::check("quarantine.suspect", suspect, 1.0..=3_600.0)?;
+        range::check("quarantine.ban", self.ban.as_secs_f64(), 1.0..=86_400.0)?;
+        range::check("quarantine.most", self.most as f64, 16.0..=1e6)?;
+        range::check("quarantine.waiting", self.waiting as f64, 0.0..=10_000.0)?;
+        let one_crash = self.one_crash.as_secs_f64();
+        range::check("quarantine.one_crash", one_crash, 0.01..=10.0)
+    }
+}
+
+data! {
+    /// A ban, as VMs tell it to one another.
+    #[derive(Copy, Eq)]
+    pub struct Entry {
+        /// What is banned.
+        pub fingerprint: policy::Fingerprint,
+        /// How much longer. A time span, because VMs share no clock.
+        pub left: time::Duration,
+    }
+}
+
+/// What is known of a fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Nothing.
+    Clear,
+    /// It was in flight at a crash.
+    Suspect,
+    /// It was in flight at two.
+    Banned {
+        /// How much longer it is refused.
+        left: time::Duration,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    crashes: u32,
+    until: policy::Moment,
+}
+
+/// The fingerprints that are suspects or banned.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    records: collections::HashMap<policy::Fingerprint, Record>,
+    fresh: Vec<policy::Fingerprint>,
+}
+
+impl Quarantine {
+    /// What is known of a fingerprint.
+    pub fn state(&self, now: policy::Moment, fingerprint: policy::Fingerprint) -> State {
+        match self.records.get(&fingerprint) {
+            Some(record) if record.until <= now => State::Clear,
+            Some(record) if record.crashes >= 2 => State::Banned {
+                left: record.until - now,
+            },
+            Some(_) => State::Suspect,
+            None => State::Clear,
+        }
+    }
+
+    /// A backend server crashed with this in flight.
+    pub fn crashed(&mut self, cfg: &Config, now: policy::Moment, fingerprint: policy::Fingerprint) {
+        if self.records.len() >= cfg.most {
+            self.make_room(now);
+        }
+        let record = self.records.entry(fingerprint).or_insert(Record {
+            crashes: 0,
+            until: now,
+        });
+        if record.until <= now {
+            record.crashes = 0;
+        }
+        record.crashes += 1;
+        let banned = record.crashes >= 2;
+        record.until = now + if banned { cfg.ban } else { cfg.suspect };
+        if record.crashes == 2 {
+            self.fresh.push(fingerprint);
+        }
+    }
+
+    /// It was answered: what crashed the backend server was something else.
+    pub fn answered(&mut self, fingerprint: policy::Fingerprint) {
+        if self.records.is_empty() {
+            return;
+        }
+        if self
+            .records
+            .get(&fingerprint)
+            .is_some_and(|r| r.crashes < 2)
+        {
+            self.records.remove(&fingerprint);
+        }
+    }
+
+    /// The bans that came up here since the last call, to be told to other VMs.
+    pub fn export(&mut self, now: policy::Moment) -> Vec<Entry> {
+        let fresh = std::mem::take(&mut self.fresh);
+        let entry = |fingerprint| match self.state(now, fingerprint) {
+            State::Banned { left } => Some(Entry { fingerprint, left }),
+            _ => None,
+        };
+        fresh.into_iter().filter_map(entry).collect()
+    }
+
+    /// Another VM tells of a ban. It is not told on from here.
+    pub fn import(&mut self, cfg: &Config, now: policy::Moment, entry: Entry) {
+        if self.records.len() >= cfg.most {
+            self.make_room(now);
+        }
+        let until = now + entry.left.min(cfg.ban);
+        let record = self
+            .records
+            .entry(entry.fingerprint)
+            .or_insert(Record { crashes: 2, until });
+        record.crashes = record.crashes.max(2);
+        record.until = record.until.max(until);
+    }
+
+    /// Drops what has expired.
+    pub fn tick(&mut self, now: policy::Moment) {
+        self.records.retain(|_, record| record.until > now);
+    }
+
+    fn make_room(&mut self, now: policy::Moment) {
+        self.tick(now);
+        let oldest = self
+            .records
+            .iter()
+            .min_by_key(|(fingerprint, r)| (r.crashes >= 2, r.until, **fingerprint));
+        if let Some((&fingerprint, _)) = oldest {
+            self.records.remove(&fingerprint);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const KILLER: policy::Fingerprint = policy::Fingerprint(1);
+    const INNOCENT: policy::Fingerprint = policy::Fingerprint(2);
+
+    fn at(secs: u64) -> policy::Moment {
+        policy::Moment::from_secs(secs)
+    }
+
+    /// A request crashes a backend server while an innocent one is in flight. The innocent one is
+    /// answered when tried alone; the other crashes a second one and is refused from then on.
+    #[test]
+    fn two_crashes_ban_and_an_answer_clears() {
+        let (mut quarantine, cfg) = (Quarantine::default(), Config::default());
+        quarantine.crashed(&cfg, at(1), KILLER);
+        quarantine.crashed(&cfg, at(1), INNOCENT);
+        assert_eq!(quarantine.state(at(2), INNOCENT), State::Suspect);
+        quarantine.answered(INNOCENT);
+        quarantine.crashed(&cfg, at(3), KILLER);
+        assert_eq!(quarantine.state(at(3), INNOCENT), State::Clear);
+        let banned = State::Banned { left: cfg.ban };
+        assert_eq!(quarantine.state(at(3), KILLER), banned);
+        assert_eq!(quarantine.state(at(3) + cfg.ban, KILLER), State::Clear);
+    }
+
+    #[test]
+    fn a_ban_is_told_once_and_not_told_on() {
+        let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+        let cfg = Config::default();
+        here.crashed(&cfg, at(1), KILLER);
+        here.crashed(&cfg, at(2), KILLER);
+        let told = here.export(at(2));
+        assert_eq!((told.len(), here.export(at(2)).len()), (1, 0));
+        there.import(&cfg, at(900), told[0]);
+        assert!(matches!(there.state(at(900), KILLER), State::Banned { .. }));
+        assert!(there.export(at(900)).is_empty());
+    }
+
+    #[test]
+    fn it_is_bounded_and_keeps_bans() {
+        let cfg = Config {
+            most: 16,
+            ..Config::default()
+        };
+        let mut quarantine = Quarantine::default();
+        quarantine.crashed(&cfg, at(1), KILLER);
+        quarantine.crashed(&cfg, at(1), KILLER);
+        (10..200).for_each(|i| quarantine.crashed(&cfg, at(2), policy::Fingerprint(i)));
+        assert_eq!(quarantine.records.len(), 16);
+        assert!(matches!(
+            quarantine.state(at(2), KILLER),
+            State::Banned { .. }
+        ));
+    }
+}
--- /dev/null
+++ b/src/decisions/serve.rs
@@ -0,0 +1,175 @@
+//! Sending what waits: from the queue, from the suspects, and a second time as a hedge.
+
+use super::dispatch::{Dispatch, Stage};
+use super::{ejection, members, placement, policy, quarantine, retry};
+use policy::{Action, Moment, Place, Refusal, RequestId};
+
+impl Dispatch {
+    /// Sends as much of what waits as there is room for.
+    pub(super) fn serve(&mut self, now: Moment, out: &mut Vec<Action>) {
+        self.serve_suspects(now, out);
+        self.serve_queue(now, out);
+        self.serve_reserve(now, out);
+    }
+
+    fn serve_queue(&mut self, now: Moment, out: &mut Vec<Action>) {
+        while let Some(item) = self.queue.peek() {
+            let Some(pending) = self.pending.get(&item.id) else {
+                self.queue.pop(&self.cfg.queue);
+                continue;
+            };
+            if now + pending.req.typical > item.deadline {
+                self.queue.pop(&self.cfg.queue);
+                self.give_up(now, item.id, Refusal::Overload, out);
+                continue;
+            }
+            let need = placement::Need {
+                idempotent: pending.req.idempotent,
+                avoid: &pending.avoid,
+            };
+            let view = placement::View::new(&self.cfg, now, &self.members);
+            let Some(member) = view.pick(&mut self.rng, &need) else {
+                return;
+            };
+            self.queue.pop(&self.cfg.queue);
+            self.send(now, item.id, member, out);
+        }
+    }
+
+    /// Gives the least worthy reads to slow backend servers, once the queue is longer than what
+    /// their slowness costs.
+    fn serve_reserve(&mut self, now: Moment, out: &mut Vec<Action>) {
+        while let Some(item) = self.queue.peek_last() {
+            let Some(pending) = self.pending.get(&item.id) else {
+                return;
+            };
+            let need = placement::Need {
+                idempotent: pending.req.idempotent,
+                avoid: &pending.avoid,
+            };
+            let (kind, typical) = (pending.kind(), pending.req.typical);
+            let view = placement::View::new(&self.cfg, now, &self.members);
+            let Some(member) = view.pick_slow(&mut self.rng, &need) else {
+                return;
+            };
+            let rate = view.rate();
+            let cost = typical.mul_f64(self.members[member].pace - view.best_pace());
+            let wait = self.queue.wait(&self.cfg.queue, now, kind, rate);
+            if !need.idempotent || wait < cost || now + cost > item.deadline {
+                return;
+            }
+            self.queue.pop_last();
+            self.send(now, item.id, member, out);
+        }
+    }
+
+    /// Tries the first suspect alone, on a backend server that is kept free for it.
+    fn serve_suspects(&mut self, now: Moment, out: &mut Vec<Action>) {
+        let Some(&id) = self.suspects.front() else {
+            return;
+        };
+        let Some(pending) = self.pending.get(&id) else {
+            self.suspects.pop_front();
+            return;
+        };
+        let state = self.quarantine.state(now, pending.req.fingerprint);
+        let late = now + pending.req.typical > pending.req.deadline;
+        let lonely = self.view(now).sound().count() < 2;
+        if matches!(state, quarantine::State::Banned { .. }) || late || lonely {
+            self.suspects.pop_front();
+            return self.give_up(now, id, Refusal::Quarantined, out);
+        }
+        if state == quarantine::State::Clear {
+            let (kind, item) = (pending.kind(), pending.item());
+            self.suspects.pop_front();
+            self.queue.push_front(kind, item);
+            return self.set_stage(id, Stage::Queued);
+        }
+        let Some(member) = self.keep_free(now, id) else {
+            return;
+        };
+        if self.members[member].out.is_empty() {
+            self.suspects.pop_front();
+            self.send(now, id, member, out);
+        }
+    }
+
+    /// The backend server that is kept free for a suspect. There is one at a time.
+    fn keep_free(&mut self, now: Moment, id: RequestId) -> Option<usize> {
+        let kept = self.members.iter().position(|m| m.alone.is_some());
+        if let Some(kept) = kept {
+            return (self.members[kept].alone == Some(id)).then_some(kept);
+        }
+        let cfg = &self.cfg.members;
+        let sound = |m: &members::Member| m.sound(cfg, now);
+        let least = (0..self.members.len())
+            .filter(|i| sound(&self.members[*i]))
+            .min_by_key(|i| self.members[*i].out.len())?;
+        self.members[least].alone = Some(id);
+        Some(least)
+    }
+
+    fn send(&mut self, now: Moment, id: RequestId, member: usize, out: &mut Vec<Action>) {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        let member = &mut self.members[member];
+        let to = Place::Backend(member.id.clone());
+        member.out.push(members::Attempt {
+            req: id,
+            fingerprint: pending.req.fingerprint,
+            at: now,
+            typical: pending.req.typical,
+        });
+        pending.attempts += 1;
+        pending.stage = Stage::Sent;
+        pending.sends.push(to.clone());
+        out.push(Action::Send {
+            req: id,
+            to,
+            deadline: pending.req.deadline,
+        });
+    }
+
+    /// Tries reads that take very long on another backend server as well.
+    pub(super) fn hedge(&mut self, now: Moment, out: &mut Vec<Action>) {
+        if !self.queue.is_empty() {
+            return;
+        }
+        let best = self.view(now).best_pace();
+        let due =
+            |a: &&members::Attempt| retry::hedge_at(&self.cfg.retry, a.at, a.typical, best) <= now;
+        let attempts = self.members.iter().flat_map(|m| &m.out);
+        let late: Vec<_> = attempts.filter(due).map(|a| a.req).collect();
+        for id in late {
+            self.hedge_one(now, id, out);
+        }
+    }
+
+    fn hedge_one(&mut self, now: Moment, id: RequestId, out: &mut Vec<Action>) {
+        let Some(pending) = self.pending.get(&id) else {
+            return;
+        };
+        let clear = self.quarantine.state(now, pending.req.fingerprint) == quarantine::State::Clear;
+        let [Place::Backend(at)] = &pending.sends[..] else {
+            return;
+        };
+        if !pending.req.idempotent || !clear || pending.attempts > self.cfg.retry.most {
+            return;
+        }
+        let avoid = [at.clone()];
+        let need = placement::Need {
+            idempotent: true,
+            avoid: &avoid,
+        };
+        let view = placement::View::new(&self.cfg, now, &self.members);
+        let Some(member) = view.pick(&mut self.rng, &need) else {
+            return;
+        };
+        let other = &self.members[member];
+        let sound = other.health.state() == ejection::State::In && other.id != avoid[0];
+        if sound && self.budget.take() {
+            self.send(now, id, member, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/decisions/trust.rs
@@ -0,0 +1,150 @@
+//! How far a backend server's report of itself is believed.
+//!
+//! Load pattern: any, while reports are frozen or lie. Without this, a backend server that says
+//! it is idle draws all the work, and the more it drowns the more it gets. One notices it as one
+//! backend server with a long queue whose own figure stays at nought.
+//!
+//! What this VM has in flight at a backend server is known for certain, so a report that stays
+//! below it is wrong. Reports lag, so single ones prove nothing: both figures are averaged over
+//! [`Config::memory`], which is several times the lag that users see. A report that never changes
+//! while answers come in is frozen.
+
+use std::time;
+
+use super::{policy, range};
+
+/// Thresholds of trust.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Over how long reports and own counts are averaged. Ten times the lag of 100 ms that both
+    /// deployments have, so that the lag cannot look like a lie.
+    pub memory: time::Duration,
+    /// A report is a lie once the own count exceeds it by this factor and half a request. 1.5
+    /// leaves room for the part of an answer's time that is spent outside the backend server.
+    pub excess: f64,
+    /// A report that was the same in so many answers in a row is frozen. A loaded backend server
+    /// with 3 slots repeats itself by chance for a few answers, not for 64.
+    pub frozen_after: u32,
+    /// A report older than this is not used.
+    pub max_age: time::Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            memory: time::Duration::from_secs(1),
+            excess: 1.5,
+            frozen_after: 64,
+            max_age: time::Duration::from_millis(500),
+        }
+    }
+}
+
+impl Config {
+    /// Checks the ranges.
+    pub fn check(&self) -> Result<(), range::Error> {
+        let memory = self.memory.as_secs_f64();
+        range::check("trust.memory", memory, 0.1..=60.0)?;
+        range::check("trust.excess", self.excess, 1.0..=10.0)?;
+        let frozen = f64::from(self.frozen_after);
+        range::check("trust.frozen_after", frozen, 8.0..=10_000.0)?;
+        let age = self.max_age.as_secs_f64();
+        range::check("trust.max_age", age, 0.01..=60.0)
+    }
+}
+
+/// The reports of one backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Trust {
+    last: Option<(policy::Moment, policy::Report)>,
+    same: u32,
+    reported: f64,
+    own: f64,
+}
+
+impl Trust {
+    /// Takes in a report. `own` is what this VM had in flight there when it came.
+    pub fn see(&mut self, cfg: &Config, now: policy::Moment, report: policy::Report, own: usize) {
+        let total = f64::from(report.in_flight + report.queued);
+        match self.last {
+            Some((at, last)) => {
+                let age = now.saturating_sub(at).as_secs_f64();
+                let keep = (-age / cfg.memory.as_secs_f64()).exp();
+                self.reported = self.reported * keep + total * (1.0 - keep);
+                self.own = self.own * keep + own as f64 * (1.0 - keep);
+                self.same = match last == report {
+                    true => self.same.saturating_add(1),
+                    false => 0,
+                };
+            }
+            None => self.reported = total,
+        }
+        self.last = Some((now, report));
+    }
+
+    /// The report, where it can be believed.
+    pub fn believed(&self, cfg: &Config, now: policy::Moment) -> Option<policy::Report> {
+        let (at, report) = self.last?;
+        let stale = now.saturating_sub(at) > cfg.max_age;
+        let frozen = self.same >= cfg.frozen_after;
+        let lies = self.own > self.reported * cfg.excess + 0.5;
+        (!stale && !frozen && !lies).then_some(report)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const IDLE: policy::Report = policy::Report {
+        in_flight: 0,
+        queued: 0,
+        leaving: false,
+    };
+
+    fn play(reports: impl Iterator<Item = (policy::Report, usize)>) -> Option<policy::Report> {
+        let (mut trust, cfg) = (Trust::default(), Config::default());
+        let mut now = policy::Moment::ZERO;
+        for (report, own) in reports {
+            now += time::Duration::from_millis(40);
+            trust.see(&cfg, now, report, own);
+        }
+        trust.believed(&cfg, now)
+    }
+
+    /// A backend server says that it is idle while this VM alone keeps it busy. Believed, it would
+    /// get all the work, and callers would wait in its queue.
+    #[test]
+    fn a_report_below_the_own_count_is_not_believed() {
+        let lies = (0..60).map(|i| {
+            (
+                policy::Report {
+                    queued: i % 2,
+                    ..IDLE
+                },
+                3,
+            )
+        });
+        assert_eq!(play(lies), None);
+    }
+
+    /// A backend server's reports stay as they were an hour ago.
+    #[test]
+    fn a_frozen_report_is_not_believed() {
+        let busy = policy::Report {
+            in_flight: 3,
+            ..IDLE
+        };
+        assert_eq!(play((0..100).map(|_| (busy, 1))), None);
+    }
+
+    #[test]
+    fn a_report_that_lags_is_believed() {
+        let wave = |i: u32| policy::Report {
+            in_flight: (i + 2) % 4,
+            ..IDLE
+        };
+        let last = play((0..60).map(|i| (wave(i), (i % 4) as usize)));
+        assert_eq!(last, Some(wave(59)));
+    }
+}
--- /dev/null
+++ b/src/decisions/upkeep.rs
@@ -0,0 +1,112 @@
+//! What time alone brings: requests that have become hopeless, hedges, probes, expiry.
+
+use std::time;
+
+use super::dispatch::Dispatch;
+use super::{ejection, limit, policy, ramp};
+use crate::id;
+use policy::{Action, Moment, Refusal};
+
+/// How often the queue is searched for requests that cannot be answered in time any more. An
+/// answer that is 20 ms late to tell a caller so is soon enough, and the search costs little.
+const SWEEP: time::Duration = time::Duration::from_millis(20);
+
+impl Dispatch {
+    pub(super) fn upkeep(&mut self, now: Moment, out: &mut Vec<Action>) {
+        self.tell_load(now);
+        if now >= self.swept + SWEEP {
+            self.swept = now;
+            self.sweep(now, out);
+            self.quarantine.tick(now);
+        }
+        self.hedge(now, out);
+        self.probe(now, out);
+    }
+
+    fn tell_load(&mut self, now: Moment) {
+        self.across.tick(now);
+        let (mut slots, mut in_flight) = (0, 0);
+        for member in &self.members {
+            if !member.sound(&self.cfg.members, now) {
+                continue;
+            }
+            let report = member.trust.believed(&self.cfg.trust, now);
+            let reported = report.map_or(0, |r| r.in_flight + r.queued);
+            slots += member.slots;
+            in_flight += reported.max(member.out.len() as u32);
+        }
+        let queued = self.queue.len() as u32;
+        self.across.own_load(now, slots, in_flight, queued);
+    }
+
+    /// Tells callers at once whose requests cannot be answered in time any more.
+    fn sweep(&mut self, now: Moment, out: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let view = self.view(now);
+        let (rate, pace) = (view.rate(), view.best_pace());
+        let hopeless = self.queue.sweep(&self.cfg.queue, now, rate, pace);
+        for item in hopeless {
+            self.give_up(now, item.id, Refusal::Overload, out);
+        }
+    }
+
+    fn probe(&mut self, now: Moment, out: &mut Vec<Action>) {
+        let cfg = &self.cfg;
+        for member in &mut self.members {
+            if member.watch.lost(&cfg.probe, now) {
+                member.health.probed(&cfg.ejection, now, false);
+            }
+        }
+        if self.probed.is_some_and(|at| now < at + cfg.probe.gap) {
+            return;
+        }
+        let Some(i) = self.next_probe(now) else {
+            return;
+        };
+        self.probed = Some(now);
+        let member = &mut self.members[i];
+        member.watch.sent(now);
+        out.push(Action::Probe {
+            to: member.id.clone(),
+        });
+    }
+
+    /// A backend server that is out and whose time is up, or a slow one that gets no work.
+    fn next_probe(&self, now: Moment) -> Option<usize> {
+        let view = self.view(now);
+        self.members.iter().position(|member| {
+            let idle_slow = view.slow(member) && member.out.is_empty();
+            let wanted = match member.health.state() {
+                ejection::State::Out { .. } => member.health.due(now),
+                ejection::State::In | ejection::State::Trial => idle_slow,
+            };
+            wanted && member.watch.ready(&self.cfg.probe, now)
+        })
+    }
+
+    pub(super) fn probe_back(
+        &mut self,
+        now: Moment,
+        from: &id::VmId,
+        report: Option<policy::Report>,
+    ) {
+        let cfg = &self.cfg;
+        let Some(member) = self.members.iter_mut().find(|m| m.id == *from) else {
+            return;
+        };
+        let pace = member.watch.back(&cfg.probe, now);
+        if let Some(report) = report {
+            member.report(&cfg.trust, now, report);
+        }
+        if let (Some(pace), Some(_)) = (pace, report) {
+            // Two halves: one lucky probe does not make a slow backend server a sound one.
+            member.pace = (member.pace + pace) / 2.0;
+        }
+        if member.health.probed(&cfg.ejection, now, report.is_some()) {
+            member.ramp = ramp::Ramp::cold(&cfg.ramp);
+            member.limit = limit::Limit::new(member.slots);
+        }
+    }
+}
