--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -8,13 +8,17 @@
 
 pub mod across;
 pub mod admission;
+pub mod caps;
 pub mod dispatch;
+pub mod drain;
 pub mod ejection;
 pub mod grants;
 pub mod limit;
+pub mod links;
 pub mod members;
 pub mod naive;
 pub mod placement;
+pub mod plan;
 pub mod policy;
 pub mod probe;
 pub mod quarantine;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,5 +2,10 @@
 //!
 //! They exist for the tests, the benchmarks and the example; no product code uses them.
 
+pub mod backend;
+pub mod caller;
+pub mod control;
 pub mod model;
+pub mod processes;
+pub mod run;
 pub mod store;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,3 +1,5 @@
 //! Sockets: an HTTP server for callers and operators, a pooled client for backend servers, links to peers.
 
+pub mod client;
 pub mod peer;
+pub mod server;
