--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -26,9 +26,9 @@
 pub mod ramp;
 pub mod range;
 pub mod retry;
-mod serve;
+pub mod serve;
 pub mod trust;
-mod upkeep;
+pub mod upkeep;
 
 #[cfg(test)]
 mod tests {
