--- /dev/null
+++ b/src/bin/bulrushwind.rs
@@ -0,0 +1,10 @@
+//! The operators' command line.
+
+use std::process;
+
+use bulrushwind::cli;
+use clap::Parser;
+
+fn main() -> process::ExitCode {
+    cli::run(&cli::args::Cli::parse()).into()
+}
--- /dev/null
+++ b/src/cli/directory.rs
@@ -0,0 +1,220 @@
+//! The directory under version control that operators' changes come from.
+//!
+//! It holds `teams/<team>/*.toml`, and beside `teams` a `deployment.toml` that says where the
+//! store is and which root keys count. A directory can be half written: an editor's leftover, a
+//! merge that was not finished, a checkout that was cut short. What was left out would otherwise
+//! be read as taken out. So a file that is neither settings nor a note is an error, and so is a
+//! team without any file.
+
+use std::collections;
+use std::fs;
+use std::net;
+use std::path;
+
+use crate::settings::keys;
+use crate::{error, id, nearest, settings};
+
+/// Names of files that may stand beside a team's settings.
+const NOTES: [&str; 4] = ["md", "txt", "gitkeep", "gitignore"];
+
+/// The name of the file that says where a deployment is.
+const DEPLOYMENT_FILE: &str = "deployment.toml";
+
+data! {
+    /// Where a deployment is and whom it trusts.
+    #[derive(Default, Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct Deployment {
+        /// The platform's store.
+        #[serde(default)]
+        pub store: Option<net::SocketAddr>,
+        /// The public root keys, as in the entry processes' configuration.
+        #[serde(default)]
+        pub root_keys: Vec<keys::PublicKey>,
+        /// The port of every entry VM's operators' listener.
+        #[serde(default)]
+        pub operators_port: Option<u16>,
+        /// The entry VMs' operators' listeners, where they do not share one port.
+        #[serde(default)]
+        pub entries: Vec<net::SocketAddr>,
+    }
+}
+
+impl Deployment {
+    /// Reads `deployment.toml`; a directory without one has none of its values.
+    pub fn read(root: &path::Path) -> Result<Self, error::Error> {
+        let path = root.join(DEPLOYMENT_FILE);
+        if !path.exists() {
+            return Ok(Self::default());
+        }
+        let text = fs::read_to_string(&path).map_err(|source| error::Error::Read {
+            path: path.clone(),
+            source,
+        })?;
+        toml::from_str(&text).map_err(|err| {
+            let hint = nearest::hint(err.message()).unwrap_or_default();
+            error::Error::Config(format!("{}: {err}{hint}", path.display()))
+        })
+    }
+}
+
+/// The teams that a directory declares.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    root: path::PathBuf,
+    /// Each team's part.
+    pub teams: collections::BTreeMap<id::TeamId, settings::Team>,
+}
+
+impl Directory {
+    /// Reads every team under `root/teams`.
+    pub fn read(root: &path::Path) -> Result<Self, error::Error> {
+        let mut teams = collections::BTreeMap::new();
+        for path in children(&root.join("teams"))? {
+            let name = file_name(&path);
+            if !path.is_dir() {
+                if is_note(&path) {
+                    continue;
+                }
+                return Err(stray(&path, "move it into its team's directory"));
+            }
+            check_files(&path)?;
+            teams.insert(name.as_str().into(), settings::Team::read(&path)?);
+        }
+        let root = root.to_owned();
+        Ok(Self { root, teams })
+    }
+
+    /// Checks settings that this directory takes part in. An error names the file and the line
+    /// where the directory has it.
+    pub fn check(&self, all: &settings::Settings) -> Result<(), error::Error> {
+        all.check().map_err(|err| match err {
+            settings::Error::Value {
+                origin,
+                what,
+                remedy,
+            } => {
+                let origin = self.locate(&origin, &what).unwrap_or(origin);
+                settings::Error::Value {
+                    origin,
+                    what,
+                    remedy,
+                }
+                .into()
+            }
+            other => other.into(),
+        })
+    }
+
+    /// Finds the line that a fault is about, by the names that its text quotes.
+    fn locate(&self, origin: &str, what: &str) -> Option<String> {
+        let names: Vec<&str> = what.split('`').skip(1).step_by(2).collect();
+        let files = children(&self.root.join(origin)).ok()?;
+        files
+            .iter()
+            .filter(|path| path.extension().is_some_and(|ext| ext == "toml"))
+            .find_map(|path| {
+                let text = fs::read_to_string(path).ok()?;
+                let line = line_of(&text, &names, what)?;
+                Some(format!("{}:{line}", path.display()))
+            })
+    }
+}
+
+/// The line that holds the last of `names` after the ones before it, or the key below it that
+/// `what` speaks of.
+fn line_of(text: &str, names: &[&str], what: &str) -> Option<usize> {
+    let lines: Vec<&str> = text.lines().collect();
+    let mut at = 0;
+    for name in names {
+        let quoted = format!("\"{name}\"");
+        at += lines[at..].iter().position(|line| line.contains(&quoted))?;
+    }
+    let words: Vec<&str> = what
+        .split(|c: char| !c.is_alphanumeric() && c != '_')
+        .collect();
+    let below = lines[at..].iter().skip(1);
+    let key = below
+        .take_while(|line| !line.starts_with("[["))
+        .position(|line| {
+            let key = line.split('=').next().unwrap_or_default().trim();
+            !key.is_empty() && key != "name" && words.contains(&key)
+        });
+    Some(at + key.map_or(0, |below| below + 1) + 1)
+}
+
+fn check_files(dir: &path::Path) -> Result<(), error::Error> {
+    let mut any = false;
+    for path in children(dir)? {
+        if path.is_dir() {
+            return Err(stray(&path, "move its files into the team's directory"));
+        }
+        let toml = path.extension().is_some_and(|ext| ext == "toml");
+        let hidden = file_name(&path).starts_with(['.', '#']);
+        if !is_note(&path) && (!toml || hidden) {
+            return Err(stray(&path, "finish writing it, or remove it"));
+        }
+        any |= toml;
+    }
+    if any {
+        return Ok(());
+    }
+    let what = "the team has no .toml file";
+    Err(half_written(
+        dir,
+        what,
+        "finish the checkout, or put an empty `none.toml` there to take all of the team's settings out",
+    ))
+}
+
+fn is_note(path: &path::Path) -> bool {
+    let name = file_name(path);
+    let ext = name.rsplit('.').next().unwrap_or_default();
+    NOTES.contains(&ext)
+}
+
+fn stray(path: &path::Path, remedy: &str) -> error::Error {
+    half_written(path, "this is not a settings file", remedy)
+}
+
+fn half_written(path: &path::Path, what: &str, remedy: &str) -> error::Error {
+    settings::Error::Value {
+        origin: path.display().to_string(),
+        what: what.to_owned(),
+        remedy: remedy.to_owned(),
+    }
+    .into()
+}
+
+fn file_name(path: &path::Path) -> String {
+    path.file_name()
+        .unwrap_or_default()
+        .to_string_lossy()
+        .into_owned()
+}
+
+fn children(dir: &path::Path) -> Result<Vec<path::PathBuf>, error::Error> {
+    let read = |source| error::Error::Read {
+        path: dir.to_owned(),
+        source,
+    };
+    let mut paths = Vec::new();
+    for entry in fs::read_dir(dir).map_err(read)? {
+        paths.push(entry.map_err(read)?.path());
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_fault_is_found_by_the_names_it_quotes() {
+        let text = "[[service]]\nname = \"a\"\nslots = 0\n\n[[service]]\nname = \"b\"\nslots = 0\n";
+        let what = "service `b`: slots or connections out of range";
+        assert_eq!(line_of(text, &["b"], what), Some(7));
+        assert_eq!(line_of(text, &["c"], what), None);
+    }
+}
--- /dev/null
+++ b/src/cli/entries.rs
@@ -0,0 +1,113 @@
+//! Asks entry VMs over their operators' listeners.
+
+use std::io::Read;
+use std::net;
+use std::time;
+
+use super::Context;
+use crate::coordination::store;
+use crate::error;
+use crate::protocol::operators;
+use store::Store;
+
+/// How long one entry VM may take to answer.
+const TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// The longest answer that is read, in bytes. A process that is not ours could send without end.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
+
+/// How many entry VMs are asked at a time.
+const AT_A_TIME: usize = 32;
+
+/// One entry VM's answer.
+#[derive(Debug)]
+pub struct Answer<T> {
+    /// Its operators' listener.
+    pub addr: net::SocketAddr,
+    /// What it answered.
+    pub got: Result<T, error::Error>,
+}
+
+/// The operators' listeners of all entry VMs.
+pub fn addresses(cx: &Context) -> Result<Vec<net::SocketAddr>, error::Error> {
+    if !cx.deployment.entries.is_empty() {
+        return Ok(cx.deployment.entries.clone());
+    }
+    let port = cx.deployment.operators_port.ok_or_else(|| {
+        error::Error::Config(
+            "it is not known where entry VMs answer operators; set `operators_port` or `entries` in deployment.toml, BULRUSHWIND_ENTRIES or --entry"
+                .to_owned(),
+        )
+    })?;
+    let vms = cx.store()?.vms()?;
+    let entries = vms
+        .iter()
+        .filter(|vm| matches!(vm.role, store::VmRole::Entry { .. }));
+    Ok(entries
+        .map(|vm| net::SocketAddr::new(vm.addr.ip(), port))
+        .collect())
+}
+
+/// Asks every address for its status.
+pub fn statuses(addrs: &[net::SocketAddr]) -> Vec<Answer<operators::Status>> {
+    ask(addrs, |addr| {
+        let body = get(addr, "/status", "operators'")?;
+        serde_json::from_slice(&body).map_err(|err| error::Error::Entry {
+            addr: addr.to_string(),
+            reason: format!("not a status: {err}"),
+            listener: "operators'",
+        })
+    })
+}
+
+/// Asks every address, many at a time, and keeps their order.
+pub fn ask<T: Send>(
+    addrs: &[net::SocketAddr],
+    one: impl Fn(net::SocketAddr) -> Result<T, error::Error> + Sync,
+) -> Vec<Answer<T>> {
+    let mut answers = Vec::new();
+    for chunk in addrs.chunks(AT_A_TIME) {
+        std::thread::scope(|scope| {
+            let asked: Vec<_> = chunk
+                .iter()
+                .map(|addr| (*addr, scope.spawn(|| one(*addr))))
+                .collect();
+            for (addr, thread) in asked {
+                let got = thread.join().expect("asking does not panic");
+                answers.push(Answer { addr, got });
+            }
+        });
+    }
+    answers
+}
+
+/// Gets a page of an entry VM.
+pub fn get(
+    addr: net::SocketAddr,
+    path: &str,
+    listener: &'static str,
+) -> Result<Vec<u8>, error::Error> {
+    let fault = |reason: String| error::Error::Entry {
+        addr: addr.to_string(),
+        reason,
+        listener,
+    };
+    let res = attohttpc::get(format!("http://{addr}{path}"))
+        .timeout(TIMEOUT)
+        .connect_timeout(TIMEOUT)
+        .follow_redirects(false)
+        .send()
+        .map_err(|err| fault(err.to_string()))?;
+    let status = res.status();
+    let mut body = Vec::new();
+    res.split()
+        .2
+        .take(MAX_ANSWER_BYTES)
+        .read_to_end(&mut body)
+        .map_err(|err| fault(err.to_string()))?;
+    if !status.is_success() {
+        let text = String::from_utf8_lossy(&body);
+        return Err(fault(format!("answered {status}: {}", text.trim())));
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/src/cli/lookup.rs
@@ -0,0 +1,54 @@
+//! Asks entry VMs what they tell callers of a service.
+
+use std::net;
+
+use super::{Context, args, entries};
+use crate::coordination::store;
+use crate::{error, exit_codes};
+use store::Store;
+
+/// Asks one entry VM after the other until one answers.
+pub fn run(cx: &Context, args: &args::Lookup) -> Result<exit_codes::ExitCode, error::Error> {
+    let path = format!("/lookup/{}", args.service);
+    let mut last = error::Error::Config(
+        "the platform lists no entry VM; give the callers' address of one with --at".to_owned(),
+    );
+    for addr in addresses(cx, args)? {
+        match entries::get(addr, &path, "callers'") {
+            Ok(body) => return print(cx, addr, &body),
+            Err(err) => last = err,
+        }
+    }
+    Err(last)
+}
+
+fn addresses(cx: &Context, args: &args::Lookup) -> Result<Vec<net::SocketAddr>, error::Error> {
+    if let Some(at) = args.at {
+        return Ok(vec![at]);
+    }
+    let vms = cx.store()?.vms()?;
+    let entries = vms
+        .iter()
+        .filter(|vm| matches!(vm.role, store::VmRole::Entry { .. }));
+    Ok(entries.map(|vm| vm.addr).collect())
+}
+
+fn print(
+    cx: &Context,
+    addr: net::SocketAddr,
+    body: &[u8],
+) -> Result<exit_codes::ExitCode, error::Error> {
+    let answer: serde_json::Value =
+        serde_json::from_slice(body).map_err(|err| error::Error::Entry {
+            addr: addr.to_string(),
+            reason: format!("not a look-up's answer: {err}"),
+            listener: "callers'",
+        })?;
+    cx.out.json(&answer);
+    cx.out.line(&format!("asked {addr}"));
+    let rows = answer.as_object().into_iter().flatten();
+    for (name, value) in rows {
+        cx.out.line(&format!("{name}: {value}"));
+    }
+    Ok(exit_codes::ExitCode::Success)
+}
--- /dev/null
+++ b/src/cli/output.rs
@@ -0,0 +1,199 @@
+//! How results are printed: tables and colours for people, JSON for programs.
+
+use std::io;
+
+use anstyle::{AnsiColor, Style};
+
+use super::{apply, args, plan};
+use crate::{error, exit_codes};
+
+/// For what is added or fine.
+pub const GOOD: Style = AnsiColor::Green.on_default();
+/// For what is taken out or wrong.
+pub const BAD: Style = AnsiColor::Red.on_default();
+/// For what changes or needs a look.
+pub const WARN: Style = AnsiColor::Yellow.on_default();
+
+/// Where results go.
+#[derive(Clone, Copy, Debug)]
+pub struct Output {
+    format: args::Format,
+}
+
+impl Output {
+    /// Sets the process's use of colours and gives the place for results.
+    pub fn new(format: args::Format, color: args::Color) -> Self {
+        match color {
+            args::Color::Auto => {}
+            args::Color::Always => anstream::ColorChoice::Always.write_global(),
+            args::Color::Never => anstream::ColorChoice::Never.write_global(),
+        }
+        Self { format }
+    }
+
+    /// Whether a program reads the results.
+    pub fn is_json(&self) -> bool {
+        self.format == args::Format::Json
+    }
+
+    /// Prints a value as JSON, if a program reads the results.
+    pub fn json<T: serde::Serialize>(&self, value: &T) {
+        if self.is_json() {
+            let text = serde_json::to_string_pretty(value);
+            anstream::println!(
+                "{}",
+                text.expect("results have only values that JSON can hold")
+            );
+        }
+    }
+
+    /// Prints a line, if a person reads the results.
+    pub fn line(&self, text: &str) {
+        if !self.is_json() {
+            anstream::println!("{text}");
+        }
+    }
+
+    /// Prints rows under headings, if a person reads the results.
+    pub fn table(&self, headings: &[&str], rows: &[Vec<String>]) {
+        if self.is_json() || rows.is_empty() {
+            return;
+        }
+        let mut table = comfy_table::Table::new();
+        table
+            .load_style(comfy_table::presets::NOTHING)
+            .set_content_arrangement(comfy_table::ContentArrangement::Disabled)
+            .set_header(headings);
+        for row in rows {
+            table.add_row(row);
+        }
+        for column in table.column_iter_mut() {
+            column.set_padding((0, 2));
+        }
+        self.line(&table.trim_fmt());
+    }
+}
+
+/// Prints an error on standard error and gives its exit code.
+pub fn error(err: &error::Error) -> exit_codes::ExitCode {
+    anstream::eprintln!("{BAD}error:{BAD:#} {err}");
+    err.exit_code()
+}
+
+/// Puts text in a style.
+pub fn styled(style: Style, text: &str) -> String {
+    format!("{style}{text}{style:#}")
+}
+
+/// A share as a percentage.
+pub fn percent(share: f64) -> String {
+    format!("{:.1}%", share * 100.0)
+}
+
+/// A duration for people, to the second.
+pub fn seconds(ms: u64) -> String {
+    humantime::format_duration(std::time::Duration::from_secs(ms.div_ceil(1000))).to_string()
+}
+
+/// Asks before something is written. Without a terminal there is nobody to ask.
+pub fn confirm(question: &str) -> Result<bool, error::Error> {
+    use io::{BufRead, IsTerminal};
+    if !io::stdin().is_terminal() {
+        let what = "there is no terminal to ask on; give --yes to write without asking";
+        return Err(error::Error::Config(what.to_owned()));
+    }
+    anstream::eprint!("{question} [y/N] ");
+    let mut answer = String::new();
+    let read = io::stdin().lock().read_line(&mut answer);
+    Ok(read.is_ok() && matches!(answer.trim(), "y" | "Y" | "yes"))
+}
+
+impl Output {
+    /// Shows what a plan does.
+    pub fn plan(&self, plan: &plan::Plan) {
+        self.json(plan);
+        for change in &plan.changes {
+            let base = match change.base.0 {
+                0 => "new".to_owned(),
+                base => format!("planned on revision {base}"),
+            };
+            self.line(&format!("team {} ({base})", change.team));
+            if let Some(why) = &change.rewrite {
+                self.line(&styled(WARN, &format!("  ! written anew: {why}")));
+            }
+            for difference in &change.differences {
+                let text = difference.to_string();
+                let style = match text.as_bytes()[0] {
+                    b'+' => GOOD,
+                    b'-' => BAD,
+                    _ => WARN,
+                };
+                self.line(&format!("  {}", styled(style, &text)));
+            }
+        }
+        if plan.changes.is_empty() {
+            self.line("Nothing to change: the store holds what the directory says.");
+        }
+        self.shifts(plan);
+    }
+
+    fn shifts(&self, plan: &plan::Plan) {
+        let rows: Vec<Vec<String>> = plan.shifts.iter().map(shift_row).collect();
+        if rows.is_empty() {
+            return;
+        }
+        self.line("\nTraffic that this moves:");
+        let headings = [
+            "service",
+            "leaves",
+            "share",
+            "cap",
+            "steps",
+            "takes",
+            "load",
+            "fits below",
+        ];
+        self.table(&headings, &rows);
+    }
+
+    /// Shows what an apply did.
+    pub fn applied(&self, outcome: &apply::Outcome) {
+        self.json(&outcome.written);
+        for written in &outcome.written {
+            let text = format!(
+                "team {} is at version {} (change {}, revision {})",
+                written.team, written.version, written.change, written.revision.0
+            );
+            self.line(&styled(GOOD, &text));
+        }
+        for team in &outcome.left {
+            self.line(&styled(WARN, &format!("team {team} was not written")));
+        }
+    }
+}
+
+fn shift_row(shift: &super::shift::Shift) -> Vec<String> {
+    let leaves = shift.leaves.iter().map(ToString::to_string);
+    let leaves = leaves.collect::<Vec<_>>().join(" ");
+    let load = |load: f64| {
+        format!(
+            "{} -> {}",
+            percent(load),
+            percent(shift.load_after.unwrap_or(load))
+        )
+    };
+    vec![
+        shift.service.to_string(),
+        if leaves.is_empty() {
+            "spread".to_owned()
+        } else {
+            leaves
+        },
+        percent(shift.share),
+        percent(shift.cap),
+        shift.steps.to_string(),
+        seconds(shift.takes_ms),
+        shift.load.map_or_else(|| "not known".to_owned(), load),
+        percent(shift.fits_below),
+    ]
+}
--- /dev/null
+++ b/src/cli/shift.rs
@@ -0,0 +1,373 @@
+//! How much traffic a change moves, against the caps and the regions' limits.
+//!
+//! A service's traffic is taken to be spread evenly over the availability zones that run it,
+//! unless it was measured. Two things move traffic. Settings that no longer let an availability
+//! zone run a service move its share at once, so that share may not exceed the cap: drain the
+//! place first. A drain moves its share in steps of at most the cap, so it takes at least as many
+//! steps as the share holds caps, and a drain that is dated shorter is refused.
+//!
+//! The cap that counts is the smaller one of before and after. Otherwise a single change could
+//! raise the cap and use the raised one.
+
+use std::collections;
+
+use crate::{id, settings};
+
+/// Shares that differ by less are equal; sums of floats are not exact.
+const EPSILON: f64 = 1e-9;
+
+data! {
+    /// Why a shift happens.
+    #[derive(Eq)]
+    #[serde(rename_all = "snake_case", tag = "cause")]
+    pub enum Cause {
+        /// Settings no longer let places run the service.
+        Settings,
+        /// A drain that begins at this time, in seconds since 1970.
+        Drain {
+            /// When.
+            start_s: u64,
+        },
+        /// A drain that ends at this time, in seconds since 1970.
+        Return {
+            /// When.
+            at_s: u64,
+        },
+    }
+
+    /// Traffic of one service that a change moves.
+    pub struct Shift {
+        /// The service.
+        pub service: id::ServiceId,
+        /// Why.
+        pub cause: Cause,
+        /// The places that traffic leaves.
+        pub leaves: Vec<id::AzId>,
+        /// The share of the service's traffic that moves.
+        pub share: f64,
+        /// The largest share that may move in one step.
+        pub cap: f64,
+        /// How many steps it takes.
+        pub steps: u64,
+        /// How long it takes, in milliseconds.
+        pub takes_ms: u64,
+        /// The load of the service now, as a share of its slots, where it is known.
+        pub load: Option<f64>,
+        /// The load on the places that stay, as a share of their slots, where the load is known.
+        pub load_after: Option<f64>,
+        /// The highest load of the service now at which the places that stay can bear it.
+        pub fits_below: f64,
+    }
+
+    /// Something that a change would exceed.
+    pub struct Excess {
+        /// The service.
+        pub service: id::ServiceId,
+        /// What, by how much, and what to do.
+        pub what: String,
+    }
+}
+
+/// Loads of services, as a share of their slots, where they are known.
+pub type Loads = collections::BTreeMap<id::ServiceId, f64>;
+
+/// Every shift that turning `from` into `to` causes from `now_s` on, and what it would exceed.
+pub fn of_change(
+    from: &settings::Settings,
+    to: &settings::Settings,
+    now_s: u64,
+    loads: &Loads,
+) -> (Vec<Shift>, Vec<Excess>) {
+    let (mut shifts, mut excesses) = (Vec::new(), Vec::new());
+    for service in to.services() {
+        let before = from.service(service.name.as_str());
+        let load = loads.get(&service.name).copied();
+        let found = of_service(before, service, from, to, now_s, load);
+        for shift in found {
+            excesses.extend(exceeds(&shift, to));
+            shifts.push(shift);
+        }
+    }
+    (shifts, excesses)
+}
+
+fn of_service(
+    before: Option<&settings::Service>,
+    after: &settings::Service,
+    from: &settings::Settings,
+    to: &settings::Settings,
+    now_s: u64,
+    load: Option<f64>,
+) -> Vec<Shift> {
+    let cap = before.map_or(after.shift_cap, |b| b.shift_cap.min(after.shift_cap));
+    let mut found = Vec::new();
+    let mut add = |cause, old: &Shares, new: &Shares| {
+        if let Some(shift) = shift(after, cap, cause, old, new, to, load) {
+            found.push(shift);
+        }
+    };
+    if let Some(before) = before {
+        // Places that the settings drain already hold nothing that could move at once.
+        let old = shares(before, from, now_s);
+        let new = shares(&with_azs_of(before, after), from, now_s);
+        add(Cause::Settings, &old, &new);
+    }
+    let known = |drain: &&settings::Drain| !from.drains().any(|old| old == *drain);
+    for drain in to.drains().filter(known) {
+        let start_s = drain.start_s.max(now_s);
+        if drain.end_s.is_some_and(|end_s| end_s <= now_s) {
+            continue;
+        }
+        let without = without_drain(to, drain);
+        let old = shares(after, &without, start_s);
+        let new = shares(after, to, start_s);
+        add(Cause::Drain { start_s }, &old, &new);
+    }
+    for gone in from.drains() {
+        let in_force = is_on(gone, now_s);
+        if in_force && !to.drains().any(|drain| drain == gone) {
+            let old = shares(after, from, now_s);
+            let new = shares(after, to, now_s);
+            add(Cause::Return { at_s: now_s }, &old, &new);
+        }
+    }
+    found
+}
+
+fn with_azs_of(before: &settings::Service, after: &settings::Service) -> settings::Service {
+    let keep = |az: &&id::AzId| after.azs.contains(az);
+    settings::Service {
+        azs: before.azs.iter().filter(keep).cloned().collect(),
+        ..before.clone()
+    }
+}
+
+fn without_drain(all: &settings::Settings, drain: &settings::Drain) -> settings::Settings {
+    let mut all = all.clone();
+    for team in all.teams.values_mut() {
+        team.drains.retain(|other| other != drain);
+    }
+    all
+}
+
+type Shares = collections::BTreeMap<id::AzId, f64>;
+
+/// Each availability zone's share of a service's traffic at a time.
+fn shares(service: &settings::Service, all: &settings::Settings, at_s: u64) -> Shares {
+    let open: Vec<&id::AzId> = service
+        .azs
+        .iter()
+        .filter(|az| !all.drains().any(|d| is_on(d, at_s) && empties(d, az, all)))
+        .collect();
+    let share = 1.0 / open.len().max(1) as f64;
+    open.into_iter().map(|az| (az.clone(), share)).collect()
+}
+
+fn is_on(drain: &settings::Drain, at_s: u64) -> bool {
+    drain.start_s <= at_s && drain.end_s.is_none_or(|end_s| at_s < end_s)
+}
+
+fn empties(drain: &settings::Drain, az: &id::AzId, all: &settings::Settings) -> bool {
+    match &drain.target {
+        settings::DrainTarget::Az(target) => target == az,
+        settings::DrainTarget::Region(region) => {
+            all.region_of(az).is_some_and(|of| of.name == *region)
+        }
+        settings::DrainTarget::Vm(_) => false,
+    }
+}
+
+fn shift(
+    service: &settings::Service,
+    cap: f64,
+    cause: Cause,
+    old: &Shares,
+    new: &Shares,
+    all: &settings::Settings,
+    load: Option<f64>,
+) -> Option<Shift> {
+    let lost = |(az, share): (&id::AzId, &f64)| share - new.get(az).unwrap_or(&0.0);
+    let share: f64 = old.iter().map(lost).filter(|lost| *lost > EPSILON).sum();
+    if share <= EPSILON {
+        return None;
+    }
+    let steps = (share / cap - EPSILON).ceil().max(1.0) as u64;
+    let leaves = old.keys().filter(|az| !new.contains_key(*az)).cloned();
+    let bears = bears(new, all) / service.azs.len().max(1) as f64;
+    let stays = new.len() as f64 / old.len().max(1) as f64;
+    Some(Shift {
+        service: service.name.clone(),
+        cause,
+        leaves: leaves.collect(),
+        share,
+        cap,
+        steps,
+        takes_ms: steps * service.shift_step_ms,
+        load,
+        load_after: load.map(|load| load / stays.max(EPSILON)),
+        fits_below: bears,
+    })
+}
+
+/// How many availability zones' worth of slots the open places may fill.
+fn bears(open: &Shares, all: &settings::Settings) -> f64 {
+    let limit = |az: &id::AzId| all.region_of(az).map_or(0.0, |region| region.max_load);
+    open.keys().map(limit).sum()
+}
+
+fn exceeds(shift: &Shift, all: &settings::Settings) -> Vec<Excess> {
+    let mut found = Vec::new();
+    let mut add = |what: String| {
+        found.push(Excess {
+            service: shift.service.clone(),
+            what,
+        });
+    };
+    let percent = |share: f64| format!("{:.1}%", share * 100.0);
+    if shift.cause == Cause::Settings && shift.share > shift.cap + EPSILON {
+        add(format!(
+            "taking {} out moves {} of the traffic at once, {} more than the cap of {}; drain first with `bulrushwind drain`",
+            names(&shift.leaves),
+            percent(shift.share),
+            percent(shift.share - shift.cap),
+            percent(shift.cap),
+        ));
+    }
+    if let Cause::Drain { start_s } = shift.cause {
+        for drain in all.drains().filter(|d| d.start_s.max(start_s) == start_s) {
+            let has_ms = drain.ramp_s * 1000;
+            if shift.takes_ms > has_ms && drain_leaves(drain, shift, all) {
+                let step_ms = shift.takes_ms / shift.steps.max(1);
+                let steps = (has_ms / step_ms.max(1)).max(1);
+                let needed = shift.share / steps as f64;
+                add(format!(
+                    "a ramp of {} s moves {} in each step, {} more than the cap of {}; give ramp_s = {} or more",
+                    drain.ramp_s,
+                    percent(needed),
+                    percent(needed - shift.cap),
+                    percent(shift.cap),
+                    shift.takes_ms.div_ceil(1000),
+                ));
+            }
+        }
+    }
+    if let Some(now) = shift.load
+        && now > shift.fits_below + EPSILON
+    {
+        add(format!(
+            "a load of {} leaves no room: without {} the regions' limits hold {}, {} less; wait for a quieter hour or add backend servers",
+            percent(now),
+            names(&shift.leaves),
+            percent(shift.fits_below),
+            percent(now - shift.fits_below),
+        ));
+    }
+    found
+}
+
+fn drain_leaves(drain: &settings::Drain, shift: &Shift, all: &settings::Settings) -> bool {
+    shift.leaves.iter().any(|az| empties(drain, az, all))
+}
+
+fn names(azs: &[id::AzId]) -> String {
+    let names = azs.iter().map(|az| format!("`{az}`"));
+    names.collect::<Vec<_>>().join(", ")
+}
+
+#[cfg(test)]
+mod tests {
+    use std::path;
+
+    use super::*;
+
+    const NOW_S: u64 = 1_000_000;
+
+    fn cooperative() -> settings::Settings {
+        settings::Settings::read(path::Path::new("examples/cooperative")).unwrap()
+    }
+
+    fn drained(target: settings::DrainTarget, ramp_s: u64) -> settings::Settings {
+        let mut all = cooperative();
+        all.teams
+            .get_mut("places")
+            .unwrap()
+            .drains
+            .push(settings::Drain {
+                target,
+                start_s: NOW_S + 60,
+                ramp_s,
+                end_s: None,
+            });
+        all
+    }
+
+    fn ledger(shifts: &[Shift]) -> &Shift {
+        let ledger = |shift: &&Shift| shift.service.as_str() == "ledger";
+        shifts.iter().find(ledger).unwrap()
+    }
+
+    #[test]
+    fn a_drain_takes_as_many_steps_as_its_share_holds_caps() {
+        let target = settings::DrainTarget::Az("ub-a".into());
+        let to = drained(target, 60);
+        let (shifts, excesses) = of_change(&cooperative(), &to, NOW_S, &Loads::new());
+        let shift = ledger(&shifts);
+        assert!((shift.share - 1.0 / 6.0).abs() < EPSILON);
+        assert_eq!((shift.steps, shift.takes_ms), (2, 20_000));
+        assert_eq!(excesses, []);
+    }
+
+    /// An operator dates a region's drain shorter than the caps allow. Cold caches elsewhere
+    /// would get the whole region at once.
+    #[test]
+    fn too_short_a_ramp_is_refused_with_the_one_it_needs() {
+        let to = drained(settings::DrainTarget::Region("khovd".into()), 10);
+        let (_, excesses) = of_change(&cooperative(), &to, NOW_S, &Loads::new());
+        let what = &excesses
+            .iter()
+            .find(|e| e.service.as_str() == "ledger")
+            .unwrap()
+            .what;
+        assert!(what.contains("23.3% more than the cap of 10.0%"), "{what}");
+        assert!(what.contains("ramp_s = 40"), "{what}");
+    }
+
+    /// Somebody takes an availability zone out of a service without a drain, and raises the cap
+    /// in the same change so that it fits.
+    #[test]
+    fn a_raised_cap_does_not_count_for_the_change_that_raises_it() {
+        let mut to = cooperative();
+        let ledger = &mut to.teams.get_mut("bays").unwrap().services[1];
+        ledger.azs.pop();
+        ledger.shift_cap = 1.0;
+        let (_, excesses) = of_change(&cooperative(), &to, NOW_S, &Loads::new());
+        assert!(
+            excesses[0].what.contains("6.7% more than the cap of 10.0%"),
+            "{excesses:?}"
+        );
+    }
+
+    #[test]
+    fn a_place_that_is_drained_can_be_taken_out() {
+        let from = drained(settings::DrainTarget::Az("dornod-b".into()), 60);
+        let mut to = from.clone();
+        to.teams.get_mut("bays").unwrap().services[1].azs.pop();
+        let (_, excesses) = of_change(&from, &to, NOW_S + 600, &Loads::new());
+        assert_eq!(excesses, []);
+    }
+
+    /// A region is drained on a busy day, and the other two cannot bear its traffic.
+    #[test]
+    fn a_drain_that_the_others_cannot_bear_is_refused() {
+        let to = drained(settings::DrainTarget::Region("khovd".into()), 60);
+        let loads = Loads::from([("ledger".into(), 0.7)]);
+        let (shifts, excesses) = of_change(&cooperative(), &to, NOW_S, &loads);
+        assert!((ledger(&shifts).fits_below - 0.6).abs() < EPSILON);
+        assert!(
+            excesses[0].what.contains("hold 60.0%, 10.0% less"),
+            "{excesses:?}"
+        );
+        let loads = Loads::from([("ledger".into(), 0.5)]);
+        assert_eq!(of_change(&cooperative(), &to, NOW_S, &loads).1, []);
+    }
+}
--- /dev/null
+++ b/src/cli/status.rs
@@ -0,0 +1,232 @@
+//! Shows what is in force: the store's settings, and what every entry VM holds of them.
+
+use std::collections;
+use std::net;
+use std::thread;
+use std::time;
+
+use super::{Context, args, entries, output, remote};
+use crate::protocol::operators;
+use crate::{error, exit_codes, id};
+
+/// How often `--wait` looks.
+const POLL: time::Duration = time::Duration::from_millis(250);
+
+data! {
+    /// The whole status.
+    pub struct Report {
+        /// Each team in the store.
+        pub teams: Vec<Team>,
+        /// Each entry VM that answered.
+        pub entries: Vec<operators::Status>,
+        /// Those that did not, and why.
+        pub silent: Vec<String>,
+        /// What stands in the store and is not taken.
+        pub faults: Vec<String>,
+    }
+
+    /// A team in the store.
+    #[derive(Eq)]
+    pub struct Team {
+        /// The team.
+        pub team: id::TeamId,
+        /// The version in the store.
+        pub version: u64,
+        /// The store's revision that holds it.
+        pub revision: u64,
+        /// The change that wrote it.
+        pub change: String,
+        /// Who signed it.
+        pub holder: String,
+        /// Entry VMs that hold it, of those that answered.
+        pub held_by: usize,
+        /// Entry VMs that hold another version.
+        pub behind: Vec<String>,
+    }
+}
+
+/// Shows the status. Fails while an entry VM is silent or behind.
+pub fn run(cx: &Context, args: &args::Status) -> Result<exit_codes::ExitCode, error::Error> {
+    let addrs = entries::addresses(cx)?;
+    let until = time::Instant::now() + args.wait.unwrap_or_default();
+    let report = loop {
+        let report = report(&cx.remote()?, &addrs);
+        if settled(&report) || time::Instant::now() >= until {
+            break report;
+        }
+        thread::sleep(POLL);
+    };
+    cx.out.json(&report);
+    print(cx, &report);
+    if settled(&report) {
+        return Ok(exit_codes::ExitCode::Success);
+    }
+    Ok(exit_codes::ExitCode::Failure)
+}
+
+fn settled(report: &Report) -> bool {
+    let current = report.teams.iter().all(|team| team.behind.is_empty());
+    current && report.silent.is_empty() && report.faults.is_empty()
+}
+
+fn report(remote: &remote::Remote, addrs: &[net::SocketAddr]) -> Report {
+    let (mut answered, mut silent) = (Vec::new(), Vec::new());
+    for answer in entries::statuses(addrs) {
+        match answer.got {
+            Ok(status) => answered.push(status),
+            Err(err) => silent.push(err.to_string()),
+        }
+    }
+    let mut faults = remote.ring_faults.clone();
+    let mut teams = Vec::new();
+    for (name, held) in &remote.held {
+        faults.extend(held.fault.clone());
+        let Some(envelope) = &held.envelope else {
+            continue;
+        };
+        let holds = |status: &&operators::Status| {
+            status
+                .settings
+                .get(name)
+                .is_some_and(|version| *version >= held.version)
+        };
+        let behind = answered.iter().filter(|status| !holds(status));
+        let behind: Vec<String> = behind.map(|status| status.vm.clone()).collect();
+        teams.push(Team {
+            team: name.clone(),
+            version: envelope.version,
+            revision: held.revision.0,
+            change: envelope.change.to_string(),
+            holder: remote.holder(name, &envelope.key),
+            held_by: answered.len() - behind.len(),
+            behind,
+        });
+    }
+    Report {
+        teams,
+        entries: answered,
+        silent,
+        faults,
+    }
+}
+
+fn print(cx: &Context, report: &Report) {
+    let teams: Vec<_> = report
+        .teams
+        .iter()
+        .map(|team| team_row(team, report))
+        .collect();
+    cx.out.table(
+        &["team", "version", "signed by", "change", "in force on"],
+        &teams,
+    );
+    cx.out.line("");
+    let rows: Vec<_> = report.entries.iter().map(entry_row).collect();
+    cx.out.table(
+        &[
+            "entry VM",
+            "az",
+            "ready",
+            "up",
+            "store",
+            "peers",
+            "in flight",
+            "queued",
+            "slots",
+            "drains",
+        ],
+        &rows,
+    );
+    for text in report.silent.iter().chain(&report.faults) {
+        cx.out.line(&output::styled(output::BAD, text));
+    }
+}
+
+fn team_row(team: &Team, report: &Report) -> Vec<String> {
+    let mut held = format!("{} of {}", team.held_by, report.entries.len());
+    if !team.behind.is_empty() {
+        held.push_str(&format!(", not on {}", team.behind.join(" ")));
+    }
+    vec![
+        team.team.to_string(),
+        team.version.to_string(),
+        team.holder.clone(),
+        team.change.clone(),
+        held,
+    ]
+}
+
+fn entry_row(status: &operators::Status) -> Vec<String> {
+    let sum = |of: fn(&operators::Service) -> u64| {
+        status.services.values().map(of).sum::<u64>().to_string()
+    };
+    let ready = match status.not_ready.as_slice() {
+        [] => "yes".to_owned(),
+        reasons => reasons.join(", "),
+    };
+    let drains = status
+        .drains
+        .iter()
+        .map(|drain| format!("{} {} left", drain.target, output::percent(drain.remaining)));
+    vec![
+        status.vm.clone(),
+        status.az.clone(),
+        ready,
+        output::seconds(status.uptime_s * 1000),
+        if status.store_up { "up" } else { "down" }.to_owned(),
+        status.peers.to_string(),
+        sum(|service| service.in_flight),
+        sum(|service| service.queued),
+        sum(|service| service.slots),
+        drains.collect::<Vec<_>>().join(", "),
+    ]
+}
+
+/// Loads of services as entry VMs measure them, as shares of their slots.
+///
+/// The slots of an availability zone are the same backend servers for each of its entry VMs, so
+/// its slots count once and its requests in flight are added up.
+pub fn loads(statuses: &[operators::Status]) -> collections::BTreeMap<id::ServiceId, f64> {
+    let mut slots: collections::BTreeMap<(&id::ServiceId, &str), u64> = Default::default();
+    let mut in_flight: collections::BTreeMap<&id::ServiceId, u64> = Default::default();
+    for status in statuses {
+        for (name, service) in &status.services {
+            let of_az = slots.entry((name, &status.az)).or_default();
+            *of_az = (*of_az).max(service.slots);
+            *in_flight.entry(name).or_default() += service.in_flight + service.queued;
+        }
+    }
+    let load = |(name, in_flight): (&id::ServiceId, u64)| {
+        let slots: u64 = slots
+            .iter()
+            .filter(|((of, _), _)| *of == name)
+            .map(|(_, n)| n)
+            .sum();
+        (slots > 0).then(|| (name.clone(), in_flight as f64 / slots as f64))
+    };
+    in_flight.into_iter().filter_map(load).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_availability_zones_slots_count_once() {
+        let status = |az: &str, in_flight| operators::Status {
+            az: az.to_owned(),
+            services: [(
+                "ledger".into(),
+                operators::Service {
+                    slots: 6,
+                    in_flight,
+                    queued: 0,
+                },
+            )]
+            .into(),
+            ..operators::Status::default()
+        };
+        let loads = loads(&[status("a", 2), status("a", 1), status("b", 3)]);
+        assert_eq!(loads[&id::ServiceId::from("ledger")], 0.5);
+    }
+}
--- a/src/exit_codes.rs
+++ b/src/exit_codes.rs
@@ -2,6 +2,16 @@
 
 use std::process;
 
+/// The exit codes as the programs' help texts give them.
+pub const HELP: &str = "Exit codes:
+  0  done
+  1  failed; trying again may help (the store is down, a reply was lost)
+  2  the command line, a settings file or a setting is wrong
+  3  somebody else changed the same settings first
+  4  refused: the change would exceed a cap or a limit
+  5  an objective burns its error budget too fast
+  6  the key may not sign for the team";
+
 /// How a program ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExitCode {
@@ -15,6 +25,8 @@
     Conflict,
     /// The change would pass a cap or a limit.
     Refused,
+    /// The key may not sign for the team.
+    Unauthorised,
     /// An objective burns its error budget too fast.
     Burning,
 }
@@ -29,6 +41,7 @@
             Self::Conflict => 3,
             Self::Refused => 4,
             Self::Burning => 5,
+            Self::Unauthorised => 6,
         }
     }
 }
@@ -38,3 +51,24 @@
         code.code().into()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_code_is_in_the_help_text() {
+        let codes = [
+            ExitCode::Success,
+            ExitCode::Failure,
+            ExitCode::Usage,
+            ExitCode::Conflict,
+            ExitCode::Refused,
+            ExitCode::Burning,
+            ExitCode::Unauthorised,
+        ];
+        for code in codes {
+            assert!(HELP.contains(&format!("\n  {}  ", code.code())));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 #[macro_use]
 mod macros;
 
+pub mod cli;
 pub mod config;
 pub mod coordination;
 pub mod decisions;
@@ -19,6 +20,7 @@
 pub mod id;
 pub mod logging;
 pub mod metrics;
+pub mod nearest;
 pub mod protocol;
 pub mod settings;
 pub mod standin;
--- /dev/null
+++ b/src/nearest.rs
@@ -0,0 +1,37 @@
+//! Finds the name that an operator probably meant.
+
+/// How alike two names must be, from 0 to 1, to be offered: a letter or two wrong, not another
+/// word.
+const ALIKE: f64 = 0.75;
+
+/// The known name that is most like `name`, if one is like it at all.
+pub fn name<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    known
+        .into_iter()
+        .map(|known| (strsim::jaro_winkler(name, known), known))
+        .filter(|(alike, _)| *alike >= ALIKE)
+        .max_by(|(a, _), (b, _)| a.total_cmp(b))
+        .map(|(_, known)| known)
+}
+
+/// Adds the nearest known name to a parser's message about an unknown one.
+pub fn hint(message: &str) -> Option<String> {
+    let rest = &message[message.find("unknown ")?..];
+    let mut quoted = rest.split('`').skip(1).step_by(2);
+    let unknown = quoted.next()?;
+    let known = name(unknown, quoted)?;
+    Some(format!("did you mean `{known}`?"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_slip_of_the_pen_gets_its_name_back() {
+        let message = "unknown field `slotz`, expected one of `name`, `slots`, `azs`";
+        assert_eq!(hint(message).unwrap(), "did you mean `slots`?");
+        assert_eq!(hint("unknown field `zebra`, expected `name`"), None);
+        assert_eq!(hint("missing field `name`"), None);
+    }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,1 +1,3 @@
 //! Messages and headers, their checks and their codecs.
+
+pub mod operators;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -14,7 +14,7 @@
 use std::fs;
 use std::path;
 
-use crate::id;
+use crate::{id, nearest};
 
 pub use places::{ClientBlock, Drain, DrainTarget, Link, Prefer, Region};
 pub use service::{Objective, Operation, Service};
@@ -92,9 +92,13 @@
 impl Team {
     /// Reads a team's part from TOML text. `origin` names the file or the team in errors.
     pub fn parse(origin: &str, text: &str) -> Result<Self, Error> {
-        toml::from_str(text).map_err(|err| Error::Parse {
-            origin: origin.to_owned(),
-            reason: err.to_string().trim_end().replace('\n', "\n  "),
+        toml::from_str(text).map_err(|err| {
+            let mut reason = err.to_string().trim_end().replace('\n', "\n  ");
+            if let Some(hint) = nearest::hint(err.message()) {
+                reason.push_str(&format!("\n  {hint}"));
+            }
+            let origin = origin.to_owned();
+            Error::Parse { origin, reason }
         })
     }
 
@@ -237,5 +241,6 @@
         let err = Team::parse("x.toml", "[[service]]\nname = \"a\"\nslotz = 3\n").unwrap_err();
         let text = err.to_string();
         assert!(text.contains("line 3") && text.contains("slotz"), "{text}");
+        assert!(text.ends_with("did you mean `slots`?"), "{text}");
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,1 +1,3 @@
 //! Sockets: an HTTP server for callers and operators, a pooled client for backend servers, links to peers.
+
+pub mod operators;
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,434 @@
+//! The operators' command line, end to end: the real program against the stand-in store.
+
+use std::fs;
+use std::path;
+use std::process;
+use std::thread;
+
+use bulrushwind::coordination::store;
+use bulrushwind::settings::envelope;
+use bulrushwind::standin;
+use standin::store::{Faults, Memory, Server};
+use store::Store;
+
+const TEAMS: [&str; 3] = ["bays", "places", "records"];
+
+/// A deployment: a store, a directory, a root key and one operator's key on every team's ring.
+struct Deployment {
+    memory: Memory,
+    _server: Server,
+    dir: tempfile::TempDir,
+}
+
+struct Ran {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+impl Deployment {
+    fn new() -> Self {
+        let memory = Memory::default();
+        let server = standin::store::serve(&memory, "127.0.0.1:0".parse().unwrap(), 8).unwrap();
+        let dir = tempfile::tempdir().unwrap();
+        let store = server.addr();
+        let new = Self {
+            memory,
+            _server: server,
+            dir,
+        };
+        copy(path::Path::new("examples/cooperative"), new.dir.path());
+        let root = new.keygen("root");
+        let text = format!("store = \"{store}\"\nroot_keys = [\"{root}\"]\n");
+        fs::write(new.path("deployment.toml"), text).unwrap();
+        new.allow("otgon", &TEAMS);
+        new
+    }
+
+    fn path(&self, name: &str) -> path::PathBuf {
+        self.dir.path().join(name)
+    }
+
+    fn file(&self, name: &str) -> path::PathBuf {
+        self.path("teams").join(name)
+    }
+
+    /// Runs the program.
+    fn run(&self, args: &[&str]) -> Ran {
+        let out = process::Command::new(env!("CARGO_BIN_EXE_bulrushwind"))
+            .args(args)
+            .env_clear()
+            .env("BULRUSHWIND_DIR", self.dir.path())
+            .env("BULRUSHWIND_ROOT_SECRET", self.path("root.key"))
+            .stdin(process::Stdio::null())
+            .output()
+            .unwrap();
+        Ran {
+            code: out.status.code().unwrap(),
+            out: String::from_utf8(out.stdout).unwrap(),
+            err: String::from_utf8(out.stderr).unwrap(),
+        }
+    }
+
+    fn good(&self, args: &[&str]) -> Ran {
+        let ran = self.run(args);
+        assert_eq!(ran.code, 0, "{args:?}: {}{}", ran.out, ran.err);
+        ran
+    }
+
+    /// Makes a key and returns its public half.
+    fn keygen(&self, holder: &str) -> String {
+        let file = self.path(&format!("{holder}.key"));
+        let ran = self.good(&["keygen", file.to_str().unwrap(), "--format", "json"]);
+        let json: serde_json::Value = serde_json::from_str(&ran.out).unwrap();
+        json["public"].as_str().unwrap().to_owned()
+    }
+
+    /// Makes a key for `holder` and puts it on the rings of `teams`.
+    fn allow(&self, holder: &str, teams: &[&str]) {
+        let public = self.keygen(holder);
+        for team in teams {
+            self.good(&["keys", "add", team, "--holder", holder, "--public", &public]);
+        }
+    }
+
+    fn apply(&self, holder: &str, more: &[&str]) -> Ran {
+        let key = self.path(&format!("{holder}.key"));
+        let mut args = vec!["apply", "--yes", "--key", key.to_str().unwrap()];
+        args.extend(more);
+        self.run(&args)
+    }
+
+    fn envelope(&self, team: &str) -> Option<envelope::Envelope> {
+        let entry = self.memory.get(&format!("settings/{team}")).unwrap()?;
+        Some(envelope::Envelope::decode(&entry.value).unwrap())
+    }
+
+    fn replace(&self, file: &str, from: &str, to: &str) {
+        let path = self.file(file);
+        let text = fs::read_to_string(&path).unwrap();
+        assert!(text.contains(from), "{file} has no {from}");
+        fs::write(path, text.replace(from, to)).unwrap();
+    }
+}
+
+fn copy(from: &path::Path, to: &path::Path) {
+    fs::create_dir_all(to).unwrap();
+    for entry in fs::read_dir(from).unwrap() {
+        let entry = entry.unwrap();
+        let to = to.join(entry.file_name());
+        if entry.path().is_dir() {
+            copy(&entry.path(), &to);
+        } else {
+            fs::copy(entry.path(), to).unwrap();
+        }
+    }
+}
+
+#[test]
+fn an_apply_writes_each_team_once() {
+    let deployment = Deployment::new();
+    deployment.good(&["check"]);
+    let planned = deployment.good(&["plan"]);
+    assert!(planned.out.contains("+ service ledger"), "{}", planned.out);
+    let ran = deployment.apply("otgon", &[]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    for team in TEAMS {
+        assert!(deployment.envelope(team).is_some(), "{team}");
+    }
+    let before = deployment.memory.calls().writes;
+    let again = deployment.apply("otgon", &[]);
+    assert!(again.out.contains("Nothing to change"), "{}", again.out);
+    assert_eq!(deployment.memory.calls().writes, before);
+}
+
+/// Two operators change the same team at once. Without the planned revision the second write
+/// would undo the first, and its owner would find out from a caller.
+#[test]
+fn a_conflict_names_who_and_what() {
+    let deployment = Deployment::new();
+    deployment.allow("sarnai", &["bays"]);
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+    let plan = deployment.path("kept.json");
+    deployment.replace("bays/ledger.toml", "shift_cap = 0.1", "shift_cap = 0.15");
+    deployment.good(&["plan", "--out", plan.to_str().unwrap()]);
+    deployment.replace("bays/ledger.toml", "shift_cap = 0.15", "shift_cap = 0.05");
+    assert_eq!(deployment.apply("sarnai", &[]).code, 0);
+
+    let ran = deployment.apply("otgon", &["--plan", plan.to_str().unwrap()]);
+    assert_eq!(ran.code, 3, "{}", ran.err);
+    for part in [
+        "sarnai",
+        "shift_cap: 0.15 -> 0.05",
+        "nothing of yours",
+        "bulrushwind plan",
+    ] {
+        assert!(ran.err.contains(part), "no {part}: {}", ran.err);
+    }
+    assert!(deployment.envelope("bays").unwrap().text.contains("0.05"));
+}
+
+/// Two applies on the same revision arrive at the store together.
+#[test]
+fn of_two_racing_applies_one_wins() {
+    let deployment = Deployment::new();
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+    let plans = ["0.11", "0.12", "0.13"].map(|cap| {
+        let text = format!("shift_cap = {cap}");
+        deployment.replace(
+            "bays/ledger.toml",
+            "shift_cap = 0.1\n",
+            &format!("{text}\n"),
+        );
+        let plan = deployment.path(&format!("{cap}.json"));
+        deployment.good(&["plan", "--out", plan.to_str().unwrap()]);
+        deployment.replace("bays/ledger.toml", &text, "shift_cap = 0.1");
+        plan
+    });
+    let deployment = &deployment;
+    let codes: Vec<i32> = thread::scope(|scope| {
+        let running = plans.each_ref().map(|plan| {
+            scope.spawn(move || {
+                deployment
+                    .apply("otgon", &["--plan", plan.to_str().unwrap()])
+                    .code
+            })
+        });
+        running.map(|thread| thread.join().unwrap()).to_vec()
+    });
+    assert_eq!(
+        codes.iter().filter(|code| **code == 0).count(),
+        1,
+        "{codes:?}"
+    );
+    assert_eq!(
+        codes.iter().filter(|code| **code == 3).count(),
+        2,
+        "{codes:?}"
+    );
+}
+
+/// A key that is not on the team's ring signs. If the store took it, every entry VM would refuse
+/// it, and the operator would wonder why nothing happens.
+#[test]
+fn an_unauthorised_key_writes_nothing() {
+    let deployment = Deployment::new();
+    deployment.allow("stranger", &["records"]);
+    let ran = deployment.apply("stranger", &[]);
+    assert_eq!(ran.code, 6, "{}", ran.err);
+    assert!(ran.err.contains("keys add"), "{}", ran.err);
+    assert!(TEAMS.iter().all(|team| deployment.envelope(team).is_none()));
+}
+
+#[test]
+fn with_the_store_down_nothing_is_said_to_be_written() {
+    let deployment = Deployment::new();
+    deployment.memory.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let ran = deployment.apply("otgon", &[]);
+    assert_eq!(ran.code, 1, "{}", ran.err);
+    assert!(ran.err.contains("try again when it is back"), "{}", ran.err);
+    deployment.memory.set_faults(Faults::default());
+    assert!(TEAMS.iter().all(|team| deployment.envelope(team).is_none()));
+}
+
+/// The store takes a write and its reply gets lost. The operator is told that it was written, and
+/// it was written once.
+#[test]
+fn a_lost_reply_is_resolved_by_reading_back() {
+    let deployment = Deployment::new();
+    deployment.memory.set_faults(Faults {
+        lose_write_replies: 3,
+        ..Faults::default()
+    });
+    let before = deployment.memory.calls().writes;
+    let ran = deployment.apply("otgon", &[]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    assert_eq!(deployment.memory.calls().writes, before + 3);
+    let envelope = deployment.envelope("bays").unwrap();
+    assert!(ran.out.contains(envelope.change.as_str()), "{}", ran.out);
+}
+
+/// An editor leaves a file behind, a merge is left unfinished, or a checkout is cut short. Taken
+/// at its word, the directory would take a service away from its callers.
+#[test]
+fn a_half_written_directory_is_refused() {
+    let deployment = Deployment::new();
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+
+    let left = deployment.file("bays/ledger.toml.tmp");
+    fs::write(&left, "").unwrap();
+    let ran = deployment.run(&["check"]);
+    assert_eq!(ran.code, 2);
+    assert!(ran.err.contains("ledger.toml.tmp"), "{}", ran.err);
+    fs::remove_file(left).unwrap();
+
+    let whole = fs::read_to_string(deployment.file("bays/ledger.toml")).unwrap();
+    fs::write(
+        deployment.file("bays/ledger.toml"),
+        format!("{whole}<<<<<<< HEAD\n"),
+    )
+    .unwrap();
+    let ran = deployment.run(&["check"]);
+    assert_eq!(ran.code, 2);
+    let line = format!("line {}", whole.lines().count() + 1);
+    assert!(
+        ran.err.contains("ledger.toml") && ran.err.contains(&line),
+        "{}",
+        ran.err
+    );
+
+    fs::remove_file(deployment.file("bays/ledger.toml")).unwrap();
+    let ran = deployment.apply("otgon", &[]);
+    assert_eq!(ran.code, 4, "{}", ran.err);
+    assert!(
+        ran.err.contains("service ledger") && ran.err.contains("--remove"),
+        "{}",
+        ran.err
+    );
+
+    fs::remove_file(deployment.file("bays/availability.toml")).unwrap();
+    let ran = deployment.run(&["check"]);
+    assert_eq!(ran.code, 2);
+    assert!(ran.err.contains("no .toml file"), "{}", ran.err);
+    assert!(deployment.envelope("bays").unwrap().text.contains("ledger"));
+}
+
+#[test]
+fn a_fault_names_file_line_and_remedy() {
+    let deployment = Deployment::new();
+    deployment.replace("bays/ledger.toml", "shift_cap = 0.1", "shift_cap = 1.5");
+    let ran = deployment.run(&["check"]);
+    assert_eq!(ran.code, 2);
+    assert!(ran.err.contains("ledger.toml:6:"), "{}", ran.err);
+    assert!(ran.err.contains("at most 1"), "{}", ran.err);
+    deployment.replace("bays/ledger.toml", "shift_cap", "shiftcap");
+    let ran = deployment.run(&["check"]);
+    assert!(ran.err.contains("did you mean `shift_cap`?"), "{}", ran.err);
+}
+
+/// An availability zone is taken out of a service without a drain: its share would land on the
+/// others' cold caches at once.
+#[test]
+fn what_exceeds_a_cap_is_refused_with_by_how_much() {
+    let deployment = Deployment::new();
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+    deployment.replace("bays/ledger.toml", ", \"dornod-b\"", "");
+    for ran in [deployment.run(&["plan"]), deployment.apply("otgon", &[])] {
+        assert_eq!(ran.code, 4, "{}", ran.err);
+        let text = ran.out + &ran.err;
+        assert!(text.contains("6.7% more than the cap of 10.0%"), "{text}");
+    }
+    assert!(
+        deployment
+            .envelope("bays")
+            .unwrap()
+            .text
+            .contains("dornod-b")
+    );
+}
+
+#[test]
+fn a_drain_is_dated_shown_applied_and_taken_back() {
+    let deployment = Deployment::new();
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+    let key = deployment.path("otgon.key");
+    let signing = ["--yes", "--key", key.to_str().unwrap()];
+
+    let short = deployment.run(&["drain", "region/khovd", "--start", "+1h", "--ramp", "10s"]);
+    assert_eq!(short.code, 4, "{}", short.err);
+    assert!(short.err.contains("ramp_s = 40"), "{}", short.err);
+    assert!(!deployment.file("places/drains.toml").exists());
+
+    let mut args = vec![
+        "drain", "az/ub-a", "--start", "+1h", "--for", "2h", "--apply",
+    ];
+    args.extend(signing);
+    let ran = deployment.good(&args);
+    assert!(
+        ran.out.contains("16.7%") && ran.out.contains("20s"),
+        "{}",
+        ran.out
+    );
+    assert!(deployment.envelope("places").unwrap().text.contains("ub-a"));
+
+    let mut args = vec!["undrain", "az/ub-a", "--apply"];
+    args.extend(signing);
+    deployment.good(&args);
+    assert!(
+        !deployment
+            .envelope("places")
+            .unwrap()
+            .text
+            .contains("[[drain]]")
+    );
+    assert_eq!(deployment.run(&["undrain", "az/ub-a"]).code, 2);
+}
+
+/// A key is stolen. After its retirement neither a new change nor what stands in the store counts
+/// under it, and the team's apply signs its settings anew.
+#[test]
+fn a_stolen_key_is_replaced() {
+    let deployment = Deployment::new();
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+    deployment.allow("sarnai", &["bays"]);
+    let listed = deployment.good(&["keys", "list", "bays", "--format", "json"]);
+    let rings: serde_json::Value = serde_json::from_str(&listed.out).unwrap();
+    assert_eq!(rings[0]["keys"][0]["holder"], "otgon");
+    let old = deployment.envelope("bays").unwrap();
+    deployment.good(&["keys", "retire", "bays", old.key.as_str(), "--stolen"]);
+
+    assert_eq!(deployment.apply("otgon", &["--team", "bays"]).code, 6);
+    let ran = deployment.apply("sarnai", &["--team", "bays"]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    let new = deployment.envelope("bays").unwrap();
+    assert!(new.version > old.version && new.key != old.key);
+    assert_eq!(new.text, old.text);
+}
+
+/// The store is put back to a backup. Entry VMs keep what they accepted, so the next apply has to
+/// come with a higher version than any they hold, though the store no longer knows it.
+#[test]
+fn after_a_restore_an_apply_still_goes_forward() {
+    let deployment = Deployment::new();
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+    let backup = deployment.memory.backup();
+    deployment.replace("bays/ledger.toml", "shift_cap = 0.1", "shift_cap = 0.15");
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+    let held = deployment.envelope("bays").unwrap().version;
+    deployment.memory.restore(&backup);
+    assert_eq!(deployment.apply("otgon", &[]).code, 0);
+    assert!(deployment.envelope("bays").unwrap().version > held);
+}
+
+#[test]
+fn no_output_holds_a_secret_key() {
+    let deployment = Deployment::new();
+    let secret = fs::read_to_string(deployment.path("otgon.key")).unwrap();
+    let hex = secret.trim().rsplit(' ').next().unwrap().to_owned();
+    let shown = [
+        deployment.apply("otgon", &[]),
+        deployment.run(&["keys", "list"]),
+        deployment.run(&["plan", "--format", "json"]),
+    ];
+    for ran in shown {
+        assert!(!ran.out.contains(&hex) && !ran.err.contains(&hex));
+    }
+    let again = deployment.run(&["keygen", deployment.path("otgon.key").to_str().unwrap()]);
+    assert_eq!(again.code, 1, "an existing key was written over");
+}
+
+#[test]
+fn completions_are_printed_for_each_shell() {
+    let deployment = Deployment::new();
+    for shell in ["bash", "zsh", "fish"] {
+        assert!(
+            deployment
+                .good(&["completions", shell])
+                .out
+                .contains("undrain")
+        );
+    }
+}
