--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,3 +1,4 @@
 //! Sockets: an HTTP server for callers and operators, a pooled client for backend servers, links to peers.
 
 pub mod operators;
+pub mod peer;
