--- a/src/config.rs
+++ b/src/config.rs
@@ -26,7 +26,7 @@
         /// The public root keys, which sign the teams' key rings.
         #[serde(default)]
         pub root_keys: Vec<keys::PublicKey>,
-        /// Threads that carry requests to backend servers.
+        /// Threads that decide about requests. None of them ever waits for a socket.
         #[serde(default = "default_workers")]
         pub workers: usize,
         /// How long a look-up's answer may be kept by callers, in milliseconds.
@@ -42,6 +42,26 @@
     }
 }
 
+/// For tests and examples: free ports on this machine.
+impl Default for Config {
+    fn default() -> Self {
+        let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            vm: "entry".into(),
+            az: "az".into(),
+            listen: any,
+            operators_listen: any,
+            peers_listen: any,
+            store: any,
+            root_keys: Vec::new(),
+            workers: default_workers(),
+            lookup_ttl_ms: default_lookup_ttl_ms(),
+            ticket_ttl_ms: default_ticket_ttl_ms(),
+            peer_secrets: Vec::new(),
+        }
+    }
+}
+
 impl Config {
     /// Reads a configuration from a TOML file.
     pub fn read(path: &path::Path) -> Result<Self, error::Error> {
@@ -55,7 +75,7 @@
 }
 
 fn default_workers() -> usize {
-    64
+    4
 }
 
 fn default_lookup_ttl_ms() -> u64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod coordination;
 pub mod decisions;
+pub mod entry;
 pub mod error;
 pub mod exit_codes;
 pub mod id;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,11 @@
 //! Messages and headers, their checks and their codecs.
 
+pub mod backend;
+pub mod backend_http;
+pub mod headers;
 pub mod hello;
+pub mod lookup;
 pub mod operators;
+pub mod outcome;
 pub mod peer;
+pub mod ticket;
