--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets: an HTTP server for callers and operators, a pooled client for backend servers, links to peers.
 
 pub mod client;
+pub mod operators;
 pub mod peer;
 pub mod server;
