--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod membership;
 pub mod node;
 pub mod peers;
+pub mod plan_writer;
 pub mod reader;
 pub mod settings_sync;
 pub mod store;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod headers;
 pub mod hello;
 pub mod lookup;
+pub mod operators;
 pub mod outcome;
 pub mod peer;
 pub mod ticket;
