Exchange loads, wishes and grants between entry VMs

Inside an availability zone each entry VM tells what it has in hand, one adds up and tells the other zones, so that messages between zones do not grow with VMs.

--- /dev/null
+++ b/src/coordination/loads.rs
@@ -0,0 +1,281 @@
+//! What each availability zone has in hand: exchanged inside it, added up, told to the others.
+//!
+//! Inside an availability zone each entry VM tells the others what it has in hand. One of them, the
+//! one with the lowest name that is heard, adds up and tells the other availability zones, so that
+//! messages between zones do not grow with VMs. Two that both believe to be the lowest tell the
+//! same twice, which harms nothing. What comes from another zone is passed on inside the own one
+//! once, told apart by the sender's count.
+//!
+//! Loads lag by [`EVERY`] and the way. Those who use them are told their age.
+
+use std::collections;
+use std::time;
+
+use crate::decisions::{plan, policy};
+use crate::id;
+use crate::protocol::peer;
+
+/// How often loads are told. Twice a second: a surge is seen by the plan within a second, and a
+/// row of some 200 bytes for each service stays far below 10 KB/s.
+pub const EVERY: time::Duration = time::Duration::from_millis(500);
+
+/// After how long an entry VM that is not heard counts no longer.
+pub const FORGET: time::Duration = time::Duration::from_secs(3);
+
+#[derive(Debug)]
+struct Heard {
+    at: policy::Moment,
+    work: peer::Work,
+}
+
+#[derive(Debug)]
+struct Zone {
+    at: policy::Moment,
+    loads: peer::Loads,
+}
+
+/// The loads that this entry VM knows.
+#[derive(Debug)]
+pub struct Table {
+    me: id::VmId,
+    az: id::AzId,
+    incarnation: id::Incarnation,
+    seq: u64,
+    own: peer::Work,
+    neighbours: collections::BTreeMap<id::VmId, Heard>,
+    zones: collections::BTreeMap<id::AzId, Zone>,
+}
+
+impl Table {
+    /// A table of an entry VM that has heard nothing.
+    pub fn new(me: id::VmId, az: id::AzId, incarnation: id::Incarnation) -> Self {
+        Self {
+            me,
+            az,
+            incarnation,
+            seq: 0,
+            own: peer::Work { rows: Vec::new() },
+            neighbours: collections::BTreeMap::new(),
+            zones: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes in what this VM has in hand.
+    pub fn set_own(&mut self, now: policy::Moment, work: peer::Work) {
+        self.own = work;
+        self.neighbours.retain(|_, heard| now < heard.at + FORGET);
+    }
+
+    /// An entry VM of the own availability zone told what it has in hand.
+    pub fn neighbour(&mut self, now: policy::Moment, from: id::VmId, work: peer::Work) {
+        if from != self.me {
+            self.neighbours.insert(from, Heard { at: now, work });
+        }
+    }
+
+    /// Another availability zone told. True: it is news, to be passed on in the own zone.
+    pub fn zone(&mut self, now: policy::Moment, loads: &peer::Loads) -> bool {
+        if loads.az == self.az {
+            return false;
+        }
+        let known = self.zones.get(&loads.az);
+        let old = known.is_some_and(|zone| {
+            let known = &zone.loads;
+            let stale = loads.by == known.by
+                && (loads.incarnation, loads.seq) <= (known.incarnation, known.seq);
+            // While the one that was heard last goes on telling, a second one is not needed.
+            let second = loads.by > known.by && now < zone.at + FORGET;
+            stale || second
+        });
+        if old {
+            return false;
+        }
+        let loads = loads.clone();
+        self.zones.insert(loads.az.clone(), Zone { at: now, loads });
+        true
+    }
+
+    /// Entry VMs of the own availability zone that are heard, this one among them.
+    pub fn members(&self) -> u32 {
+        self.neighbours.len() as u32 + 1
+    }
+
+    /// Requests in hand in the own availability zone.
+    pub fn az_in_hand(&self, service: &id::ServiceId) -> u32 {
+        self.rows(service).map(|row| row.in_hand).sum()
+    }
+
+    /// The sum of the own availability zone, where this VM is the one to tell it.
+    pub fn tell(&mut self) -> Option<peer::Loads> {
+        if self.neighbours.keys().any(|vm| *vm < self.me) {
+            return None;
+        }
+        self.seq += 1;
+        Some(peer::Loads {
+            az: self.az.clone(),
+            by: self.me.clone(),
+            incarnation: self.incarnation,
+            seq: self.seq,
+            rows: self.sum(),
+        })
+    }
+
+    /// Everything known, for the plan.
+    pub fn summaries(&self, now: policy::Moment) -> Vec<plan::Summary> {
+        let mut all = Vec::new();
+        for row in self.sum() {
+            all.push(summary(&self.az, row, time::Duration::ZERO));
+        }
+        for (az, zone) in &self.zones {
+            let age = now.saturating_sub(zone.at);
+            let rows = zone.loads.rows.iter();
+            all.extend(rows.map(|row| summary(az, row.clone(), age)));
+        }
+        all
+    }
+
+    fn rows<'a>(&'a self, service: &'a id::ServiceId) -> impl Iterator<Item = &'a peer::WorkRow> {
+        let neighbours = self.neighbours.values().flat_map(|heard| &heard.work.rows);
+        let all = self.own.rows.iter().chain(neighbours);
+        all.filter(move |row| row.service == *service)
+    }
+
+    fn sum(&self) -> Vec<peer::WorkRow> {
+        let neighbours = self.neighbours.values().flat_map(|heard| &heard.work.rows);
+        let mut sums: collections::BTreeMap<_, peer::WorkRow> = collections::BTreeMap::new();
+        for row in self.own.rows.iter().chain(neighbours) {
+            let Some(sum) = sums.get_mut(&row.service) else {
+                sums.insert(row.service.clone(), row.clone());
+                continue;
+            };
+            // All see the same backend servers; one that sees fewer may be right.
+            sum.slots = sum.slots.min(row.slots);
+            sum.in_hand += row.in_hand;
+            for (region, work) in &row.demand {
+                *sum.demand.entry(region.clone()).or_default() += work;
+            }
+        }
+        sums.into_values().collect()
+    }
+}
+
+fn summary(az: &id::AzId, row: peer::WorkRow, age: time::Duration) -> plan::Summary {
+    plan::Summary {
+        az: az.clone(),
+        service: row.service,
+        slots: row.slots,
+        demand: row.demand,
+        age,
+    }
+}
+
+/// The work that callers bring, by their region, over the last windows.
+#[derive(Debug, Default)]
+pub struct Demand {
+    since: policy::Moment,
+    counted: collections::BTreeMap<(id::ServiceId, id::RegionId), f64>,
+    rates: collections::BTreeMap<(id::ServiceId, id::RegionId), f64>,
+}
+
+impl Demand {
+    /// How fast rates follow: half of each window of [`EVERY`].
+    const GAIN: f64 = 0.5;
+
+    /// A caller brought work.
+    pub fn count(&mut self, service: &id::ServiceId, region: &id::RegionId, work: time::Duration) {
+        let key = (service.clone(), region.clone());
+        *self.counted.entry(key).or_default() += work.as_secs_f64();
+    }
+
+    /// Ends a window.
+    pub fn roll(&mut self, now: policy::Moment) {
+        let passed = now.saturating_sub(self.since).as_secs_f64();
+        if passed <= 0.0 {
+            return;
+        }
+        self.since = now;
+        let counted = std::mem::take(&mut self.counted);
+        for key in counted.keys() {
+            self.rates.entry(key.clone()).or_default();
+        }
+        for (key, rate) in &mut self.rates {
+            let seen = counted.get(key).copied().unwrap_or(0.0) / passed;
+            *rate += Self::GAIN * (seen - *rate);
+        }
+        self.rates.retain(|_, rate| *rate > 1e-6);
+    }
+
+    /// The work brought to a service, in slots, by the callers' region.
+    pub fn of(&self, service: &id::ServiceId) -> collections::BTreeMap<id::RegionId, f64> {
+        let of_service = self.rates.iter().filter(|((of, _), _)| of == service);
+        of_service
+            .map(|((_, region), rate)| (region.clone(), *rate))
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: policy::Moment = policy::Moment::from_secs(1);
+
+    fn work(in_hand: u32) -> peer::Work {
+        peer::Work {
+            rows: vec![peer::WorkRow {
+                service: "s".into(),
+                slots: 12,
+                in_hand,
+                demand: [("r".into(), 2.0)].into(),
+            }],
+        }
+    }
+
+    fn table(me: &str, az: &str) -> Table {
+        Table::new(me.into(), az.into(), id::Incarnation(1))
+    }
+
+    #[test]
+    fn the_lowest_that_is_heard_tells_the_sum() {
+        let (mut low, mut high) = (table("a1", "a"), table("a2", "a"));
+        for table in [&mut low, &mut high] {
+            table.set_own(S, work(3));
+        }
+        low.neighbour(S, "a2".into(), work(4));
+        high.neighbour(S, "a1".into(), work(3));
+        assert_eq!(high.tell(), None);
+        let loads = low.tell().unwrap();
+        assert_eq!((loads.rows[0].slots, loads.rows[0].in_hand), (12, 7));
+        assert_eq!(loads.rows[0].demand["r"], 4.0);
+        // The lowest dies; the other takes over once it is not heard.
+        high.set_own(S * 5, work(3));
+        assert!(high.tell().is_some());
+    }
+
+    /// Messages are doubled and arrive out of order. An older load that replaced a newer one would
+    /// show room that is gone; one that is passed on twice would go round for ever.
+    #[test]
+    fn an_older_load_is_not_news() {
+        let mut far = table("a1", "a");
+        far.set_own(S, work(1));
+        let (first, second) = (far.tell().unwrap(), far.tell().unwrap());
+        let mut near = table("b1", "b");
+        assert!(near.zone(S, &second));
+        assert!(!near.zone(S, &first));
+        assert!(!near.zone(S, &second));
+        let ages: Vec<_> = near.summaries(S * 4).iter().map(|s| s.age).collect();
+        assert_eq!(ages, [S * 3]);
+    }
+
+    #[test]
+    fn demand_follows_what_callers_bring() {
+        let mut demand = Demand::default();
+        for window in 1..20 {
+            for _ in 0..100 {
+                demand.count(&"s".into(), &"r".into(), S / 50);
+            }
+            demand.roll(S * window);
+        }
+        assert!((demand.of(&"s".into())["r"] - 2.0).abs() < 0.01);
+    }
+}
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -5,9 +5,12 @@
 //! and counted as [`Error::Unknown`], and the link stays. What is no message at all, or larger
 //! than [`MAX_BYTES`], is refused: one who notices sees `bulrushwind_peer_refused_total` grow.
 
+use std::collections;
 use std::sync;
+use std::time;
 
 use crate::coordination::store;
+use crate::decisions::{grants, plan};
 use crate::id;
 
 /// The largest message, in bytes: a store value of 1 MB and what goes around it.
@@ -50,6 +53,66 @@
         Vms(VmList),
         /// One availability zone in short, for the others.
         Summary(Summary),
+        /// What one entry VM has in hand, for the others of its availability zone.
+        Work(Work),
+        /// What an availability zone has in hand, for whoever computes the plan.
+        Loads(Loads),
+        /// A sender wants to send work across.
+        AskGrant(AskGrant),
+        /// Leave to send work across.
+        Granted(Granted),
+        /// The newest version of the steering plan that the sender knows.
+        Plan(plan::Plan),
+    }
+
+    /// What one entry VM has in hand.
+    pub struct Work {
+        /// A row a service.
+        pub rows: Vec<WorkRow>,
+    }
+
+    /// What one entry VM has in hand of one service.
+    pub struct WorkRow {
+        /// The service.
+        pub service: id::ServiceId,
+        /// Slots of the backend servers that take work from it.
+        pub slots: u32,
+        /// Requests in hand, its own callers' and those under grants.
+        pub in_hand: u32,
+        /// Work that callers bring, answered or not, in slots, by the callers' region.
+        pub demand: collections::BTreeMap<id::RegionId, f64>,
+    }
+
+    /// What an availability zone has in hand.
+    pub struct Loads {
+        /// The availability zone.
+        pub az: id::AzId,
+        /// The entry VM that added it up, and its process start.
+        pub by: id::VmId,
+        /// Which start of it.
+        pub incarnation: id::Incarnation,
+        /// Counts what it sent, so that each is passed on once.
+        pub seq: u64,
+        /// A row a service.
+        pub rows: Vec<WorkRow>,
+    }
+
+    /// A wish for a grant.
+    pub struct AskGrant {
+        /// The service.
+        pub service: id::ServiceId,
+        /// Requests a second.
+        pub per_s: f64,
+        /// The asker's time, sent back with the answer.
+        pub asked: time::Duration,
+    }
+
+    /// A grant.
+    pub struct Granted {
+        /// The grant.
+        pub grant: grants::Grant,
+        /// The asker's time when it asked.
+        pub asked: time::Duration,
     }
 
     /// A heartbeat of one that contends for reader.
