Order a look-up by the caller's region, and spread callers over a zone's VMs

Cause: look-ups ordered entry VMs by the zone that was asked, not by where the caller is, and named the same VM of a zone first to every caller; the second entry VM of each zone got only what the first one refused.

Change: the region comes from the longest-prefix table of client blocks, which is replaced together with the settings; regions follow by link delay; within a zone the order follows a hash of the caller's address, so that a caller keeps its VM.

The order of zones within a region stays with the plan.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -23,7 +23,7 @@
 
 use crate::coordination::{store, store_http};
 use crate::decisions::{naive, policy};
-use crate::state::{fleet, keys};
+use crate::state::{fleet, keys, lookup};
 use crate::transport::{client, server};
 use crate::{config, error, id, settings};
 use policy::Policy;
@@ -71,12 +71,31 @@
 /// What the request path reads and coordination feeds. Both parts are replaced whole.
 #[derive(Debug, Default)]
 pub struct Shared {
-    /// The settings in force.
-    pub settings: arc_swap::ArcSwap<settings::Settings>,
+    settings: arc_swap::ArcSwap<settings::Settings>,
+    regions: arc_swap::ArcSwap<lookup::Regions>,
     /// The platform's list of VMs.
     pub fleet: arc_swap::ArcSwap<fleet::Fleet>,
 }
 
+impl Shared {
+    /// The settings in force.
+    pub fn settings(&self) -> sync::Arc<settings::Settings> {
+        self.settings.load_full()
+    }
+
+    /// Puts settings in force, and the table of callers' addresses that goes with them.
+    ///
+    /// # Errors
+    ///
+    /// The settings name more regions than the table can number. Those before stay in force.
+    pub fn put_in_force(&self, settings: settings::Settings) -> Result<(), lookup::Error> {
+        let regions = lookup::Regions::build(&settings)?;
+        self.regions.store(sync::Arc::new(regions));
+        self.settings.store(sync::Arc::new(settings));
+        Ok(())
+    }
+}
+
 /// What the workers take from their channel.
 enum Event<P> {
     /// A whole request came in.
--- a/src/entry/feed.rs
+++ b/src/entry/feed.rs
@@ -107,13 +107,15 @@
 }
 
 fn put_in_force(shared: &sync::Weak<Shared>, texts: &Texts, log: &slog::Logger) {
-    match read(texts) {
-        Ok(settings) => {
-            if let Some(shared) = shared.upgrade() {
-                shared.settings.store(sync::Arc::new(settings));
-            }
-        }
-        Err(err) => slog::error!(log, "settings refused"; "error" => err.to_string()),
+    let settings = match read(texts) {
+        Ok(settings) => settings,
+        Err(err) => return slog::error!(log, "settings refused"; "error" => err.to_string()),
+    };
+    let Some(shared) = shared.upgrade() else {
+        return;
+    };
+    if let Err(err) = shared.put_in_force(settings) {
+        slog::error!(log, "settings refused"; "error" => err.to_string());
     }
 }
 
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -2,6 +2,7 @@
 
 use std::hash;
 use std::hash::Hasher;
+use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -12,7 +13,7 @@
 use super::{Core, Event, MakePolicy, answers, desk};
 use crate::decisions::policy;
 use crate::protocol::{backend, headers, lookup, outcome, ticket};
-use crate::state::keys;
+use crate::state::{fleet, keys};
 use crate::transport::{client, server};
 use crate::{id, settings};
 use outcome::Problem;
@@ -28,7 +29,7 @@
     let rest = parts.next();
     match (first, rest) {
         (LOOKUP, Some(service)) => {
-            let answer = look_up(core, &req.method, service);
+            let answer = look_up(core, &req, service);
             req.reply.send(answer);
         }
         ("", _) | (LOOKUP, None) => refuse(req.reply, &Problem::UnknownPath),
@@ -43,25 +44,33 @@
     reply.send(answers::problem(problem));
 }
 
-fn look_up<M: MakePolicy>(core: &Core<M>, method: &Method, service: &str) -> server::Answer {
-    if *method != Method::GET {
+fn look_up<M: MakePolicy>(core: &Core<M>, req: &server::Request, service: &str) -> server::Answer {
+    if req.method != Method::GET {
         return answers::problem(&Problem::LookupMethod);
     }
-    match find(core, service) {
+    match find(core, req.from.ip(), service) {
         Some(lookup) => answers::look_up(&lookup),
         None => answers::problem(&Problem::UnknownService(service.to_owned())),
     }
 }
 
-fn find<M: MakePolicy>(core: &Core<M>, service: &str) -> Option<lookup::Lookup> {
+fn find<M: MakePolicy>(
+    core: &Core<M>,
+    caller: net::IpAddr,
+    service: &str,
+) -> Option<lookup::Lookup> {
     let settings = core.shared.settings.load();
     let service = settings.service(service)?;
     let stopping = core.stopping.load(atomic::Ordering::SeqCst);
-    let mut entries =
-        core.shared
-            .fleet
-            .load()
-            .look_up(&core.cfg.az, &settings, desk::wall_clock_s());
+    let regions = core.shared.regions.load();
+    let own = settings.region_of(&core.cfg.az).map(|region| &region.name);
+    let asks = fleet::Asks {
+        caller,
+        region: regions.find(caller).or(own),
+        az: &core.cfg.az,
+    };
+    let fleet = core.shared.fleet.load();
+    let mut entries = fleet.look_up(&asks, &settings, desk::wall_clock_s());
     entries.retain(|entry| !stopping || entry.vm != core.cfg.vm);
     Some(lookup::Lookup {
         service: service.name.clone(),
