--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -7,13 +7,28 @@
 //! drive the same [`policy::Policy`].
 
 pub mod across;
+pub mod admission;
 pub mod caps;
+pub mod dispatch;
 pub mod drain;
+pub mod ejection;
 pub mod grants;
+pub mod limit;
 pub mod links;
+pub mod members;
 pub mod naive;
+pub mod placement;
 pub mod plan;
 pub mod policy;
+pub mod probe;
+pub mod quarantine;
+pub mod queue;
+pub mod ramp;
+pub mod range;
+pub mod retry;
+pub mod serve;
+pub mod trust;
+pub mod upkeep;
 
 #[cfg(test)]
 mod tests {
