Layer a process's configuration: file, environment, flags; check every value

Cause: only a file was read, ranges were not checked, and a mistyped key got the parser's list of all keys. Conclusion: tests for precedence, missing, unknown and out-of-range values.

--- a/src/bin/bulrushwind-entry.rs
+++ b/src/bin/bulrushwind-entry.rs
@@ -1,5 +1,6 @@
 //! The process on each entry VM.
 
+use std::env;
 use std::path;
 use std::process;
 
@@ -11,11 +12,20 @@
 /// Stops as planned on SIGTERM or SIGINT: look-ups stop naming this VM, new requests are told
 /// where to go, and what is in flight ends. Logs are JSON lines on standard error.
 #[derive(Parser)]
-#[command(version, about, long_about)]
+#[command(version, about, long_about, after_help = exit_codes::HELP, max_term_width = 100)]
 struct Cli {
-    /// The TOML file that tells this process its VM, availability zone and addresses.
+    /// TOML file that tells this process its VM, availability zone and addresses
     #[arg(long, short, value_name = "FILE", env = "BULRUSHWIND_CONFIG")]
-    config: path::PathBuf,
+    config: Option<path::PathBuf>,
+    /// Put a value over the file's and the environment's, such as lookup_ttl_ms=2000
+    ///
+    /// Each key can also come from an environment variable of its name, such as
+    /// BULRUSHWIND_LOOKUP_TTL_MS. The parts of a list stand between commas.
+    #[arg(long = "set", value_name = "KEY=VALUE")]
+    set: Vec<String>,
+    /// Print the configuration in force, without secrets, and exit
+    #[arg(long)]
+    print_config: bool,
 }
 
 fn main() -> process::ExitCode {
@@ -30,6 +40,11 @@
 }
 
 fn run(cli: &Cli) -> Result<(), error::Error> {
-    let cfg = config::Config::read(&cli.config)?;
+    let overrides = config::Overrides::new(env::vars(), &cli.set)?;
+    let cfg = config::Config::layered(cli.config.as_deref(), &overrides)?;
+    if cli.print_config {
+        print!("{}", cfg.to_shown_toml());
+        return Ok(());
+    }
     entry::run(cfg, logging::root("bulrushwind-entry"))
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,11 +1,19 @@
 //! What one entry process is told about itself: a file, then the environment, then flags.
+//!
+//! Each key can stand in the file, in an environment variable of its name (`BULRUSHWIND_VM` for
+//! `vm`) and in a flag (`--set vm=e1`); the later of these counts. An unknown key is refused with
+//! the nearest name: taken in silence, a mistyped limit would leave the default in force.
 
+use std::fmt;
 use std::fs;
 use std::net;
+use std::ops;
 use std::path;
 
+use serde::Deserialize;
+
 use crate::settings::keys;
-use crate::{error, id};
+use crate::{error, id, nearest};
 
 data! {
     /// The configuration of an entry process.
@@ -38,7 +46,7 @@
         /// The secrets by which entry VMs prove to each other that they belong to one fleet, 64
         /// hexadecimal digits each. The first signs, all are accepted. None: no links to peers.
         #[serde(default)]
-        pub peer_secrets: Vec<String>,
+        pub peer_secrets: Vec<Secret>,
     }
 }
 
@@ -65,12 +73,257 @@
 impl Config {
     /// Reads a configuration from a TOML file.
     pub fn read(path: &path::Path) -> Result<Self, error::Error> {
-        let text = fs::read_to_string(path).map_err(|source| error::Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        toml::from_str(&text)
-            .map_err(|err| error::Error::Config(format!("{}: {err}", path.display())))
+        Self::layered(Some(path), &Overrides::default())
+    }
+
+    /// Reads a file, if there is one, and puts the environment's and the flags' values over it.
+    pub fn layered(path: Option<&path::Path>, overrides: &Overrides) -> Result<Self, error::Error> {
+        let mut table = path.map_or_else(|| Ok(toml::Table::new()), read_table)?;
+        for (key, text) in overrides.env.iter().chain(&overrides.flags) {
+            table.insert(key.clone(), checked(key, text)?);
+        }
+        let cfg = Self::deserialize(table).map_err(|err| missing(&err))?;
+        cfg.check()?;
+        Ok(cfg)
+    }
+
+    /// Checks every value's range.
+    pub fn check(&self) -> Result<(), error::Error> {
+        range("workers", self.workers as u64, "threads", 1..=256)?;
+        range("lookup_ttl_ms", self.lookup_ttl_ms, "ms", 100..=3_600_000)?;
+        range(
+            "ticket_ttl_ms",
+            self.ticket_ttl_ms,
+            "ms",
+            1_000..=86_400_000,
+        )?;
+        range("root_keys", self.root_keys.len() as u64, "keys", 0..=16)?;
+        range(
+            "peer_secrets",
+            self.peer_secrets.len() as u64,
+            "secrets",
+            0..=8,
+        )?;
+        for name in [self.vm.as_str(), self.az.as_str()] {
+            if name.is_empty() || name.len() > MAX_NAME || name.contains([' ', '/']) {
+                return Err(error::Error::Config(format!(
+                    "`{name}` is not a name; give `vm` and `az` 1 to {MAX_NAME} characters without spaces and /"
+                )));
+            }
+        }
+        let listen = [self.listen, self.operators_listen, self.peers_listen];
+        for (n, addr) in listen.iter().enumerate() {
+            if addr.port() != 0 && listen[..n].contains(addr) {
+                return Err(error::Error::Config(format!(
+                    "{addr} is given twice; give `listen`, `operators_listen` and `peers_listen` an address each"
+                )));
+            }
+        }
+        Ok(())
+    }
+
+    /// The configuration as a file's text, without its secrets.
+    pub fn to_shown_toml(&self) -> String {
+        let hidden = self.peer_secrets.iter().map(|_| "(hidden)".into());
+        let shown = Self {
+            peer_secrets: hidden.collect(),
+            ..self.clone()
+        };
+        toml::to_string_pretty(&shown).expect("a configuration has only values that TOML can hold")
+    }
+}
+
+/// The longest name of a VM or an availability zone.
+const MAX_NAME: usize = 64;
+
+/// The largest file that is read, in bytes.
+const MAX_FILE_BYTES: u64 = 64 * 1024;
+
+/// What the names of environment variables begin with.
+const ENV_PREFIX: &str = "BULRUSHWIND_";
+
+/// Values that go over those of the file.
+#[derive(Clone, Debug, Default)]
+pub struct Overrides {
+    env: Vec<(String, String)>,
+    flags: Vec<(String, String)>,
+}
+
+impl Overrides {
+    /// Takes those environment variables that are named after a key, such as
+    /// `BULRUSHWIND_LOOKUP_TTL_MS`, and flags of the form `key=value`.
+    pub fn new(
+        env: impl Iterator<Item = (String, String)>,
+        flags: &[String],
+    ) -> Result<Self, error::Error> {
+        let known = known_keys();
+        let named = |(name, text): (String, String)| {
+            let key = name.strip_prefix(ENV_PREFIX)?.to_lowercase();
+            let counts = known.contains_key(&key) && !text.is_empty();
+            counts.then_some((key, text))
+        };
+        let mut overrides = Self {
+            env: env.filter_map(named).collect(),
+            flags: Vec::new(),
+        };
+        for flag in flags {
+            let (key, text) = flag.split_once('=').ok_or_else(|| {
+                error::Error::Config(format!("--set {flag}: give it as KEY=VALUE"))
+            })?;
+            check_key("--set", key)?;
+            overrides.flags.push((key.to_owned(), text.to_owned()));
+        }
+        Ok(overrides)
+    }
+}
+
+/// Every key, with a value of its kind.
+fn known_keys() -> toml::Table {
+    toml::Table::try_from(Config::default())
+        .expect("a configuration has only values that TOML can hold")
+}
+
+fn check_key(origin: &str, key: &str) -> Result<(), error::Error> {
+    let known = known_keys();
+    if known.contains_key(key) {
+        return Ok(());
+    }
+    let near = nearest::name(key, known.keys().map(String::as_str));
+    let remedy = near.map_or_else(
+        || "`bulrushwind-entry --print-config` shows every key".to_owned(),
+        |near| format!("did you mean `{near}`?"),
+    );
+    Err(error::Error::Config(format!(
+        "{origin}: unknown key `{key}`; {remedy}"
+    )))
+}
+
+fn read_table(path: &path::Path) -> Result<toml::Table, error::Error> {
+    let read = |source| error::Error::Read {
+        path: path.to_owned(),
+        source,
+    };
+    if fs::metadata(path).map_err(read)?.len() > MAX_FILE_BYTES {
+        return Err(error::Error::Config(format!(
+            "{}: over {MAX_FILE_BYTES} bytes; this is not a process's configuration",
+            path.display()
+        )));
+    }
+    let text = fs::read_to_string(path).map_err(read)?;
+    let name = path.display().to_string();
+    let fault = |err: toml::de::Error| error::Error::Config(format!("{name}: {err}"));
+    let table: toml::Table = toml::from_str(&text).map_err(fault)?;
+    for key in table.keys() {
+        let line = text.lines().position(|line| {
+            line.split('=')
+                .next()
+                .is_some_and(|name| name.trim() == key)
+        });
+        let at = line.map_or_else(|| name.clone(), |line| format!("{name}:{}", line + 1));
+        check_key(&at, key)?;
+    }
+    // Read alone, the file gives the line of a value of the wrong kind. What it lacks may still
+    // come from the environment or a flag.
+    match toml::from_str::<Config>(&text) {
+        Err(err) if !err.message().starts_with(MISSING) => Err(fault(err)),
+        _ => Ok(table),
+    }
+}
+
+/// How the parser's message about a key that is not there begins.
+const MISSING: &str = "missing field";
+
+fn missing(err: &toml::de::Error) -> error::Error {
+    let message = err.message();
+    let Some(key) = message.strip_prefix(MISSING) else {
+        return error::Error::Config(message.to_owned());
+    };
+    let key = key.trim().trim_matches('`');
+    error::Error::Config(format!(
+        "`{key}` is not set; set it in the file, in {ENV_PREFIX}{} or with --set {key}=VALUE",
+        key.to_uppercase()
+    ))
+}
+
+/// A value as the environment or a flag gives it, if its key can hold it.
+fn checked(key: &str, text: &str) -> Result<toml::Value, error::Error> {
+    let value = value(key, text);
+    let mut alone = known_keys();
+    alone.insert(key.to_owned(), value.clone());
+    match Config::deserialize(alone) {
+        Ok(_) => Ok(value),
+        Err(err) => Err(error::Error::Config(format!(
+            "`{key}` cannot be `{text}`: {}; see its form in a file or with --print-config",
+            err.message()
+        ))),
+    }
+}
+
+/// A value as the environment or a flag gives it: a list's parts stand between commas.
+fn value(key: &str, text: &str) -> toml::Value {
+    match known_keys().get(key) {
+        Some(toml::Value::Array(_)) => {
+            let parts = text
+                .split(',')
+                .map(str::trim)
+                .filter(|part| !part.is_empty());
+            toml::Value::Array(parts.map(toml::Value::from).collect())
+        }
+        Some(toml::Value::Integer(_)) => text
+            .parse::<i64>()
+            .map_or_else(|_| text.into(), toml::Value::Integer),
+        Some(toml::Value::Float(_)) => text
+            .parse::<f64>()
+            .map_or_else(|_| text.into(), toml::Value::Float),
+        Some(toml::Value::Boolean(_)) => text
+            .parse::<bool>()
+            .map_or_else(|_| text.into(), toml::Value::Boolean),
+        _ => text.into(),
+    }
+}
+
+fn range(
+    key: &str,
+    value: u64,
+    unit: &str,
+    allowed: ops::RangeInclusive<u64>,
+) -> Result<(), error::Error> {
+    if allowed.contains(&value) {
+        return Ok(());
+    }
+    Err(error::Error::Config(format!(
+        "`{key}` is {value} {unit}; give {} to {} {unit}",
+        allowed.start(),
+        allowed.end()
+    )))
+}
+
+/// Text that no log and no debug output may show.
+#[derive(Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Secret(String);
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("(hidden)")
+    }
+}
+
+impl AsRef<str> for Secret {
+    fn as_ref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for Secret {
+    fn from(text: &str) -> Self {
+        Self(text.to_owned())
+    }
+}
+
+impl From<String> for Secret {
+    fn from(text: String) -> Self {
+        Self(text)
     }
 }
 
@@ -85,3 +338,79 @@
 fn default_ticket_ttl_ms() -> u64 {
     60_000
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = "vm = \"e1\"\naz = \"a\"\nlisten = \"127.0.0.1:1\"\n\
+        operators_listen = \"127.0.0.1:2\"\npeers_listen = \"127.0.0.1:3\"\nworkers = 2\n";
+
+    fn layered(text: &str, env: &[(&str, &str)], flags: &[&str]) -> Result<Config, error::Error> {
+        let dir = tempfile::tempdir().unwrap();
+        let path = dir.path().join("entry.toml");
+        fs::write(&path, text).unwrap();
+        let env = env.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned()));
+        let flags: Vec<String> = flags.iter().map(|f| (*f).to_owned()).collect();
+        Config::layered(Some(&path), &Overrides::new(env, &flags)?)
+    }
+
+    fn refused(text: &str, flags: &[&str]) -> String {
+        layered(text, &[("BULRUSHWIND_STORE", "127.0.0.1:4")], flags)
+            .unwrap_err()
+            .to_string()
+    }
+
+    #[test]
+    fn flags_go_over_the_environment_and_that_over_the_file() {
+        let env = [
+            ("BULRUSHWIND_STORE", "127.0.0.1:4"),
+            ("BULRUSHWIND_WORKERS", "3"),
+            ("BULRUSHWIND_VM", "e2"),
+            ("BULRUSHWIND_DIR", "/elsewhere"),
+        ];
+        let cfg = layered(FILE, &env, &["workers=5", "peer_secrets=ab,cd"]).unwrap();
+        assert_eq!((cfg.vm.as_str(), cfg.az.as_str()), ("e2", "a"));
+        assert_eq!((cfg.workers, cfg.store.port()), (5, 4));
+        assert_eq!(cfg.peer_secrets, ["ab".into(), "cd".into()]);
+    }
+
+    #[test]
+    fn what_is_missing_or_unknown_is_named_with_its_remedy() {
+        let err = layered(FILE, &[], &[]).unwrap_err().to_string();
+        assert!(
+            err.contains("BULRUSHWIND_STORE or with --set store="),
+            "{err}"
+        );
+        let err = refused(&format!("{FILE}worker = 2\n"), &[]);
+        assert!(
+            err.contains("entry.toml:7") && err.contains("`workers`?"),
+            "{err}"
+        );
+        assert!(refused(FILE, &["worker=2"]).contains("`workers`?"));
+        let err = refused(FILE, &["listen=here"]);
+        assert!(err.starts_with("`listen` cannot be `here`"), "{err}");
+        let err = refused(&FILE.replace("workers = 2", "workers = \"two\""), &[]);
+        assert!(err.contains("line 6"), "{err}");
+    }
+
+    #[test]
+    fn every_range_is_named_with_its_unit() {
+        let err = refused(FILE, &["workers=0"]);
+        assert_eq!(err, "`workers` is 0 threads; give 1 to 256 threads");
+        let err = refused(FILE, &["lookup_ttl_ms=5"]);
+        assert_eq!(err, "`lookup_ttl_ms` is 5 ms; give 100 to 3600000 ms");
+        assert!(refused(FILE, &["listen=127.0.0.1:2"]).contains("given twice"));
+    }
+
+    #[test]
+    fn the_shown_configuration_parses_back_and_hides_secrets() {
+        let cfg = Config {
+            peer_secrets: vec!["5ec4e7".into()],
+            ..Config::default()
+        };
+        let shown = cfg.to_shown_toml();
+        assert!(!shown.contains("5ec4e7") && !format!("{cfg:?}").contains("5ec4e7"));
+        assert!(toml::from_str::<Config>(&shown).is_ok());
+    }
+}
