--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,8 @@
 pub mod book;
 pub mod budget;
 pub mod driver;
+pub mod grants;
+pub mod loads;
 pub mod membership;
 pub mod node;
 pub mod peers;
