Let a policy tell what it ejected, restored and suspected

Cause: an ejection or a quarantine shows in no action, so logs could not tell why a backend server gets no work.

--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -11,8 +11,8 @@
 use rand::{RngExt, SeedableRng};
 
 use super::{
-    across, admission, ejection, limit, members, placement, policy, probe, quarantine, queue, ramp,
-    range, retry, trust,
+    across, admission, ejection, limit, members, note, placement, policy, probe, quarantine, queue,
+    ramp, range, retry, trust,
 };
 use crate::id;
 use policy::{Action, Ended, Fate, Moment, Origin, Place, Policy, Refusal, RequestId};
@@ -161,6 +161,7 @@
     pub(super) swept: Moment,
     pub(super) probed: Option<Moment>,
     shares: admission::Shares,
+    pub(super) notes: note::Notes,
 }
 
 impl Dispatch {
@@ -179,6 +180,7 @@
             swept: Moment::ZERO,
             probed: None,
             shares: admission::Shares::default(),
+            notes: note::Notes::default(),
             cfg,
         }
     }
@@ -432,6 +434,8 @@
         let wants = self.members[i].health.failed(cfg);
         if wants && ejection::room(cfg, self.members.len(), out) {
             self.members[i].health.eject(cfg, now, false);
+            let vm = self.members[i].id.clone();
+            self.notes.push(note::Note::Ejected { vm, down: false });
         }
     }
 
@@ -440,6 +444,8 @@
         let member = &mut self.members[i];
         if member.health.broke(cfg) {
             member.health.eject(cfg, now, true);
+            let vm = member.id.clone();
+            self.notes.push(note::Note::Ejected { vm, down: true });
         }
     }
 
@@ -450,9 +456,18 @@
         let same = |at: Moment| now < at + cfg.one_crash && attempt.at <= at;
         if !member.crashed.is_some_and(same) {
             member.crashed = Some(now);
-            self.quarantine.crashed(cfg, now, attempt.fingerprint);
-            for other in &member.out {
-                self.quarantine.crashed(cfg, now, other.fingerprint);
+            let others = member.out.iter().map(|other| other.fingerprint);
+            let suspects: Vec<_> = [attempt.fingerprint].into_iter().chain(others).collect();
+            let vm = member.id.clone();
+            for fingerprint in suspects {
+                self.quarantine.crashed(cfg, now, fingerprint);
+                let state = self.quarantine.state(now, fingerprint);
+                let banned = matches!(state, quarantine::State::Banned { .. });
+                self.notes.push(note::Note::Suspected {
+                    vm: vm.clone(),
+                    fingerprint,
+                    banned,
+                });
             }
         }
         self.broke(now, i);
@@ -629,4 +644,7 @@
         self.probe_back(now, from, report);
         self.serve(now, out);
     }
+    fn notes(&mut self) -> Vec<note::Note> {
+        self.notes.take()
+    }
 }
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -17,6 +17,7 @@
 pub mod links;
 pub mod members;
 pub mod naive;
+pub mod note;
 pub mod placement;
 pub mod plan;
 pub mod policy;
--- a/src/decisions/policy.rs
+++ b/src/decisions/policy.rs
@@ -6,6 +6,7 @@
 
 use std::time;
 
+use super::note;
 use crate::id;
 
 /// A point in time: how long the process has run.
@@ -211,4 +212,9 @@
         report: Option<Report>,
         out: &mut Vec<Action>,
     );
+
+    /// What was decided beside the actions since the last call, for the logs.
+    fn notes(&mut self) -> Vec<note::Note> {
+        Vec::new()
+    }
 }
--- a/src/decisions/upkeep.rs
+++ b/src/decisions/upkeep.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use super::dispatch::Dispatch;
-use super::{ejection, limit, policy, ramp};
+use super::{ejection, limit, note, policy, ramp};
 use crate::id;
 use policy::{Action, Moment, Refusal};
 
@@ -107,6 +107,8 @@
         if member.health.probed(&cfg.ejection, now, report.is_some()) {
             member.ramp = ramp::Ramp::cold(&cfg.ramp);
             member.limit = limit::Limit::new(member.slots);
+            let vm = member.id.clone();
+            self.notes.push(note::Note::Restored { vm });
         }
     }
 }
