--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod peers;
+pub mod plan_writer;
 pub mod reader;
 pub mod store;
 pub mod store_http;
