--- a/tests/path/local.rs
+++ b/tests/path/local.rs
@@ -115,8 +115,8 @@
     let root = path::Path::new("examples/cooperative");
     let shared = sync::Arc::new(entry::Shared::default());
     shared
-        .settings
-        .store(sync::Arc::new(settings::Settings::read(root).unwrap()));
+        .put_in_force(settings::Settings::read(root).unwrap())
+        .unwrap();
     let cfg = config::Config {
         az: testenv::AZ.into(),
         vm: "e1".into(),
