Feed entry processes from signed settings and one reader's list of VMs

Cause: each entry process watched the store and polled the list for itself and took any text. Change: the request path's feed is the coordination driver; tests and the example sign what they put in the store, and entry processes name the root key that they trust. A planned stop tells the peers.

An entry process without peer_secrets reads for itself, as before.

--- a/examples/tryout/deployment.rs
+++ b/examples/tryout/deployment.rs
@@ -6,7 +6,7 @@
 use std::path;
 
 use bulrushwind::coordination::store;
-use bulrushwind::standin::{control, processes};
+use bulrushwind::standin::{control, operator, processes};
 use bulrushwind::{config, settings};
 
 /// How long a look-up may be kept. Short, so that a planned stop fits into the example.
@@ -75,6 +75,7 @@
             vm: name.as_str().into(),
             az: az.into(),
             store: self.store.addr(),
+            root_keys: vec![operator::root().public()],
             workers: 2,
             lookup_ttl_ms: LOOKUP_TTL_MS,
             ticket_ttl_ms: TICKET_TTL_MS,
--- a/src/config.rs
+++ b/src/config.rs
@@ -47,6 +47,10 @@
         /// hexadecimal digits each. The first signs, all are accepted. None: no links to peers.
         #[serde(default)]
         pub peer_secrets: Vec<Secret>,
+        /// Where a few entry VMs listen for peers, in several availability zones. A process that
+        /// starts while the platform is out of reach finds the fleet through them.
+        #[serde(default)]
+        pub peer_seeds: Vec<net::SocketAddr>,
     }
 }
 
@@ -66,6 +70,7 @@
             lookup_ttl_ms: default_lookup_ttl_ms(),
             ticket_ttl_ms: default_ticket_ttl_ms(),
             peer_secrets: Vec::new(),
+            peer_seeds: Vec::new(),
         }
     }
 }
@@ -104,6 +109,12 @@
             "secrets",
             0..=8,
         )?;
+        range(
+            "peer_seeds",
+            self.peer_seeds.len() as u64,
+            "addresses",
+            0..=64,
+        )?;
         for name in [self.vm.as_str(), self.az.as_str()] {
             if name.is_empty() || name.len() > MAX_NAME || name.contains([' ', '/']) {
                 return Err(error::Error::Config(format!(
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -234,11 +234,12 @@
 
 fn target(vm: &store::Vm) -> Option<peers::Target> {
     match vm.role {
-        store::VmRole::Entry { peers } => Some(peers::Target {
+        // Port 0: it listens for no peers.
+        store::VmRole::Entry { peers } if peers.port() != 0 => Some(peers::Target {
             vm: Some(vm.id.clone()),
             addr: peers,
         }),
-        store::VmRole::Backend { .. } => None,
+        _ => None,
     }
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -21,7 +21,7 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 
-use crate::coordination::{store, store_http};
+use crate::coordination::{driver, store, store_http};
 use crate::decisions::{naive, policy};
 use crate::state::{fleet, keys, lookup};
 use crate::transport::{client, server};
@@ -173,6 +173,7 @@
 pub struct Entry<M: MakePolicy> {
     core: sync::Arc<Core<M>>,
     server: server::Server,
+    driver: Option<driver::Driver>,
     /// Dropped last: every connection lives on it.
     _runtime: tokio::runtime::Runtime,
 }
@@ -186,8 +187,8 @@
         log: slog::Logger,
     ) -> Result<Self, error::Error> {
         let shared = sync::Arc::new(Shared::default());
-        let entry = Self::start_with(cfg, make, shared, log)?;
-        feed::start(&entry.core.shared, platform, &entry.core.log);
+        let mut entry = Self::start_with(cfg, make, shared, log)?;
+        entry.driver = Some(feed::start(&entry.core, platform)?);
         Ok(entry)
     }
 
@@ -245,6 +246,7 @@
         Ok(Self {
             core,
             server,
+            driver: None,
             _runtime: runtime,
         })
     }
@@ -258,6 +260,9 @@
     /// what is in flight ends and kept answers stay within reach until the last ticket expired.
     pub fn stop(self) {
         self.core.stopping.store(true, atomic::Ordering::SeqCst);
+        if let Some(driver) = &self.driver {
+            driver.leave();
+        }
         let ttl = self.core.cfg.lookup_ttl_ms.max(self.core.cfg.ticket_ttl_ms);
         let until = time::Instant::now() + time::Duration::from_millis(ttl);
         while time::Instant::now() < until || desk::in_hand(&self.core) > 0 {
--- a/src/entry/feed.rs
+++ b/src/entry/feed.rs
@@ -1,130 +1,91 @@
-//! Feeds the request path with settings and the list of VMs from the platform.
+//! Feeds the request path with settings and the list of VMs that coordination finds out.
 //!
 //! While the store is out of reach, the last settings and the last list stay in force.
 
-use std::collections;
+use std::net;
 use std::sync;
-use std::thread;
-use std::time;
 
-use super::Shared;
-use crate::coordination::store;
-use crate::{id, settings};
+use super::{Core, MakePolicy, Shared};
+use crate::coordination::{budget, driver, node, reader, store};
+use crate::protocol::hello;
+use crate::state::fleet;
+use crate::{config, error, settings};
 
-/// The prefix under which teams' settings lie.
-const SETTINGS: &str = "settings/";
-
-/// How long one watch waits.
-const WATCH_WAIT: time::Duration = time::Duration::from_secs(10);
-
-/// How long to leave the store alone after a failed call.
-const PAUSE: time::Duration = time::Duration::from_millis(500);
-
-/// How often the list of VMs is read.
-const VMS_EVERY: time::Duration = time::Duration::from_millis(500);
-
-/// The part of a stored value that holds a team's settings.
-#[derive(serde::Deserialize)]
-struct Stored {
-    text: String,
+/// Hands what comes to the shared tables, as long as somebody reads them.
+struct Feed {
+    shared: sync::Weak<Shared>,
+    log: slog::Logger,
 }
 
-type Texts = collections::BTreeMap<id::TeamId, String>;
-
-/// Starts the threads that feed `shared`. They end when nothing else holds it.
-pub(super) fn start<S: store::Store>(shared: &sync::Arc<Shared>, platform: S, log: &slog::Logger) {
-    let platform = sync::Arc::new(platform);
-    let (weak, store, logger) = (sync::Arc::downgrade(shared), platform.clone(), log.clone());
-    thread::spawn(move || watch_settings(&weak, &store, &logger));
-    let weak = sync::Arc::downgrade(shared);
-    thread::spawn(move || poll_vms(&weak, &platform));
-}
-
-fn poll_vms<S: store::Store>(shared: &sync::Weak<Shared>, platform: &S) {
-    while shared.strong_count() > 0 {
-        let listed = platform.vms();
-        let Some(shared) = shared.upgrade() else {
+impl driver::Feed for Feed {
+    fn settings(&self, settings: sync::Arc<settings::Settings>) {
+        let Some(shared) = self.shared.upgrade() else {
             return;
         };
-        if let Ok(vms) = listed {
-            shared
-                .fleet
-                .store(sync::Arc::new(crate::state::fleet::Fleet::new(vms)));
+        if let Err(err) = shared.put_in_force(sync::Arc::unwrap_or_clone(settings)) {
+            slog::error!(self.log, "settings refused"; "error" => err.to_string());
         }
-        drop(shared);
-        thread::sleep(VMS_EVERY);
     }
-}
 
-fn watch_settings<S: store::Store>(shared: &sync::Weak<Shared>, platform: &S, log: &slog::Logger) {
-    while shared.strong_count() > 0 {
-        match platform.list(SETTINGS) {
-            Ok(snapshot) => {
-                let mut texts = Texts::new();
-                take(&mut texts, &snapshot.entries);
-                put_in_force(shared, &texts, log);
-                follow(shared, platform, snapshot.revision, texts, log);
-            }
-            Err(err) => {
-                slog::warn!(log, "settings cannot be read"; "error" => err.to_string());
-            }
+    fn vms(&self, vms: Vec<store::Vm>) {
+        if let Some(shared) = self.shared.upgrade() {
+            let fleet = fleet::Fleet::new(vms);
+            shared.fleet.store(sync::Arc::new(fleet));
         }
-        thread::sleep(PAUSE);
     }
-}
 
-fn follow<S: store::Store>(
-    shared: &sync::Weak<Shared>,
-    platform: &S,
-    mut after: store::Revision,
-    mut texts: Texts,
-    log: &slog::Logger,
-) {
-    while shared.strong_count() > 0 {
-        match platform.watch(SETTINGS, after, WATCH_WAIT) {
-            Ok(store::Watch::Events { revision, entries }) => {
-                after = revision;
-                if !entries.is_empty() {
-                    take(&mut texts, &entries);
-                    put_in_force(shared, &texts, log);
-                }
-            }
-            Ok(store::Watch::Gap) | Err(_) => return,
-        }
+    fn is_wanted(&self) -> bool {
+        self.shared.strong_count() > 0
     }
 }
 
-fn take(texts: &mut Texts, entries: &[store::Entry]) {
-    for entry in entries {
-        let Some(team) = entry.key.strip_prefix(SETTINGS) else {
-            continue;
-        };
-        match serde_json::from_slice::<Stored>(&entry.value) {
-            Ok(stored) => texts.insert(team.into(), stored.text),
-            Err(_) => texts.remove(team),
-        };
+/// Starts agreement with the peers and the platform.
+pub(super) fn start<M: MakePolicy, S: store::Store>(
+    core: &Core<M>,
+    platform: S,
+) -> Result<driver::Driver, error::Error> {
+    let cfg = &core.cfg;
+    let feed = Feed {
+        shared: sync::Arc::downgrade(&core.shared),
+        log: core.log.clone(),
+    };
+    if cfg.root_keys.is_empty() {
+        slog::error!(
+            core.log,
+            "no settings will be taken: name the root keys' public halves in `root_keys`"
+        );
     }
+    let driven = driver::Config {
+        node: node::Config {
+            vm: cfg.vm.clone(),
+            az: cfg.az.clone(),
+            incarnation: core.incarnation,
+            roots: cfg.root_keys.clone(),
+            seeds: cfg.peer_seeds.clone(),
+            seed: rand::random(),
+            limits: budget::Limits::default(),
+            timing: reader::Timing::default(),
+        },
+        listen: cfg.peers_listen,
+        secrets: secrets(cfg)?,
+    };
+    driver::Driver::start(driven, platform, feed, &core.log)
+        .map_err(|err| bind_error(cfg.peers_listen, &err))
 }
 
-fn put_in_force(shared: &sync::Weak<Shared>, texts: &Texts, log: &slog::Logger) {
-    let settings = match read(texts) {
-        Ok(settings) => settings,
-        Err(err) => return slog::error!(log, "settings refused"; "error" => err.to_string()),
-    };
-    let Some(shared) = shared.upgrade() else {
-        return;
-    };
-    if let Err(err) = shared.put_in_force(settings) {
-        slog::error!(log, "settings refused"; "error" => err.to_string());
+fn secrets(cfg: &config::Config) -> Result<Option<hello::Secrets>, error::Error> {
+    if cfg.peer_secrets.is_empty() {
+        return Ok(None);
     }
+    let secrets = hello::Secrets::parse(&cfg.peer_secrets)
+        .map_err(|err| error::Error::Config(format!("`peer_secrets`: {err}")))?;
+    Ok(Some(secrets))
 }
 
-fn read(texts: &Texts) -> Result<settings::Settings, settings::Error> {
-    let mut all = settings::Settings::default();
-    for (team, text) in texts {
-        let part = settings::Team::parse(team.as_str(), text)?;
-        all.teams.insert(team.clone(), part);
+fn bind_error(addr: net::SocketAddr, err: &std::io::Error) -> error::Error {
+    error::Error::Bind {
+        addr: addr.to_string(),
+        setting: "peers_listen",
+        reason: err.to_string(),
     }
-    all.check()?;
-    Ok(all)
 }
--- a/src/standin/processes.rs
+++ b/src/standin/processes.rs
@@ -11,9 +11,9 @@
 use std::thread;
 use std::time;
 
-use crate::coordination::{store as platform, store_http};
+use super::operator;
+use crate::coordination::store_http;
 use crate::settings;
-use platform::Store;
 
 /// A process that listens.
 #[derive(Debug)]
@@ -95,17 +95,12 @@
     }
 }
 
-/// Writes settings into the store at `addr`, each team under its key.
+/// Writes settings into the store at `addr`, each team under its key, signed by the stand-in
+/// operator. Entry processes take them when [`operator::root`] is among their root keys.
 pub fn put_settings(addr: net::SocketAddr, settings: &settings::Settings) -> io::Result<()> {
     let store = store_http::Client::new(addr);
     for (name, team) in &settings.teams {
-        let key = format!("settings/{name}");
-        let now = store.get(&key).map_err(io::Error::other)?;
-        let expect = now.map_or(platform::Revision(0), |entry| entry.revision);
-        let value = serde_json::json!({ "text": team.to_toml() }).to_string();
-        store
-            .compare_and_swap(&key, expect, value.as_bytes(), None)
-            .map_err(io::Error::other)?;
+        operator::publish(&store, name.as_str(), &team.to_toml(), 0).map_err(io::Error::other)?;
     }
     Ok(())
 }
--- a/tests/path/testenv.rs
+++ b/tests/path/testenv.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use bulrushwind::coordination::store;
-use bulrushwind::standin::{caller, control, processes};
+use bulrushwind::standin::{caller, control, operator, processes};
 use bulrushwind::{config, settings};
 
 /// How long a condition may take. Far more than any machine needs.
@@ -137,6 +137,7 @@
             vm: name.into(),
             az: AZ.into(),
             store: self.store.addr(),
+            root_keys: vec![operator::root().public()],
             workers: 2,
             lookup_ttl_ms: 500,
             ticket_ttl_ms: 60_000,
