Show operators what each request met: counts, logs, the past, explanations

Cause: an entry process said nothing of what it refused, spilled or ejected, and had no listener for operators. Conclusion: tests run a real entry process and read each page.

--- a/benches/http.rs
+++ b/benches/http.rs
@@ -75,7 +75,7 @@
 
     fn gone(&self, _id: u64) {}
 
-    fn fault(&self, _fault: server::Fault) -> server::Answer {
+    fn fault(&self, _id: u64, _fault: server::Fault) -> server::Answer {
         server::Answer {
             status: hyper::StatusCode::BAD_REQUEST,
             ..server::Answer::default()
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,6 +7,8 @@
 mod answers;
 mod desk;
 mod feed;
+mod observe;
+mod operate;
 mod route;
 
 use std::collections;
@@ -24,8 +26,8 @@
 use crate::coordination::{store, store_http};
 use crate::decisions::{naive, policy};
 use crate::state::{fleet, keys, lookup};
-use crate::transport::{client, server};
-use crate::{config, error, id, settings};
+use crate::transport::{client, operators, server};
+use crate::{config, error, id, metrics, settings};
 use policy::Policy;
 
 /// How often time passes for the policies.
@@ -75,6 +77,19 @@
     regions: arc_swap::ArcSwap<lookup::Regions>,
     /// The platform's list of VMs.
     pub fleet: arc_swap::ArcSwap<fleet::Fleet>,
+    /// How it goes with the platform and the peers, for operators.
+    pub links: arc_swap::ArcSwap<Links>,
+}
+
+/// How an entry process stands with the platform and its peers.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    /// The version of each team's settings in force.
+    pub versions: collections::BTreeMap<id::TeamId, u64>,
+    /// Whether the last call to the platform's store was answered.
+    pub store_up: bool,
+    /// Entry VMs that this one hears from.
+    pub peers: u64,
 }
 
 impl Shared {
@@ -111,7 +126,7 @@
         Result<server::Answer, client::Failure>,
     ),
     /// The home of a key answered, or did not.
-    Home(server::Reply, Result<server::Answer, client::Failure>),
+    Home(route::Home, Result<server::Answer, client::Failure>),
 }
 
 type Desks<P> = collections::HashMap<id::ServiceId, sync::Arc<desk::Desk<P>>>;
@@ -121,6 +136,7 @@
     cfg: config::Config,
     make: M,
     log: slog::Logger,
+    observer: observe::Observer,
     incarnation: id::Incarnation,
     started: time::Instant,
     shared: sync::Arc<Shared>,
@@ -136,13 +152,19 @@
         self.started.elapsed()
     }
 
+    /// The name of a request, unique in the fleet.
+    fn name(&self, id: u64) -> Option<hyper::header::HeaderValue> {
+        let name = format!("{}-{}-{id}", self.cfg.vm, self.incarnation);
+        name.parse().ok()
+    }
+
     fn handle(self: &sync::Arc<Self>, event: Event<M::Policy>) {
         match event {
             Event::Request(req) => route::request(self, req),
             Event::Gone(req) => desk::gone(self, req),
             Event::Ended(desk, end) => desk::ended(self, &desk, end),
             Event::Probed(desk, vm, result) => desk::probed(self, &desk, &vm, result),
-            Event::Home(reply, result) => route::home_answered(reply, result),
+            Event::Home(home, result) => route::home_answered(self, home, result),
         }
     }
 }
@@ -164,8 +186,15 @@
         let _ = self.0.events.send(Event::Gone(policy::RequestId(id)));
     }
 
-    fn fault(&self, fault: server::Fault) -> server::Answer {
-        answers::fault(fault)
+    fn fault(&self, id: u64, fault: server::Fault) -> server::Answer {
+        let problem = answers::fault(fault);
+        let core = &self.0;
+        core.observer.turned_away(core.now(), id, "", &problem);
+        answers::problem(&problem)
+    }
+
+    fn name(&self, id: u64) -> Option<hyper::header::HeaderValue> {
+        self.0.name(id)
     }
 }
 
@@ -173,6 +202,7 @@
 pub struct Entry<M: MakePolicy> {
     core: sync::Arc<Core<M>>,
     server: server::Server,
+    operators: operators::Server,
     /// Dropped last: every connection lives on it.
     _runtime: tokio::runtime::Runtime,
 }
@@ -213,6 +243,7 @@
         let core = sync::Arc::new(Core {
             cfg,
             make,
+            observer: observe::Observer::new(&log),
             log,
             incarnation: new_incarnation(),
             started: time::Instant::now(),
@@ -240,11 +271,14 @@
             let (core, rx) = (sync::Arc::downgrade(&core), rx.clone());
             thread::spawn(move || work(&core, &rx));
         }
+        let source = operate::Source(sync::Arc::downgrade(&core));
+        let operators = operators::serve(core.cfg.operators_listen, source)?;
         let ticking = sync::Arc::downgrade(&core);
         thread::spawn(move || tick(&ticking));
         Ok(Self {
             core,
             server,
+            operators,
             _runtime: runtime,
         })
     }
@@ -254,6 +288,11 @@
         self.server.addr()
     }
 
+    /// Where operators connect.
+    pub fn operators_addr(&self) -> net::SocketAddr {
+        self.operators.addr()
+    }
+
     /// Stops as planned: look-ups stop naming this VM and new requests are told where to go, while
     /// what is in flight ends and kept answers stay within reach until the last ticket expired.
     pub fn stop(self) {
@@ -287,6 +326,8 @@
     while let Some(core) = core.upgrade() {
         if refreshed.is_none_or(|at: time::Instant| at.elapsed() >= REFRESH) {
             desk::refresh(&core);
+            desk::observe(&core);
+            metrics::exporter().upkeep();
             refreshed = Some(time::Instant::now());
         }
         for desk in core.desks.load().values() {
@@ -318,6 +359,7 @@
     let platform = store_http::Client::new(cfg.store);
     let entry = Entry::start(cfg, MakeNaive, platform, log)?;
     println!("listening {}", entry.addr());
+    println!("operators {}", entry.operators_addr());
     let _ = std::io::stdout().flush();
     slog::info!(entry.core.log, "listening"; "addr" => entry.addr().to_string());
     signals.forever().next();
--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -50,13 +50,13 @@
     }
 }
 
-/// The answer to a request that never became whole.
-pub(super) fn fault(fault: server::Fault) -> server::Answer {
-    problem(&match fault {
+/// Why a request never became whole.
+pub(super) fn fault(fault: server::Fault) -> outcome::Problem {
+    match fault {
         server::Fault::TooLarge(most) => outcome::Problem::TooLarge(most),
         server::Fault::Incomplete => outcome::Problem::BodyIncomplete,
         server::Fault::Busy => outcome::Problem::Busy,
-    })
+    }
 }
 
 fn json(status: StatusCode, outcome: outcome::Outcome, body: Vec<u8>) -> server::Answer {
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -17,10 +17,10 @@
 use hyper::{HeaderMap, Method};
 use parking_lot::Mutex;
 
-use super::{Core, Event, MakePolicy, answers};
+use super::{Core, Event, MakePolicy, answers, observe};
 use crate::coordination::store;
 use crate::decisions::policy;
-use crate::protocol::{backend, backend_http, headers, outcome};
+use crate::protocol::{backend, backend_http, headers, operators, outcome};
 use crate::state::{fleet, keys};
 use crate::transport::{client, server};
 use crate::{id, settings};
@@ -54,6 +54,10 @@
     pub(super) idempotent: bool,
     /// Holds the body's share of the process's memory.
     pub(super) _permit: Option<tokio::sync::OwnedSemaphorePermit>,
+    /// What operators see of it.
+    pub(super) seen: observe::Seen,
+    /// Attempts that were made.
+    pub(super) tries: u32,
     /// Attempts under way.
     pub(super) attempts: Vec<(Place, client::Attempt)>,
     /// An attempt ended of which nobody can say that it did not run.
@@ -170,6 +174,7 @@
 ) {
     let mut inner = desk.inner.lock();
     let (how, report, answer) = read(&end);
+    core.observer.attempt_ended(&desk.service, how);
     if let Some(pending) = inner.pending.get_mut(&end.req) {
         pending.attempts.retain(|(at, _)| *at != end.at);
         let not_run = matches!(how, Ended::Shed | Ended::NotSent);
@@ -267,7 +272,7 @@
         match action {
             Action::Send { req, to, deadline } => send(core, desk, inner, req, to, deadline),
             Action::Cancel { req, to } => cancel(inner, req, &to),
-            Action::Settle { req, fate } => settle(core, inner, req, fate),
+            Action::Settle { req, fate } => settle(core, desk, inner, req, fate),
             Action::Probe { to } => probe(core, desk, inner, to),
         }
     }
@@ -307,6 +312,15 @@
         let _ = events.send(Event::Ended(desk, end));
         return;
     };
+    core.observer.sent(
+        core.now(),
+        &desk.service,
+        &pending.seen,
+        &to,
+        &core.cfg.az,
+        pending.tries == 0,
+    );
+    pending.tries += 1;
     let timeout = deadline.saturating_sub(core.now());
     let body_bytes = desk.body_bytes.load(atomic::Ordering::Relaxed);
     let mut forward = backend::Forward {
@@ -317,6 +331,9 @@
         body: pending.body.clone(),
         timeout,
     };
+    if let Some(name) = core.name(pending.seen.id) {
+        forward.headers.insert(headers::REQUEST_ID, name);
+    }
     if let (Place::Az(_), Ok(az)) = (&to, core.cfg.az.as_str().parse()) {
         forward.headers.insert(headers::ORIGIN_AZ, az);
     }
@@ -377,48 +394,44 @@
 
 fn settle<M: MakePolicy>(
     core: &sync::Arc<Core<M>>,
+    desk: &Desk<M::Policy>,
     inner: &mut Inner<M::Policy>,
     req: policy::RequestId,
     fate: Fate,
 ) {
-    let Some(pending) = inner.pending.remove(&req) else {
+    let Some(mut pending) = inner.pending.remove(&req) else {
         return;
     };
+    let seen = |end| {
+        core.observer
+            .ended(core.now(), &desk.service, &pending.seen, end)
+    };
     let maybe_run = pending.maybe_run || !pending.attempts.is_empty();
-    match (fate, pending.answer) {
+    let problem = match (fate, pending.answer.take()) {
         (Fate::Answer, Some(answer)) => {
+            let failed = answer.status.is_server_error();
+            seen(if failed {
+                observe::End::Failed
+            } else {
+                observe::End::Answered
+            });
             let told = answers::backend(&answer);
-            let end = keys::End::Answer(answer);
-            tell(
-                core,
-                pending.reply,
-                pending.key.as_deref(),
-                Some(end),
-                &told,
-            );
+            let end = Some(keys::End::Answer(answer));
+            return tell(core, pending.reply, pending.key.as_deref(), end, &told);
         }
         (Fate::NotRun { why, retry_after }, _) if !maybe_run => {
-            let told = answers::problem(&outcome::Problem::Refused(why, retry_after));
-            tell(core, pending.reply, pending.key.as_deref(), None, &told);
+            outcome::Problem::Refused(why, retry_after)
         }
         (Fate::NotRun { retry_after, .. } | Fate::Unknown { retry_after }, _) => {
-            unknown(core, pending.reply, pending.key.as_deref(), retry_after);
-        }
-        (Fate::Answer, None) => {
-            unknown(core, pending.reply, pending.key.as_deref(), RETRY_AFTER);
+            outcome::Problem::Lost(retry_after)
         }
-    }
-}
-
-fn unknown<M: MakePolicy>(
-    core: &Core<M>,
-    reply: Option<server::Reply>,
-    key: Option<&str>,
-    retry_after: time::Duration,
-) {
-    let problem = outcome::Problem::Lost(retry_after);
+        (Fate::Answer, None) => outcome::Problem::Lost(RETRY_AFTER),
+    };
+    seen(observe::End::of(&problem));
     let told = answers::problem(&problem);
-    tell(core, reply, key, Some(keys::End::Unknown(problem)), &told);
+    let ran_maybe = problem.outcome() == outcome::Outcome::Unknown;
+    let end = ran_maybe.then_some(keys::End::Unknown(problem));
+    tell(core, pending.reply, pending.key.as_deref(), end, &told);
 }
 
 /// Tells the caller, and everybody who sent the same key meanwhile. No `end`: it did not run.
@@ -460,6 +473,7 @@
         timeout: PROBE_TIMEOUT,
         body_bytes: PROBE_BYTES,
     };
+    core.observer.probed(&desk.service);
     let (events, desk) = (core.events.clone(), desk.clone());
     let _attempt = core.client.send(call, move |result| {
         let _ = events.send(Event::Probed(desk, to, result));
@@ -532,6 +546,59 @@
     inner.shown = Some(shown);
 }
 
+/// Collects what operators see of each service.
+pub(super) fn observe<M: MakePolicy>(core: &sync::Arc<Core<M>>) {
+    let now = core.now();
+    for (name, desk) in core.desks.load().iter() {
+        let (notes, in_hand) = {
+            let mut inner = desk.inner.lock();
+            (inner.policy.notes(), inner.pending.len())
+        };
+        for note in notes {
+            core.observer.noted(now, name, &note);
+        }
+        core.observer.in_hand(name, in_hand as u64);
+    }
+    core.observer.tick(now);
+}
+
+/// Each service's slots and requests in hand.
+pub(super) fn all_in_hand<M: MakePolicy>(
+    core: &Core<M>,
+) -> collections::BTreeMap<id::ServiceId, operators::Service> {
+    let desks = core.desks.load();
+    let of_desk = |desk: &Desk<M::Policy>| {
+        let inner = desk.inner.lock();
+        let working = |pending: &&Pending| !pending.attempts.is_empty();
+        let in_flight = inner.pending.values().filter(working).count() as u64;
+        let shown = inner.shown.iter().flatten().filter(|b| !b.leaving);
+        operators::Service {
+            slots: shown.map(|backend| u64::from(backend.slots)).sum(),
+            in_flight,
+            queued: inner.pending.len() as u64 - in_flight,
+        }
+    };
+    desks
+        .iter()
+        .map(|(name, desk)| (name.clone(), of_desk(desk)))
+        .collect()
+}
+
+/// Requests of this VM that an availability zone works on.
+pub(super) fn in_flight_at<M: MakePolicy>(core: &Core<M>, az: &id::AzId) -> u64 {
+    let there = |place: &Place| match place {
+        Place::Backend(_) => *az == core.cfg.az,
+        Place::Az(to) => to == az,
+    };
+    let desks = core.desks.load();
+    let count = |desk: &sync::Arc<Desk<M::Policy>>| {
+        let inner = desk.inner.lock();
+        let attempts = inner.pending.values().flat_map(|pending| &pending.attempts);
+        attempts.filter(|(place, _)| there(place)).count() as u64
+    };
+    desks.values().map(count).sum()
+}
+
 /// Seconds since 1970, for drains that operators dated.
 pub(super) fn wall_clock_s() -> u64 {
     time::SystemTime::now()
--- a/src/entry/feed.rs
+++ b/src/entry/feed.rs
@@ -27,9 +27,11 @@
 #[derive(serde::Deserialize)]
 struct Stored {
     text: String,
+    #[serde(default)]
+    version: u64,
 }
 
-type Texts = collections::BTreeMap<id::TeamId, String>;
+type Texts = collections::BTreeMap<id::TeamId, Stored>;
 
 /// Starts the threads that feed `shared`. They end when nothing else holds it.
 pub(super) fn start<S: store::Store>(shared: &sync::Arc<Shared>, platform: S, log: &slog::Logger) {
@@ -46,6 +48,11 @@
         let Some(shared) = shared.upgrade() else {
             return;
         };
+        let store_up = listed.is_ok();
+        shared.links.rcu(|links| super::Links {
+            store_up,
+            ..super::Links::clone(links)
+        });
         if let Ok(vms) = listed {
             shared
                 .fleet
@@ -100,7 +107,7 @@
             continue;
         };
         match serde_json::from_slice::<Stored>(&entry.value) {
-            Ok(stored) => texts.insert(team.into(), stored.text),
+            Ok(stored) => texts.insert(team.into(), stored),
             Err(_) => texts.remove(team),
         };
     }
@@ -115,14 +122,22 @@
         return;
     };
     if let Err(err) = shared.put_in_force(settings) {
-        slog::error!(log, "settings refused"; "error" => err.to_string());
+        return slog::error!(log, "settings refused"; "error" => err.to_string());
     }
+    let versions = texts
+        .iter()
+        .map(|(team, stored)| (team.clone(), stored.version));
+    let versions: collections::BTreeMap<_, _> = versions.collect();
+    shared.links.rcu(|links| super::Links {
+        versions: versions.clone(),
+        ..super::Links::clone(links)
+    });
 }
 
 fn read(texts: &Texts) -> Result<settings::Settings, settings::Error> {
     let mut all = settings::Settings::default();
-    for (team, text) in texts {
-        let part = settings::Team::parse(team.as_str(), text)?;
+    for (team, stored) in texts {
+        let part = settings::Team::parse(team.as_str(), &stored.text)?;
         all.teams.insert(team.clone(), part);
     }
     all.check()?;
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, header};
 use rand::RngExt;
 
-use super::{Core, Event, MakePolicy, answers, desk};
+use super::{Core, Event, MakePolicy, answers, desk, observe};
 use crate::decisions::policy;
 use crate::protocol::{backend, headers, lookup, outcome, ticket};
 use crate::state::{fleet, keys};
@@ -32,7 +32,7 @@
             let answer = look_up(core, &req, service);
             req.reply.send(answer);
         }
-        ("", _) | (LOOKUP, None) => refuse(req.reply, &Problem::UnknownPath),
+        ("", _) | (LOOKUP, None) => refuse(core, req.id, "", req.reply, &Problem::UnknownPath),
         (service, rest) => {
             let path = format!("/{}", rest.unwrap_or_default());
             serve(core, req, service, &path);
@@ -40,7 +40,14 @@
     }
 }
 
-fn refuse(reply: server::Reply, problem: &Problem) {
+fn refuse<M: MakePolicy>(
+    core: &Core<M>,
+    id: u64,
+    service: &str,
+    reply: server::Reply,
+    problem: &Problem,
+) {
+    core.observer.turned_away(core.now(), id, service, problem);
     reply.send(answers::problem(problem));
 }
 
@@ -49,7 +56,10 @@
         return answers::problem(&Problem::LookupMethod);
     }
     match find(core, req.from.ip(), service) {
-        Some(lookup) => answers::look_up(&lookup),
+        Some(lookup) => {
+            core.observer.looked_up(&lookup.service);
+            answers::look_up(&lookup)
+        }
         None => answers::problem(&Problem::UnknownService(service.to_owned())),
     }
 }
@@ -104,15 +114,16 @@
     service: &str,
     path: &str,
 ) {
+    let id = req.id;
     let settings = core.shared.settings.load();
     let sent_across = origin(core, &req) != policy::Origin::Caller;
     let asked = match check(&settings, &req, service, path, sent_across) {
         Ok(asked) => asked,
-        Err(problem) => return refuse(req.reply, &problem),
+        Err(problem) => return refuse(core, id, service, req.reply, &problem),
     };
     let Some(key) = &asked.key else {
         if core.stopping.load(atomic::Ordering::SeqCst) {
-            return refuse(req.reply, &stopping());
+            return refuse(core, id, service, req.reply, &stopping());
         }
         return bring(core, req, &asked, path);
     };
@@ -120,7 +131,7 @@
         return ask_home(core, req, &asked);
     }
     if key.ticket.incarnation != core.incarnation {
-        return refuse(req.reply, &Problem::TicketVoid);
+        return refuse(core, id, service, req.reply, &Problem::TicketVoid);
     }
     let print = fingerprint(&req, path);
     let (now, stops) = (core.now(), core.stopping.load(atomic::Ordering::SeqCst));
@@ -129,7 +140,7 @@
     match admission {
         keys::Admission::Run(reply) if stops => {
             core.keys.lock().not_run(&key.text);
-            refuse(reply, &stopping());
+            refuse(core, id, service, reply, &stopping());
         }
         keys::Admission::Run(reply) => {
             req.reply = reply;
@@ -140,10 +151,10 @@
             reply.send(answers::backend(&answer));
         }
         keys::Admission::Ended(keys::End::AnswerGone, reply) => {
-            refuse(reply, &Problem::AnswerGone);
+            refuse(core, id, service, reply, &Problem::AnswerGone);
         }
         keys::Admission::Ended(keys::End::Unknown(problem), reply)
-        | keys::Admission::Refused(problem, reply) => refuse(reply, &problem),
+        | keys::Admission::Refused(problem, reply) => refuse(core, id, service, reply, &problem),
     }
 }
 
@@ -205,7 +216,14 @@
             core.keys.lock().not_run(key);
         }
         let why = policy::Refusal::NoBackend;
-        return refuse(req.reply, &Problem::Refused(why, super::REFRESH));
+        let name = asked.service.name.as_str();
+        return refuse(
+            core,
+            req.id,
+            name,
+            req.reply,
+            &Problem::Refused(why, super::REFRESH),
+        );
     };
     let arrival = policy::Arrival {
         id: policy::RequestId(req.id),
@@ -218,7 +236,10 @@
         deadline: core.now() + asked.timeout,
         bytes: req.body.len() as u64,
     };
+    let seen = observe::Seen::new(&arrival, core.now(), asked.service, asked.op, &req.headers);
     let pending = desk::Pending {
+        seen,
+        tries: 0,
         method: req.method,
         path: with_query(path, req.uri.query()),
         headers: headers::end_to_end(&req.headers),
@@ -288,14 +309,26 @@
 /// home does not answer, nobody can tell whether an earlier send of the key ran.
 fn ask_home<M: MakePolicy>(core: &sync::Arc<Core<M>>, req: server::Request, asked: &Asked<'_>) {
     let Some(key) = &asked.key else {
-        return refuse(req.reply, &Problem::NoKey);
+        return refuse(
+            core,
+            req.id,
+            asked.service.name.as_str(),
+            req.reply,
+            &Problem::NoKey,
+        );
     };
     let fleet = core.shared.fleet.load();
     // A request that was passed on once and still is not at home would go round for ever.
     let passed_on = req.headers.contains_key(headers::VIA);
     let home = fleet.vm(&key.ticket.vm).filter(|_| !passed_on);
     let Some(home) = home else {
-        return refuse(req.reply, &Problem::TicketVoid);
+        return refuse(
+            core,
+            req.id,
+            asked.service.name.as_str(),
+            req.reply,
+            &Problem::TicketVoid,
+        );
     };
     let mut out = hyper::Request::new(req.body);
     *out.method_mut() = req.method;
@@ -316,16 +349,33 @@
         timeout: asked.timeout,
         body_bytes: asked.service.max_body_bytes,
     };
-    let (events, reply) = (core.events.clone(), req.reply);
+    let events = core.events.clone();
+    let home = Home {
+        id: req.id,
+        service: asked.service.name.clone(),
+        reply: req.reply,
+    };
     let _attempt = core.client.send(call, move |result| {
-        let _ = events.send(Event::Home(reply, result));
+        let _ = events.send(Event::Home(home, result));
     });
 }
 
+/// A request that was passed on to the home of its key.
+pub(super) struct Home {
+    id: u64,
+    service: id::ServiceId,
+    reply: server::Reply,
+}
+
 /// The home of a key answered, or did not.
-pub(super) fn home_answered(reply: server::Reply, result: Result<server::Answer, client::Failure>) {
+pub(super) fn home_answered<M: MakePolicy>(
+    core: &Core<M>,
+    home: Home,
+    result: Result<server::Answer, client::Failure>,
+) {
     let Ok(answer) = result else {
-        return refuse(reply, &Problem::HomeSilent);
+        let problem = Problem::HomeSilent;
+        return refuse(core, home.id, home.service.as_str(), home.reply, &problem);
     };
     // The home's own word about the outcome stands.
     let mut told = answers::backend(&backend::Answer {
@@ -336,5 +386,5 @@
     if let Some(word) = answer.headers.get(headers::OUTCOME) {
         told.headers.insert(headers::OUTCOME, word.clone());
     }
-    reply.send(told);
+    home.reply.send(told);
 }
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -14,6 +14,8 @@
 pub const OUTCOME: &str = "bulrushwind-outcome";
 /// The number of an attempt; a backend server that knows the header sends it back.
 pub const REQUEST: &str = "bulrushwind-request";
+/// The name under which operators find a request in logs and by `/explain`.
+pub const REQUEST_ID: &str = "bulrushwind-request-id";
 /// A backend server's word about itself.
 pub const LOAD: &str = "bulrushwind-load";
 /// The availability zone of the entry VM that sent a request across.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend_http;
 pub mod headers;
 pub mod hello;
+pub mod history;
 pub mod lookup;
 pub mod operators;
 pub mod outcome;
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -271,7 +271,7 @@
         }
     }
 
-    fn fault(&self, _fault: server::Fault) -> server::Answer {
+    fn fault(&self, _id: u64, _fault: server::Fault) -> server::Answer {
         let status = StatusCode::BAD_REQUEST;
         self.0.answer(status, outcome::Outcome::NotRun, Vec::new())
     }
--- /dev/null
+++ b/src/state/totals.rs
@@ -0,0 +1,311 @@
+//! What became of requests, counted per service, and a bounded memory of past minutes.
+//!
+//! VMs keep nothing on disk, and the burn report needs windows of up to six hours. So each entry
+//! process keeps its own counts of the last hours in memory, a snapshot a minute, and says how
+//! far back it reaches. A VM that was replaced reaches back to its start only; the report says so
+//! rather than calling the missing time good.
+
+use std::collections;
+use std::time;
+
+use crate::{id, metrics};
+
+/// How often a snapshot is taken.
+const EVERY: time::Duration = time::Duration::from_secs(60);
+
+/// Snapshots that are kept: six hours and the one before.
+const KEPT: usize = 361;
+
+/// Services whose past is kept. One snapshot of one service takes some 300 bytes, so that the past
+/// of all of them takes about 7 MB (worked out, not measured).
+const MOST_SERVICES: usize = metrics::MAX_LABEL_VALUES;
+
+/// Buckets of latency: those of the metrics, and one for all above.
+const BUCKETS: usize = metrics::LATENCY_BUCKETS.len() + 1;
+
+data! {
+    /// Counts of requests of one service.
+    #[derive(Eq)]
+    pub struct Totals {
+        /// Answered by a backend server.
+        pub answered: u64,
+        /// Answered, and the backend server says that it failed.
+        pub failed: u64,
+        /// Not run.
+        pub not_run: u64,
+        /// Perhaps run.
+        pub unknown: u64,
+        /// Answers within the objective's latency.
+        pub in_time: u64,
+        /// Worth of the answered ones.
+        pub worth_answered: u64,
+        /// Worth of all others.
+        pub worth_lost: u64,
+        /// Answers by latency, as in the metrics' buckets, not added up.
+        pub latency: Vec<u64>,
+    }
+
+    /// What became of requests in a window.
+    pub struct Window {
+        /// How far back was asked, in seconds.
+        pub asked_s: u64,
+        /// How far back memory reaches, in seconds.
+        pub covers_s: u64,
+        /// The counts.
+        pub totals: Totals,
+        /// The most requests in flight and waiting that a look found.
+        pub peak_in_hand: u64,
+    }
+
+    /// What became of requests in one past stretch, for a plot.
+    pub struct Stretch {
+        /// When it ended, in seconds before now.
+        pub ago_s: u64,
+        /// How long it was, in seconds.
+        pub lasted_s: u64,
+        /// The counts.
+        pub totals: Totals,
+        /// The most requests in flight and waiting that a look found.
+        pub peak_in_hand: u64,
+    }
+}
+
+impl Default for Totals {
+    fn default() -> Self {
+        Self {
+            answered: 0,
+            failed: 0,
+            not_run: 0,
+            unknown: 0,
+            in_time: 0,
+            worth_answered: 0,
+            worth_lost: 0,
+            latency: vec![0; BUCKETS],
+        }
+    }
+}
+
+impl Totals {
+    /// All requests.
+    pub fn requests(&self) -> u64 {
+        self.answered + self.failed + self.not_run + self.unknown
+    }
+
+    /// Counts an answer's latency.
+    pub fn took(&mut self, latency: time::Duration) {
+        let s = latency.as_secs_f64();
+        let bucket = metrics::LATENCY_BUCKETS.partition_point(|upper| *upper < s);
+        self.latency[bucket] += 1;
+    }
+
+    /// Adds another VM's or minute's counts.
+    pub fn add(&mut self, other: &Self) {
+        self.combine(other, u64::saturating_add);
+    }
+
+    /// What came since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut diff = self.clone();
+        diff.combine(earlier, u64::saturating_sub);
+        diff
+    }
+
+    fn combine(&mut self, other: &Self, how: fn(u64, u64) -> u64) {
+        for (mine, theirs) in [
+            (&mut self.answered, other.answered),
+            (&mut self.failed, other.failed),
+            (&mut self.not_run, other.not_run),
+            (&mut self.unknown, other.unknown),
+            (&mut self.in_time, other.in_time),
+            (&mut self.worth_answered, other.worth_answered),
+            (&mut self.worth_lost, other.worth_lost),
+        ] {
+            *mine = how(*mine, theirs);
+        }
+        for (mine, theirs) in self.latency.iter_mut().zip(&other.latency) {
+            *mine = how(*mine, *theirs);
+        }
+    }
+
+    /// The latency that a share of answers stayed within, in seconds; `None` without answers. The
+    /// value is a bucket's upper bound, so it is never too small but may be a third too large.
+    pub fn quantile(&self, share: f64) -> Option<f64> {
+        let all: u64 = self.latency.iter().sum();
+        if all == 0 {
+            return None;
+        }
+        let mut left = (share * all as f64).ceil() as u64;
+        for (n, count) in self.latency.iter().enumerate() {
+            if left <= *count {
+                let upper = metrics::LATENCY_BUCKETS.get(n).copied();
+                return Some(upper.unwrap_or(f64::INFINITY));
+            }
+            left -= count;
+        }
+        Some(f64::INFINITY)
+    }
+}
+
+#[derive(Debug)]
+struct Snapshot {
+    at: time::Duration,
+    services: collections::BTreeMap<id::ServiceId, Totals>,
+    peaks: collections::BTreeMap<id::ServiceId, u64>,
+}
+
+/// The counts of each service, now and in past minutes.
+#[derive(Debug, Default)]
+pub struct History {
+    now: collections::BTreeMap<id::ServiceId, Totals>,
+    peaks: collections::BTreeMap<id::ServiceId, u64>,
+    past: collections::VecDeque<Snapshot>,
+}
+
+impl History {
+    /// The counts of a service, to be added to. `None` where there are too many services.
+    pub fn totals(&mut self, service: &id::ServiceId) -> Option<&mut Totals> {
+        if !self.now.contains_key(service) {
+            if self.now.len() >= MOST_SERVICES {
+                return None;
+            }
+            self.now.insert(service.clone(), Totals::default());
+        }
+        self.now.get_mut(service)
+    }
+
+    /// Services that were counted.
+    pub fn services(&self) -> impl Iterator<Item = &id::ServiceId> {
+        self.now.keys()
+    }
+
+    /// Notes how many requests of a service are in hand.
+    pub fn in_hand(&mut self, service: &id::ServiceId, count: u64) {
+        if self.totals(service).is_some() {
+            let peak = self.peaks.entry(service.clone()).or_default();
+            *peak = (*peak).max(count);
+        }
+    }
+
+    /// Takes a snapshot if one is due. The first one, at the start, is of nothing.
+    pub fn tick(&mut self, at: time::Duration) {
+        let due = self.past.back().is_none_or(|last| at >= last.at + EVERY);
+        if !due {
+            return;
+        }
+        if self.past.len() >= KEPT {
+            self.past.pop_front();
+        }
+        self.past.push_back(Snapshot {
+            at,
+            services: self.now.clone(),
+            peaks: std::mem::take(&mut self.peaks),
+        });
+    }
+
+    /// What became of a service's requests in the last `asked_s` seconds, or as far back as
+    /// memory reaches.
+    pub fn window(&self, service: &id::ServiceId, at: time::Duration, asked_s: u64) -> Window {
+        let from = at.saturating_sub(time::Duration::from_secs(asked_s));
+        let older = self.past.iter().rev().find(|snapshot| snapshot.at <= from);
+        let start = older.or(self.past.front());
+        let now = self.now.get(service).cloned().unwrap_or_default();
+        let Some(start) = start else {
+            return Window {
+                asked_s,
+                covers_s: 0,
+                totals: now,
+                peak_in_hand: 0,
+            };
+        };
+        let inside = self.past.iter().filter(|snapshot| snapshot.at > start.at);
+        let peaks = inside.filter_map(|snapshot| snapshot.peaks.get(service));
+        let latest = self.peaks.get(service);
+        Window {
+            asked_s,
+            covers_s: (at - start.at).as_secs().min(asked_s),
+            totals: start
+                .services
+                .get(service)
+                .map_or(now.clone(), |before| now.since(before)),
+            peak_in_hand: peaks.chain(latest).max().copied().unwrap_or(0),
+        }
+    }
+
+    /// At most `most` stretches of a service's past, oldest first.
+    pub fn stretches(
+        &self,
+        service: &id::ServiceId,
+        at: time::Duration,
+        most: usize,
+    ) -> Vec<Stretch> {
+        let step = self.past.len().div_ceil(most.max(1)).max(1);
+        let none = Totals::default();
+        let of = |snapshot: &Snapshot| snapshot.services.get(service).unwrap_or(&none).clone();
+        let marks: Vec<usize> = (0..self.past.len()).step_by(step).collect();
+        let mut found = Vec::new();
+        for pair in marks.windows(2) {
+            let (from, to) = (&self.past[pair[0]], &self.past[pair[1]]);
+            let inside = self.past.range(pair[0] + 1..=pair[1]);
+            found.push(Stretch {
+                ago_s: at.saturating_sub(to.at).as_secs(),
+                lasted_s: (to.at - from.at).as_secs(),
+                totals: of(to).since(&of(from)),
+                peak_in_hand: inside
+                    .filter_map(|snapshot| snapshot.peaks.get(service))
+                    .max()
+                    .copied()
+                    .unwrap_or(0),
+            });
+        }
+        found
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn minute(n: u64) -> time::Duration {
+        EVERY * u32::try_from(n).unwrap()
+    }
+
+    fn run(minutes: u64) -> History {
+        let mut history = History::default();
+        let service = id::ServiceId::from("ledger");
+        for n in 0..minutes {
+            history.tick(minute(n));
+            let totals = history.totals(&service).unwrap();
+            totals.answered += 10;
+            totals.took(time::Duration::from_millis(4));
+        }
+        history
+    }
+
+    #[test]
+    fn a_window_counts_what_came_inside_it() {
+        let history = run(20);
+        let window = history.window(&"ledger".into(), minute(20), 300);
+        assert_eq!((window.covers_s, window.totals.answered), (300, 50));
+        assert_eq!(window.totals.quantile(0.99), Some(0.005));
+    }
+
+    /// A VM was replaced ten minutes ago. Its six hours are ten minutes, and it says so.
+    #[test]
+    fn a_window_tells_how_far_back_it_reaches() {
+        let window = run(10).window(&"ledger".into(), minute(10), 21_600);
+        assert_eq!((window.covers_s, window.totals.answered), (600, 100));
+    }
+
+    #[test]
+    fn memory_is_bounded_in_time_and_services() {
+        let mut history = run(1000);
+        assert_eq!(history.past.len(), KEPT);
+        let window = history.window(&"ledger".into(), minute(1000), 21_600);
+        assert_eq!(window.covers_s, 21_600);
+        assert!(history.stretches(&"ledger".into(), minute(1000), 60).len() <= 60);
+        for n in 0..1000 {
+            let _ = history.totals(&format!("service-{n}").as_str().into());
+        }
+        assert_eq!(history.services().count(), MOST_SERVICES);
+    }
+}
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -25,6 +25,9 @@
     /// Changes of the metrics over past windows, as JSON. `query` names the windows.
     fn history(&self, query: &str) -> String;
 
+    /// What was decided about a request, as JSON.
+    fn explain(&self, request: u64) -> String;
+
     /// Called before metrics are rendered, so that gauges show the present.
     fn refresh(&self) {}
 }
@@ -92,9 +95,23 @@
             json(status.expect("a status has only values that JSON can hold"))
         }
         "/history" => json(source.history(query)),
+        "/explain" => explain(query, source),
         _ => text(
             404,
-            "ask for /metrics, /health, /ready, /status or /history\n".to_owned(),
+            "ask for /metrics, /health, /ready, /status, /history or /explain?request=ID\n"
+                .to_owned(),
+        ),
+    }
+}
+
+/// A request is named as in its answer's header, or by its number alone.
+fn explain<S: Source>(query: &str, source: &S) -> Answer {
+    let name = query.strip_prefix("request=").unwrap_or_default();
+    match name.rsplit('-').next().unwrap_or_default().parse() {
+        Ok(request) => json(source.explain(request)),
+        Err(_) => text(
+            400,
+            "give the request's id: /explain?request=ID\n".to_owned(),
         ),
     }
 }
@@ -136,6 +153,10 @@
         fn history(&self, query: &str) -> String {
             format!("{query:?}")
         }
+
+        fn explain(&self, request: u64) -> String {
+            request.to_string()
+        }
     }
 
     fn get(server: &Server, path: &str) -> (u16, String) {
@@ -157,6 +178,8 @@
         let status: operators::Status = serde_json::from_str(&get(&server, "/status").1).unwrap();
         assert_eq!(status.vm, "e1");
         assert!(get(&server, "/metrics").0 == 200);
+        assert_eq!(get(&server, "/explain?request=e1-af3-17").1, "17");
+        assert_eq!(get(&server, "/explain?request=none").0, 400);
     }
 
     /// A script posts to the operators' listener. Nothing there may change the process.
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -22,6 +22,8 @@
 use hyper_util::rt;
 use tokio::sync::{oneshot, watch};
 
+use crate::protocol::headers;
+
 /// Bodies are counted against [`Limits::all_bodies`] in units of so many bytes.
 const BODY_UNIT: usize = 1024;
 
@@ -123,7 +125,12 @@
     fn gone(&self, id: u64);
 
     /// The answer to a request that never became whole.
-    fn fault(&self, fault: Fault) -> Answer;
+    fn fault(&self, id: u64, fault: Fault) -> Answer;
+
+    /// The name under which operators find a request; its answer carries it.
+    fn name(&self, _id: u64) -> Option<header::HeaderValue> {
+        None
+    }
 }
 
 /// A running server. It stops when dropped.
@@ -262,11 +269,11 @@
     req: hyper::Request<Incoming>,
 ) -> hyper::Response<Full<Bytes>> {
     let (parts, body) = req.into_parts();
+    let id = shared.next_id.fetch_add(1, atomic::Ordering::Relaxed);
     let (body, permit) = match read_body(shared, body).await {
         Ok(read) => read,
-        Err(fault) => return response(shared.sink.fault(fault), true),
+        Err(fault) => return response(shared, id, shared.sink.fault(id, fault), true),
     };
-    let id = shared.next_id.fetch_add(1, atomic::Ordering::Relaxed);
     let (tx, rx) = oneshot::channel();
     let mut waiting = Waiting {
         sink: &shared.sink,
@@ -286,8 +293,8 @@
     let answer = rx.await;
     waiting.answered = true;
     match answer {
-        Ok(answer) => response(answer, false),
-        Err(_) => response(shared.sink.fault(Fault::Busy), true),
+        Ok(answer) => response(shared, id, answer, false),
+        Err(_) => response(shared, id, shared.sink.fault(id, Fault::Busy), true),
     }
 }
 
@@ -334,10 +341,18 @@
     }
 }
 
-fn response(answer: Answer, close: bool) -> hyper::Response<Full<Bytes>> {
+fn response<S: Sink>(
+    shared: &Shared<S>,
+    id: u64,
+    answer: Answer,
+    close: bool,
+) -> hyper::Response<Full<Bytes>> {
     let mut res = hyper::Response::new(Full::new(answer.body));
     *res.status_mut() = answer.status;
     *res.headers_mut() = answer.headers;
+    if let Some(name) = shared.sink.name(id) {
+        res.headers_mut().insert(headers::REQUEST_ID, name);
+    }
     if close {
         let value = header::HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, value);
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,123 @@
+//! What operators see of a running entry process: status, readiness, metrics, the past, and why a
+//! request was refused.
+
+#[path = "path/testenv.rs"]
+#[expect(dead_code, reason = "the tests of the path use more of it")]
+mod testenv;
+
+use std::net;
+use std::process;
+use std::sync::atomic;
+
+use bulrushwind::protocol::{history, operators};
+use bulrushwind::standin::{caller, processes};
+use bulrushwind::state::explain;
+
+/// An address that no other test listens on: loopback has more than one.
+fn own_addr() -> net::SocketAddr {
+    static NEXT: atomic::AtomicU8 = atomic::AtomicU8::new(1);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let next = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+    net::SocketAddr::from(([127, 64 + next, high, low], 7103))
+}
+
+fn get(addr: net::SocketAddr, path: &str) -> (u16, String) {
+    let res = attohttpc::get(format!("http://{addr}{path}"))
+        .send()
+        .unwrap();
+    (res.status().as_u16(), res.text().unwrap())
+}
+
+fn json<T: serde::de::DeserializeOwned>(addr: net::SocketAddr, path: &str) -> T {
+    serde_json::from_str(&get(addr, path).1).unwrap()
+}
+
+fn entry(env: &testenv::TestEnv, name: &str) -> (processes::Process, net::SocketAddr) {
+    let addr = own_addr();
+    let entry = env.entry_with(name, |cfg| cfg.operators_listen = addr);
+    (entry, addr)
+}
+
+#[test]
+fn answers_are_counted_and_remembered() {
+    let env = testenv::TestEnv::new();
+    let _backend = env.backend("b1", "availability", &[]);
+    let (entry, addr) = entry(&env, "e1");
+    testenv::wait_answered(entry.addr(), "/availability/bays");
+    assert_eq!(get(addr, "/ready"), (200, "ready\n".to_owned()));
+    let status: operators::Status = json(addr, "/status");
+    assert!(status.store_up && status.vm == "e1", "{status:?}");
+    assert!(status.settings.contains_key("bays"), "{status:?}");
+
+    let text = get(addr, "/metrics").1;
+    for part in [
+        "operation=\"check\",fate=\"answered\"",
+        "bulrushwind_request_seconds_bucket{service=\"availability\"",
+        "bulrushwind_slots{service=\"availability\"} 3",
+        "bulrushwind_resident_bytes ",
+    ] {
+        assert!(text.contains(part), "no {part} in {text}");
+    }
+    let past: history::History = json(addr, "/history?windows=60");
+    let window = &past.services["availability"].windows[0];
+    assert!(
+        window.totals.answered >= 1 && window.covers_s <= 60,
+        "{window:?}"
+    );
+}
+
+/// A caller asks why its booking was refused, and has only the id from its answer. The log may
+/// have held the line back.
+#[test]
+fn a_refusal_is_explained_by_its_request_id() {
+    let env = testenv::TestEnv::new();
+    let (entry, addr) = entry(&env, "e2");
+    let ask = caller::Ask {
+        path: "/availability/bays",
+        ..caller::Ask::default()
+    };
+    let told = caller::Caller::default().ask(entry.addr(), &ask).unwrap();
+    assert_eq!(told.status, 503);
+    let url = format!("http://{}/availability/bays", entry.addr());
+    let res = attohttpc::get(url).send().unwrap();
+    let id = res.headers()["bulrushwind-request-id"].to_str().unwrap();
+    let decisions: Vec<explain::Decision> = json(addr, &format!("/explain?request={id}"));
+    let last = decisions.last().unwrap();
+    assert_eq!(
+        (last.event.as_str(), last.service.as_str()),
+        ("refused", "availability")
+    );
+    assert!(last.detail.starts_with("no-backend"), "{last:?}");
+}
+
+/// The callers' listener must not answer what is for operators only.
+#[test]
+fn callers_cannot_read_what_is_for_operators() {
+    let env = testenv::TestEnv::new();
+    let (entry, _) = entry(&env, "e3");
+    for path in ["/metrics", "/status", "/history", "/explain?request=1"] {
+        assert_eq!(get(entry.addr(), path).0, 404, "{path}");
+    }
+}
+
+#[test]
+fn the_command_line_shows_the_status_and_a_look_up() {
+    let env = testenv::TestEnv::new();
+    let (entry, addr) = entry(&env, "e4");
+    let root = bulrushwind::settings::keys::SecretKey::generate().public();
+    let run = |args: &[&str]| {
+        let out = process::Command::new(env!("CARGO_BIN_EXE_bulrushwind"))
+            .args(args)
+            .env("BULRUSHWIND_STORE", env.store.addr().to_string())
+            .env("BULRUSHWIND_ENTRIES", addr.to_string())
+            .env("BULRUSHWIND_ROOT_KEYS", root.to_string())
+            .output()
+            .unwrap();
+        String::from_utf8(out.stdout).unwrap()
+    };
+    let at = entry.addr().to_string();
+    let found = run(&["lookup", "ledger", "--at", &at]);
+    assert!(found.contains("e4") && found.contains("ticket"), "{found}");
+    let shown = run(&["status"]);
+    assert!(shown.contains("e4") && shown.contains("ub-a"), "{shown}");
+}
