--- a/src/entry/feed.rs
+++ b/src/entry/feed.rs
@@ -34,6 +34,16 @@
         }
     }
 
+    fn standing(&self, standing: driver::Standing) {
+        if let Some(shared) = self.shared.upgrade() {
+            shared.links.store(sync::Arc::new(super::Links {
+                versions: standing.versions,
+                store_up: standing.store_up,
+                peers: standing.peers,
+            }));
+        }
+    }
+
     fn is_wanted(&self) -> bool {
         self.shared.strong_count() > 0
     }
