Name a bounded list of entry VMs from a directory worked out once a change

Cause: each look-up filtered and sorted the whole fleet, and named all of it; at 4,400 VMs that is work and bytes that grow with the fleet for every caller.

Change: the directory holds each zone's entry VMs and each region's order of zones; it is worked out when settings or fleet change, or while a drain is dated. A look-up names two VMs a zone and at most 16, so that the list reaches past a lost region.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -23,7 +23,7 @@
 
 use crate::coordination::{store, store_http};
 use crate::decisions::{naive, policy};
-use crate::state::{fleet, keys, lookup};
+use crate::state::{directory, fleet, keys, lookup};
 use crate::transport::{client, server};
 use crate::{config, error, id, settings};
 use policy::Policy;
@@ -116,6 +116,14 @@
 
 type Desks<P> = collections::HashMap<id::ServiceId, sync::Arc<desk::Desk<P>>>;
 
+/// The entry VMs that look-ups name, and what they were worked out from.
+#[derive(Default)]
+struct Named {
+    settings: sync::Arc<settings::Settings>,
+    fleet: sync::Arc<fleet::Fleet>,
+    directory: directory::Directory,
+}
+
 /// Everything that the workers share.
 struct Core<M: MakePolicy> {
     cfg: config::Config,
@@ -125,6 +133,7 @@
     started: time::Instant,
     shared: sync::Arc<Shared>,
     desks: arc_swap::ArcSwap<Desks<M::Policy>>,
+    named: arc_swap::ArcSwap<Named>,
     keys: Mutex<keys::Keys<server::Reply>>,
     client: client::Client,
     events: channel::Sender<Event<M::Policy>>,
@@ -218,6 +227,7 @@
             started: time::Instant::now(),
             shared,
             desks: arc_swap::ArcSwap::default(),
+            named: arc_swap::ArcSwap::default(),
             keys: Mutex::new(keys::Keys::new(key_limits)),
             client: client::Client::new(runtime.handle().clone(), client::Config::default()),
             events,
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -21,7 +21,7 @@
 use crate::coordination::store;
 use crate::decisions::policy;
 use crate::protocol::{backend, backend_http, headers, outcome};
-use crate::state::{fleet, keys};
+use crate::state::{directory, fleet, keys};
 use crate::transport::{client, server};
 use crate::{id, settings};
 use backend::Wire;
@@ -488,11 +488,32 @@
             desks.insert(name.clone(), desk.clone());
         }
     }
+    name_entries(core, settings, fleet);
     if desks.len() != old.len() || desks.keys().any(|name| !old.contains_key(name)) {
         core.desks.store(sync::Arc::new(desks));
     }
 }
 
+/// Works out anew which entry VMs look-ups name, if anything that decides it may have changed.
+fn name_entries<M: MakePolicy>(
+    core: &Core<M>,
+    settings: sync::Arc<settings::Settings>,
+    fleet: sync::Arc<fleet::Fleet>,
+) {
+    let old = core.named.load();
+    let same = sync::Arc::ptr_eq(&old.settings, &settings) && sync::Arc::ptr_eq(&old.fleet, &fleet);
+    // A drain begins and ends by the clock, without any change.
+    if same && settings.drains().next().is_none() {
+        return;
+    }
+    let directory = directory::Directory::build(&settings, &fleet, wall_clock_s());
+    core.named.store(sync::Arc::new(super::Named {
+        settings,
+        fleet,
+        directory,
+    }));
+}
+
 fn set_backends<M: MakePolicy>(
     core: &sync::Arc<Core<M>>,
     desk: &sync::Arc<Desk<M::Policy>>,
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -13,7 +13,7 @@
 use super::{Core, Event, MakePolicy, answers, desk};
 use crate::decisions::policy;
 use crate::protocol::{backend, headers, lookup, outcome, ticket};
-use crate::state::{fleet, keys};
+use crate::state::{directory, keys};
 use crate::transport::{client, server};
 use crate::{id, settings};
 use outcome::Problem;
@@ -64,13 +64,13 @@
     let stopping = core.stopping.load(atomic::Ordering::SeqCst);
     let regions = core.shared.regions.load();
     let own = settings.region_of(&core.cfg.az).map(|region| &region.name);
-    let asks = fleet::Asks {
+    let asks = directory::Asks {
         caller,
         region: regions.find(caller).or(own),
         az: &core.cfg.az,
+        first: &[],
     };
-    let fleet = core.shared.fleet.load();
-    let mut entries = fleet.look_up(&asks, &settings, desk::wall_clock_s());
+    let mut entries = core.named.load().directory.name(&asks);
     entries.retain(|entry| !stopping || entry.vm != core.cfg.vm);
     Some(lookup::Lookup {
         service: service.name.clone(),
--- /dev/null
+++ b/src/state/directory.rs
@@ -0,0 +1,262 @@
+//! Which entry VMs a look-up names, worked out once for every change of settings or fleet.
+//!
+//! A look-up names a handful of VMs however large the fleet is: some of each availability zone,
+//! nearest region first, so that the list holds another region too when a whole one is lost. The
+//! work of a look-up then grows with what it names and not with the fleet.
+
+use std::collections;
+use std::hash;
+use std::hash::Hasher;
+use std::net;
+
+use super::fleet;
+use crate::coordination::store;
+use crate::protocol::lookup;
+use crate::{id, settings};
+
+/// VMs named of one availability zone. One that is down leaves the caller another.
+const PER_AZ: usize = 2;
+
+/// VMs named in all: enough for every availability zone of the nearest two regions of today's and
+/// of the expected size.
+const IN_ALL: usize = 16;
+
+/// Who asks for entry VMs, and where.
+#[derive(Clone, Copy, Debug)]
+pub struct Asks<'a> {
+    /// The caller's address.
+    pub caller: net::IpAddr,
+    /// The region that the caller is nearest to, where that is known.
+    pub region: Option<&'a id::RegionId>,
+    /// The availability zone of the entry VM that was asked.
+    pub az: &'a id::AzId,
+    /// Availability zones that come before all others, in this order.
+    pub first: &'a [id::AzId],
+}
+
+/// The entry VMs of each availability zone, and the order of zones for each region's callers.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    azs: collections::BTreeMap<id::AzId, Vec<lookup::EntryVm>>,
+    orders: collections::BTreeMap<id::RegionId, Vec<Row>>,
+    anywhere: Vec<Row>,
+}
+
+/// An availability zone and how far it is.
+#[derive(Clone, Debug)]
+struct Row {
+    distance: Distance,
+    az: id::AzId,
+}
+
+/// How far a region is from a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    /// The caller's own region.
+    Near,
+    /// Over a link with this one-way delay, in microseconds.
+    Link(u64),
+    /// No link to it is declared.
+    Unknown,
+}
+
+impl Directory {
+    /// Works out the directory of a fleet. A VM that leaves is not named, and neither is one that
+    /// a drain covers at `now_s`, in seconds since 1970.
+    pub fn build(settings: &settings::Settings, fleet: &fleet::Fleet, now_s: u64) -> Self {
+        let mut azs: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
+        for vm in fleet.entries() {
+            if vm.state != store::VmState::Live || fleet::drained(vm, settings, now_s) {
+                continue;
+            }
+            azs.entry(vm.az.clone()).or_default().push(lookup::EntryVm {
+                vm: vm.id.clone(),
+                az: vm.az.clone(),
+                addr: vm.addr,
+            });
+        }
+        let order = |from: Option<&id::RegionId>| {
+            let row = |az: &id::AzId| Row {
+                distance: distance(settings, from, az),
+                az: az.clone(),
+            };
+            let mut rows: Vec<_> = azs.keys().map(row).collect();
+            rows.sort_by_key(|row| row.distance);
+            rows
+        };
+        let regions = settings.regions();
+        let orders = regions.map(|region| (region.name.clone(), order(Some(&region.name))));
+        Self {
+            orders: orders.collect(),
+            anywhere: order(None),
+            azs,
+        }
+    }
+
+    /// The entry VMs that a caller should use, in order. After the zones that come first, the
+    /// nearest region does; in the caller's region the zone that was asked leads: the caller has
+    /// just reached it, also where a partition hides the others.
+    ///
+    /// Among equals the order follows the caller's address. In one order for all, every caller
+    /// would use the first VM and none the second; in an order by chance, a caller's connections
+    /// and tickets would spread over all of them.
+    pub fn name(&self, asks: &Asks<'_>) -> Vec<lookup::EntryVm> {
+        let mut named = Vec::with_capacity(IN_ALL);
+        for az in asks.first {
+            self.name_az(az, asks.caller, &mut named);
+        }
+        let order = asks.region.and_then(|region| self.orders.get(region));
+        let mut rest = order.unwrap_or(&self.anywhere).as_slice();
+        while let Some(row) = rest.first() {
+            if named.len() >= IN_ALL {
+                break;
+            }
+            let equals = rest.partition_point(|other| other.distance == row.distance);
+            let (now, later) = rest.split_at(equals);
+            self.name_equals(now, asks, &mut named);
+            rest = later;
+        }
+        named.truncate(IN_ALL);
+        named
+    }
+
+    fn name_equals(&self, rows: &[Row], asks: &Asks<'_>, named: &mut Vec<lookup::EntryVm>) {
+        let mut azs: Vec<_> = rows
+            .iter()
+            .filter(|row| !asks.first.contains(&row.az))
+            .map(|row| {
+                let other = row.az != *asks.az || row.distance != Distance::Near;
+                ((other, weight(asks.caller, row.az.as_str())), &row.az)
+            })
+            .collect();
+        azs.sort_unstable_by_key(|(rank, _)| *rank);
+        for (_, az) in azs {
+            if named.len() >= IN_ALL {
+                return;
+            }
+            self.name_az(az, asks.caller, named);
+        }
+    }
+
+    fn name_az(&self, az: &id::AzId, caller: net::IpAddr, named: &mut Vec<lookup::EntryVm>) {
+        let Some(vms) = self.azs.get(az) else {
+            return;
+        };
+        // A turn from a place that follows the caller costs nothing as the zone grows.
+        let start = weight(caller, az.as_str()) % vms.len() as u64;
+        let start = usize::try_from(start).unwrap_or(0);
+        let turned = vms[start..].iter().chain(&vms[..start]);
+        named.extend(turned.take(PER_AZ).cloned());
+    }
+}
+
+fn distance(settings: &settings::Settings, from: Option<&id::RegionId>, to: &id::AzId) -> Distance {
+    let to = settings.region_of(to).map(|region| &region.name);
+    let (Some(from), Some(to)) = (from, to) else {
+        return Distance::Unknown;
+    };
+    if from == to {
+        return Distance::Near;
+    }
+    let link = settings
+        .links()
+        .find(|link| link.from == *from && link.to == *to);
+    link.map_or(Distance::Unknown, |link| {
+        Distance::Link((link.one_way_ms * 1000.0) as u64)
+    })
+}
+
+/// A number that is fixed for a caller and a name, and spread evenly over both.
+fn weight(caller: net::IpAddr, name: &str) -> u64 {
+    let mut hasher = hash::DefaultHasher::new();
+    hash::Hash::hash(&(caller, name), &mut hasher);
+    hasher.finish()
+}
+
+#[cfg(test)]
+mod tests {
+    use std::path;
+
+    use super::*;
+
+    fn cooperative() -> settings::Settings {
+        settings::Settings::read(path::Path::new("examples/cooperative")).unwrap()
+    }
+
+    fn directory(settings: &settings::Settings, per_az: usize) -> Directory {
+        let azs = settings.regions().flat_map(|region| &region.azs);
+        let vms = azs.flat_map(|az| (0..per_az).map(move |i| (az, i)));
+        let vms = vms.map(|(az, i)| {
+            let addr = net::SocketAddr::from(([127, 0, 0, 1], 1));
+            store::Vm {
+                id: format!("entry-{az}-{i}").as_str().into(),
+                az: az.clone(),
+                addr,
+                role: store::VmRole::Entry { peers: addr },
+                state: store::VmState::Live,
+            }
+        });
+        Directory::build(settings, &fleet::Fleet::new(vms.collect()), 0)
+    }
+
+    fn named(per_az: usize, caller: [u8; 4], region: &str, az: &str) -> Vec<lookup::EntryVm> {
+        directory(&cooperative(), per_az).name(&Asks {
+            caller: caller.into(),
+            region: Some(&region.into()),
+            az: &az.into(),
+            first: &[],
+        })
+    }
+
+    #[test]
+    fn the_callers_region_comes_first_and_in_it_the_zone_that_was_asked() {
+        let found = named(2, [10, 0, 0, 1], "khovd", "khovd-b");
+        assert_eq!(found.len(), 12);
+        assert!(found[..2].iter().all(|vm| vm.az.as_str() == "khovd-b"));
+        assert!(found[2..4].iter().all(|vm| vm.az.as_str() == "khovd-a"));
+        let found = named(2, [10, 0, 0, 1], "khovd", "ub-a");
+        let in_khovd = |vm: &lookup::EntryVm| vm.az.as_str().starts_with("khovd");
+        assert!(found[..4].iter().all(in_khovd));
+    }
+
+    #[test]
+    fn zones_that_come_first_are_named_once() {
+        let directory = directory(&cooperative(), 2);
+        let first = ["dornod-a".into()];
+        let found = directory.name(&Asks {
+            caller: [10, 0, 0, 1].into(),
+            region: Some(&"khovd".into()),
+            az: &"khovd-a".into(),
+            first: &first,
+        });
+        assert_eq!(found.len(), 12);
+        assert!(found[..2].iter().all(|vm| vm.az == first[0]));
+        assert!(found[2..4].iter().all(|vm| vm.az.as_str() == "khovd-a"));
+    }
+
+    /// A whole region is lost. Callers whose list held only that region would have nobody left to
+    /// ask.
+    #[test]
+    fn a_large_region_leaves_room_for_another() {
+        let found = named(100, [10, 0, 0, 1], "khovd", "khovd-b");
+        let elsewhere = found
+            .iter()
+            .filter(|vm| !vm.az.as_str().starts_with("khovd"));
+        assert!(elsewhere.count() >= 4);
+        assert!(found.len() <= IN_ALL);
+    }
+
+    /// Two entry VMs stand in each availability zone. If every caller were told the same one
+    /// first, that one would carry all of them, and its callers would wait while the other idles.
+    #[test]
+    fn callers_spread_over_the_entry_vms_of_a_zone() {
+        let mut first = collections::BTreeMap::new();
+        for i in 0..=255 {
+            let found = named(2, [10, 0, 0, i], "dornod", "dornod-a");
+            *first.entry(found[0].vm.clone()).or_insert(0) += 1;
+            assert_eq!(found, named(2, [10, 0, 0, i], "dornod", "dornod-a"));
+        }
+        assert_eq!(first.len(), 2);
+        assert!(first.values().all(|count| *count > 90), "{first:?}");
+    }
+}
