--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,8 @@
 //! replaced whole through an `ArcSwap` and needs no lock.
 
 pub mod directory;
+pub mod explain;
 pub mod fleet;
 pub mod keys;
 pub mod lookup;
+pub mod totals;
