--- a/src/coordination/loads.rs
+++ b/src/coordination/loads.rs
@@ -105,9 +105,14 @@
         self.rows(service).map(|row| row.in_hand).sum()
     }
 
+    /// Whether this VM is the one that tells the other availability zones.
+    pub fn tells(&self) -> bool {
+        self.neighbours.keys().all(|vm| *vm > self.me)
+    }
+
     /// The sum of the own availability zone, where this VM is the one to tell it.
     pub fn tell(&mut self) -> Option<peer::Loads> {
-        if self.neighbours.keys().any(|vm| *vm < self.me) {
+        if !self.tells() {
             return None;
         }
         self.seq += 1;
@@ -150,6 +155,7 @@
             };
             // All see the same backend servers; one that sees fewer may be right.
             sum.slots = sum.slots.min(row.slots);
+            sum.in_use = sum.in_use.max(row.in_use);
             sum.in_hand += row.in_hand;
             for (region, work) in &row.demand {
                 *sum.demand.entry(region.clone()).or_default() += work;
@@ -164,6 +170,7 @@
         az: az.clone(),
         service: row.service,
         slots: row.slots,
+        in_use: row.in_use,
         demand: row.demand,
         age,
     }
@@ -175,16 +182,38 @@
     since: policy::Moment,
     counted: collections::BTreeMap<(id::ServiceId, id::RegionId), f64>,
     rates: collections::BTreeMap<(id::ServiceId, id::RegionId), f64>,
+    means: collections::BTreeMap<id::ServiceId, f64>,
 }
 
+/// How fast the mean work of a request follows: over about 64 requests.
+const MEAN_GAIN: f64 = 1.0 / 64.0;
+
 impl Demand {
     /// How fast rates follow: half of each window of [`EVERY`].
     const GAIN: f64 = 0.5;
 
     /// A caller brought work.
-    pub fn count(&mut self, service: &id::ServiceId, region: &id::RegionId, work: time::Duration) {
-        let key = (service.clone(), region.clone());
-        *self.counted.entry(key).or_default() += work.as_secs_f64();
+    ///
+    /// `region` is where the caller's address lies; `None`: nobody knows, and the plan leaves it.
+    pub fn count(
+        &mut self,
+        service: &id::ServiceId,
+        region: Option<&id::RegionId>,
+        work: time::Duration,
+    ) {
+        let work = work.as_secs_f64();
+        let mean = self.means.entry(service.clone()).or_insert(work);
+        *mean += MEAN_GAIN * (work - *mean);
+        if let Some(region) = region {
+            let key = (service.clone(), region.clone());
+            *self.counted.entry(key).or_default() += work;
+        }
+    }
+
+    /// How long a request takes on average.
+    pub fn mean(&self, service: &id::ServiceId) -> time::Duration {
+        let mean = self.means.get(service).copied().unwrap_or(0.0);
+        time::Duration::from_secs_f64(mean)
     }
 
     /// Ends a window.
@@ -226,6 +255,7 @@
                 service: "s".into(),
                 slots: 12,
                 in_hand,
+                in_use: 1.0,
                 demand: [("r".into(), 2.0)].into(),
             }],
         }
@@ -272,7 +302,7 @@
         let mut demand = Demand::default();
         for window in 1..20 {
             for _ in 0..100 {
-                demand.count(&"s".into(), &"r".into(), S / 50);
+                demand.count(&"s".into(), Some(&"r".into()), S / 50);
             }
             demand.roll(S * window);
         }
--- a/src/coordination/plan_writer.rs
+++ b/src/coordination/plan_writer.rs
@@ -226,6 +226,7 @@
                     service,
                     summaries: inputs.summaries,
                     left: &left,
+                    now: &current,
                 },
             );
             let most = caps::Config::of(service).version_share();
@@ -300,6 +301,7 @@
             az: az.clone(),
             service: ledger.name.clone(),
             slots: 6,
+            in_use: 0.5,
             demand: [("khovd".into(), 1.0)].into(),
             age: time::Duration::ZERO,
         })
--- a/src/decisions/across.rs
+++ b/src/decisions/across.rs
@@ -36,14 +36,37 @@
 /// requests of a surge need not wait for a round trip.
 const ASK_AHEAD: f64 = 0.8;
 
+/// What is kept free below the limit when displaced callers are taken: their caches are cold here,
+/// and the plan sends callers here too.
+const MARGIN: f64 = 0.1;
+
+/// Over how long the own load is averaged for that.
+const USUAL: time::Duration = time::Duration::from_secs(1);
+
 /// How long demand is counted before the next asking.
 const DEMAND_WINDOW: time::Duration = time::Duration::from_millis(500);
 
+/// How long a receiver lets a request under a live grant wait for room. A refusal costs a round trip
+/// between regions, and room comes and goes within a few service times.
+pub const ROOM_WAIT: time::Duration = time::Duration::from_millis(100);
+
 /// Thresholds of one sender.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// The service's cap.
     pub caps: caps::Config,
+    /// The load of the own availability zone from which displaced callers are not taken, as a
+    /// share of its slots: the region's limit.
+    pub max_load: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            caps: caps::Config::default(),
+            max_load: 0.9,
+        }
+    }
 }
 
 /// Another availability zone that runs the service and may take its callers.
@@ -90,7 +113,30 @@
     routes: Vec<Route>,
     trust: collections::BTreeMap<id::AzId, f64>,
     demand: Demand,
-    used: f64,
+    load: Own,
+    loaded: policy::Moment,
+    usual_used: f64,
+}
+
+/// The own availability zone as this VM sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Own {
+    /// Slots that take work.
+    pub slots: u32,
+    /// Requests that backend servers work on or have queued.
+    pub in_flight: u32,
+    /// Requests that wait on this VM.
+    pub queued: u32,
+}
+
+impl Own {
+    /// The share of slots that is in use; 1 where there are none.
+    fn used(&self) -> f64 {
+        match self.slots {
+            0 => 1.0,
+            slots => (f64::from(self.in_flight) + f64::from(self.queued)) / f64::from(slots),
+        }
+    }
 }
 
 impl Across {
@@ -105,7 +151,9 @@
             routes: Vec::new(),
             trust: collections::BTreeMap::new(),
             demand: Demand::default(),
-            used: 0.0,
+            load: Own::default(),
+            loaded: policy::Moment::ZERO,
+            usual_used: 0.0,
         }
     }
 
@@ -134,9 +182,10 @@
     }
 
     /// Whether a request may be served here whose caller belongs to another place by the plan. It
-    /// is a shift like any other and counts against the cap.
+    /// is a shift like any other and counts against the cap; own callers go first.
     pub fn takes_displaced(&mut self, now: policy::Moment, worth: u32) -> bool {
-        let allowed = self.caps.allows(now, worth);
+        let room = self.usual_used < self.cfg.max_load - MARGIN;
+        let allowed = room && self.caps.allows(now, worth);
         if allowed {
             self.caps.moved(now);
         }
@@ -206,19 +255,32 @@
     }
 
     /// The state of the own availability zone as this VM sees it.
-    pub fn own_load(&mut self, _now: policy::Moment, slots: u32, in_flight: u32, queued: u32) {
-        let busy = f64::from(in_flight) + f64::from(queued);
-        self.used = match slots {
-            0 => 1.0,
-            slots => busy / f64::from(slots),
+    pub fn own_load(&mut self, now: policy::Moment, slots: u32, in_flight: u32, queued: u32) {
+        let passed = now.saturating_sub(self.loaded).as_secs_f64();
+        let gain = 1.0 - (-passed / USUAL.as_secs_f64()).exp();
+        self.loaded = self.loaded.max(now);
+        self.load = Own {
+            slots,
+            in_flight,
+            queued,
         };
+        self.usual_used += gain * (self.load.used() - self.usual_used);
+    }
+
+    /// The own availability zone as it was last told.
+    pub fn own(&self) -> Own {
+        self.load
     }
 
     /// The grants that this VM should ask for, nearest place first. Each takes over what the ones
     /// before it leave, so that a surge asks one place for all and the next for the rest.
     pub fn wishes(&self, now: policy::Moment) -> Vec<Wish> {
         let most = self.cfg.caps.sender_share() * self.demand.arrived_per_s;
-        let ahead = if self.used >= ASK_AHEAD { 1.0 } else { 0.0 };
+        let ahead = if self.load.used() >= ASK_AHEAD {
+            1.0
+        } else {
+            0.0
+        };
         let mut left = self.demand.asked_per_s.min(most).max(ahead);
         let mut wishes = Vec::new();
         for route in &self.routes {
@@ -275,7 +337,14 @@
     }
 
     fn across() -> Across {
-        let mut across = Across::new(Config::default(), "a".into());
+        let cfg = Config {
+            caps: caps::Config {
+                plan_part: 0.5,
+                ..caps::Config::default()
+            },
+            ..Config::default()
+        };
+        let mut across = Across::new(cfg, "a".into());
         let route = |az: &str, region: Option<&str>, ms: u32| Route {
             az: az.into(),
             region: region.map(Into::into),
--- a/src/decisions/caps.rs
+++ b/src/decisions/caps.rs
@@ -44,8 +44,9 @@
     pub cap: f64,
     /// One step, from 100 ms to an hour.
     pub step: time::Duration,
-    /// The part of the cap that is kept for versions of the plan, from 0 to 1. A half: a lost
-    /// region is left about equally fast by both ways.
+    /// The part of the cap that is kept for versions of the plan, from 0 to 1. Three quarters: the
+    /// plan goes on from step to step and a sender's own part does not, so that a lost or overfull
+    /// region is left faster and more is answered (`cargo bench --bench steering`).
     pub plan_part: f64,
 }
 
@@ -54,7 +55,7 @@
         Self {
             cap: 0.2,
             step: time::Duration::from_secs(10),
-            plan_part: 0.5,
+            plan_part: 0.75,
         }
     }
 }
@@ -196,7 +197,10 @@
     const MS: policy::Moment = policy::Moment::from_millis(1);
 
     fn caps() -> Caps {
-        Caps::new(Config::default())
+        Caps::new(Config {
+            plan_part: 0.5,
+            ..Config::default()
+        })
     }
 
     fn try_move(caps: &mut Caps, now: policy::Moment, worth: u32) -> bool {
--- a/src/decisions/plan.rs
+++ b/src/decisions/plan.rs
@@ -55,6 +55,8 @@
         pub service: id::ServiceId,
         /// Slots of its backend servers that take work.
         pub slots: u32,
+        /// Slots in use, on average over the last second or so.
+        pub in_use: f64,
         /// Work that callers bring there, answered or not, in slots, by the callers' region.
         pub demand: collections::BTreeMap<id::RegionId, f64>,
         /// How old this is.
@@ -72,7 +74,8 @@
     pub gone: time::Duration,
     /// A change that moves less than this share of callers is not worth a version.
     pub least: f64,
-    /// The share of demand kept free on top when a place is given foreign callers.
+    /// The share of a place's capacity kept free when it is given foreign callers. A tenth: random
+    /// arrivals take a region of a dozen slots some hundredths over its mean.
     pub margin: f64,
 }
 
@@ -82,7 +85,7 @@
             fresh: time::Duration::from_secs(3),
             gone: time::Duration::from_secs(10),
             least: 0.005,
-            margin: 0.05,
+            margin: 0.1,
         }
     }
 }
@@ -111,6 +114,8 @@
     pub summaries: &'a [Summary],
     /// What drains leave of each availability zone, from 0 to 1. Absent: 1.
     pub left: &'a collections::BTreeMap<id::AzId, f64>,
+    /// The weights in force.
+    pub now: &'a ByRegion,
 }
 
 /// Room of one availability zone while a plan is computed.
@@ -134,8 +139,9 @@
         let own = fill(&mut rooms, wanted, |room| room.region == region.name);
         placed.insert(region.name.clone(), own);
     }
-    for room in rooms.values_mut() {
+    for (az, room) in &mut rooms {
         room.left = (room.left - cfg.margin * room.capacity).max(0.0);
+        room.left = room.left.min(foreign_bound(cfg, inputs, &demand, az, room));
     }
     for region in inputs.settings.regions() {
         let wanted = demand.get(&region.name).copied().unwrap_or(0.0);
@@ -338,6 +344,38 @@
     rooms
 }
 
+/// The foreign work that a place may have by what its slots show. Callers whose caches are cold cost
+/// more than they bring by the settings; a place that is busier than its room tells gives some back.
+fn foreign_bound(
+    cfg: &Config,
+    inputs: &Inputs<'_>,
+    demand: &collections::BTreeMap<id::RegionId, f64>,
+    az: &id::AzId,
+    room: &Room,
+) -> f64 {
+    let of_az = |s: &&Summary| s.az == *az && s.service == inputs.service.name;
+    let in_use = inputs
+        .summaries
+        .iter()
+        .find(of_az)
+        .map_or(0.0, |s| s.in_use);
+    let wanted = room.capacity * (1.0 - cfg.margin);
+    if in_use <= wanted {
+        return f64::INFINITY;
+    }
+    let others = inputs
+        .now
+        .iter()
+        .filter(|(region, _)| **region != room.region);
+    let now: f64 = others
+        .map(|(region, weights)| {
+            let work = demand.get(region).copied().unwrap_or(0.0);
+            work * weights.get(az).copied().unwrap_or(0.0)
+        })
+        .sum();
+    (now - (in_use - wanted)).max(0.0)
+}
+
 /// Places work in rooms that `fits` picks, in proportion to what they have left.
 fn fill(rooms: &mut Rooms, wanted: f64, fits: impl Fn(&Room) -> bool) -> Weights {
     let left: f64 = rooms.values().filter(|r| fits(r)).map(|r| r.left).sum();
@@ -462,6 +500,7 @@
             az: az.into(),
             service: "ledger".into(),
             slots: 6,
+            in_use: demand,
             demand: [(region.into(), demand)].into(),
             age: time::Duration::from_secs(1),
         }
@@ -484,12 +523,14 @@
     fn plan(summaries: &[Summary], left: &[(&str, f64)]) -> ByRegion {
         let settings = cooperative();
         let service = settings.service("ledger").unwrap();
+        let now = initial(&settings, service);
         let left = left.iter().map(|(az, l)| ((*az).into(), *l)).collect();
         let inputs = Inputs {
             settings: &settings,
             service,
             summaries,
             left: &left,
+            now: &now,
         };
         target(&Config::default(), &inputs)
     }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -79,6 +79,8 @@
         pub slots: u32,
         /// Requests in hand, its own callers' and those under grants.
         pub in_hand: u32,
+        /// Slots of these backend servers in use, on average over the last second.
+        pub in_use: f64,
         /// Work that callers bring, answered or not, in slots, by the callers' region.
         pub demand: collections::BTreeMap<id::RegionId, f64>,
     }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -10,4 +10,5 @@
 pub mod model;
 pub mod processes;
 pub mod run;
+pub mod steering;
 pub mod store;
--- /dev/null
+++ b/src/standin/steering/tally.rs
@@ -0,0 +1,112 @@
+//! What callers got, and which limits were kept.
+
+use std::collections;
+
+/// The figures of one run.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Worth of all requests.
+    pub offered: u64,
+    /// Worth of those answered in time.
+    pub worth: u64,
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Requests that went across.
+    pub spilled: u64,
+    /// Requests that went across and came back refused.
+    pub bounced: u64,
+    /// Requests whose answer was lost on the way.
+    pub lost: u64,
+    /// The largest growth from step to step of the share of traffic served in another region.
+    pub largest_shift: f64,
+    /// The cap on it.
+    pub cap: f64,
+    /// The highest load of a region in a second in which it served others' callers.
+    pub peak_load: f64,
+    /// The limit of it.
+    pub max_load: f64,
+    /// Seconds in which a region was over its limit while it served others' callers.
+    pub seconds_over: u64,
+    /// The share of the first region's callers that it served itself in the last whole step.
+    pub home_at_end: f64,
+    /// The highest share of a link's limit that was used in a second.
+    pub peak_link: f64,
+    pub(super) latencies_us: Vec<u32>,
+    pub(super) served: collections::BTreeMap<u64, collections::BTreeMap<(usize, usize), u64>>,
+    pub(super) asked: collections::BTreeMap<u64, u64>,
+    pub(super) busy_us: collections::BTreeMap<(u64, usize), f64>,
+    pub(super) foreign: collections::BTreeMap<(u64, usize), u64>,
+    pub(super) link_bytes: collections::BTreeMap<(u64, usize, usize), u64>,
+}
+
+/// What a second may be over the limit by, since arrivals are random. Two hundredths of a region's
+/// twelve slots are a quarter of a slot.
+const RANDOM: f64 = 0.02;
+
+impl Tally {
+    /// The latency below which a share of the answers came, in milliseconds.
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        let mut sorted = self.latencies_us.clone();
+        sorted.sort_unstable();
+        let at = (sorted.len() as f64 * share) as usize;
+        sorted
+            .get(at.min(sorted.len().saturating_sub(1)))
+            .map_or(0.0, |us| f64::from(*us) / 1e3)
+    }
+
+    /// Limits that were not kept: of shifts, of regions, of links.
+    pub fn violations(&self) -> u64 {
+        let over = |bad: bool| u64::from(bad);
+        over(self.largest_shift > self.cap)
+            + over(self.peak_load > self.max_load + RANDOM)
+            + over(self.peak_link > 1.0)
+    }
+
+    /// Adds up what was counted by step and second.
+    pub(super) fn finish(&mut self, region_slots: f64, link_bytes_per_s: f64) {
+        self.largest_shift = self.shifts();
+        self.home_at_end = self.home_at_end();
+        for (at, us) in &self.busy_us {
+            let load = us / 1e6 / region_slots;
+            let foreign = self.foreign.get(at).copied().unwrap_or(0);
+            if foreign > 0 {
+                self.peak_load = self.peak_load.max(load);
+                self.seconds_over += u64::from(load > self.max_load + RANDOM);
+            }
+        }
+        let most = self.link_bytes.values().max().copied().unwrap_or(0);
+        self.peak_link = most as f64 / link_bytes_per_s;
+    }
+
+    fn home_at_end(&self) -> f64 {
+        let Some(served) = self.served.values().rev().nth(1) else {
+            return 0.0;
+        };
+        let of_first = served.iter().filter(|((from, _), _)| *from == 0);
+        let all: u64 = of_first.map(|(_, n)| n).sum();
+        let home = served.get(&(0, 0)).copied().unwrap_or(0);
+        home as f64 / all.max(1) as f64
+    }
+
+    fn shifts(&self) -> f64 {
+        let mut largest = 0.0f64;
+        let mut before = collections::BTreeMap::new();
+        for (step, asked) in &self.asked {
+            let empty = collections::BTreeMap::new();
+            let served = self.served.get(step).unwrap_or(&empty);
+            let away = |cells: &collections::BTreeMap<(usize, usize), u64>| {
+                let away = cells.iter().filter(|((from, to), _)| from != to);
+                away.map(|(cell, n)| (*cell, *n as f64 / *asked as f64))
+                    .collect::<collections::BTreeMap<_, _>>()
+            };
+            let now = away(served);
+            let grown = now.iter().map(|(cell, share)| {
+                let old = before.get(cell).copied().unwrap_or(0.0);
+                (share - old).max(0.0f64)
+            });
+            largest = largest.max(grown.sum());
+            before = now;
+        }
+        largest
+    }
+}
