--- a/src/decisions/across.rs
+++ b/src/decisions/across.rs
@@ -127,6 +127,8 @@
     pub in_flight: u32,
     /// Requests that wait on this VM.
     pub queued: u32,
+    /// Slots in use, on average over the last second.
+    pub in_use: f64,
 }
 
 impl Own {
@@ -263,7 +265,10 @@
             slots,
             in_flight,
             queued,
+            in_use: self.load.in_use,
         };
+        let in_use = f64::from(in_flight.min(slots));
+        self.load.in_use += gain * (in_use - self.load.in_use);
         self.usual_used += gain * (self.load.used() - self.usual_used);
     }
 
--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -529,6 +529,10 @@
 }
 
 impl Policy for Dispatch {
+    fn across(&mut self) -> Option<&mut across::Across> {
+        Some(&mut self.across)
+    }
+
     fn arrive(&mut self, now: Moment, req: policy::Arrival, out: &mut Vec<Action>) {
         if req.origin == Origin::Caller {
             self.across.arrived(now);
--- a/src/decisions/policy.rs
+++ b/src/decisions/policy.rs
@@ -6,7 +6,7 @@
 
 use std::time;
 
-use super::note;
+use super::{across, note};
 use crate::id;
 
 /// A point in time: how long the process has run.
@@ -213,6 +213,11 @@
         out: &mut Vec<Action>,
     );
 
+    /// What may be sent to other availability zones, where the policy sends any.
+    fn across(&mut self) -> Option<&mut across::Across> {
+        None
+    }
+
     /// What was decided beside the actions since the last call, for the logs.
     fn notes(&mut self) -> Vec<note::Note> {
         Vec::new()
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,6 +10,7 @@
 mod observe;
 mod operate;
 mod route;
+mod steer;
 
 use std::collections;
 use std::io::Write;
@@ -145,6 +146,7 @@
     make: M,
     log: slog::Logger,
     observer: observe::Observer,
+    steer: steer::Steer,
     incarnation: id::Incarnation,
     started: time::Instant,
     shared: sync::Arc<Shared>,
@@ -226,7 +228,9 @@
     ) -> Result<Self, error::Error> {
         let shared = sync::Arc::new(Shared::default());
         let entry = Self::start_with(cfg, make, shared, log)?;
-        feed::start(&entry.core.shared, platform, &entry.core.log);
+        let platform = sync::Arc::new(platform);
+        feed::start(&entry.core.shared, platform.clone(), &entry.core.log);
+        steer::start(&entry.core, None, channel::never(), platform);
         Ok(entry)
     }
 
@@ -249,12 +253,14 @@
             ttl: time::Duration::from_millis(cfg.ticket_ttl_ms),
             ..keys::Limits::default()
         };
+        let incarnation = new_incarnation();
         let core = sync::Arc::new(Core {
+            steer: steer::Steer::new(&cfg.vm, &cfg.az, incarnation),
             cfg,
             make,
             observer: observe::Observer::new(&log),
             log,
-            incarnation: new_incarnation(),
+            incarnation,
             started: time::Instant::now(),
             shared,
             desks: arc_swap::ArcSwap::default(),
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -18,8 +18,8 @@
 use parking_lot::Mutex;
 
 use super::{Core, Event, MakePolicy, answers, observe};
-use crate::coordination::store;
-use crate::decisions::policy;
+use crate::coordination::{grants, store};
+use crate::decisions::{across, policy};
 use crate::protocol::{backend, backend_http, headers, operators, outcome};
 use crate::state::{directory, fleet, keys};
 use crate::transport::{client, server};
@@ -58,6 +58,8 @@
     pub(super) seen: observe::Seen,
     /// Attempts that were made.
     pub(super) tries: u32,
+    /// Holds the slot of the grant under which the request came from another availability zone.
+    pub(super) _admitted: Option<grants::Admitted>,
     /// Attempts under way.
     pub(super) attempts: Vec<(Place, client::Attempt)>,
     /// An attempt ended of which nobody can say that it did not run.
@@ -115,6 +117,18 @@
     }
 }
 
+impl<P: Policy> Desk<P> {
+    /// Asks the policy's sending side something. `None`: it has none.
+    pub(super) fn with_across<R>(&self, ask: impl FnOnce(&mut across::Across) -> R) -> Option<R> {
+        self.inner.lock().policy.across().map(ask)
+    }
+
+    /// Requests in hand.
+    pub(super) fn pending(&self) -> u32 {
+        u32::try_from(self.inner.lock().pending.len()).unwrap_or(u32::MAX)
+    }
+}
+
 /// Brings a request to a service's desk.
 pub(super) fn arrive<M: MakePolicy>(
     core: &sync::Arc<Core<M>>,
@@ -290,6 +304,7 @@
     let number = inner.next_attempt;
     inner.next_attempt += 1;
     let target = target(core, desk, inner, &to);
+    let grant = grant(core, inner, &to);
     let Some(pending) = inner.pending.get_mut(&req) else {
         return;
     };
@@ -336,6 +351,9 @@
     }
     if let (Place::Az(_), Ok(az)) = (&to, core.cfg.az.as_str().parse()) {
         forward.headers.insert(headers::ORIGIN_AZ, az);
+        if let Some(grant) = grant {
+            forward.headers.insert(headers::GRANT, grant);
+        }
     }
     let call = client::Call {
         to: addr,
@@ -362,7 +380,7 @@
 fn target<M: MakePolicy>(
     core: &Core<M>,
     desk: &Desk<M::Policy>,
-    inner: &Inner<M::Policy>,
+    inner: &mut Inner<M::Policy>,
     to: &Place,
 ) -> Option<Target> {
     match to {
@@ -371,17 +389,25 @@
             Some((known.addr, known.wire.clone(), String::new()))
         }
         Place::Az(az) => {
-            let fleet = core.shared.fleet.load();
-            let live = |vm: &&store::Vm| vm.az == *az && vm.state == store::VmState::Live;
-            let there: Vec<_> = fleet.entries().filter(live).collect();
-            let turn = usize::try_from(inner.next_attempt).unwrap_or(0);
-            let vm = there.get(turn % there.len().max(1))?;
-            let wire = sync::Arc::default();
-            Some((vm.addr, wire, format!("/{}", desk.service)))
+            // Only the entry VM that gave the grant honours it.
+            let vm = inner.policy.across()?.grant(core.now(), az)?.vm.clone();
+            let addr = core.shared.fleet.load().vm(&vm)?.addr;
+            Some((addr, sync::Arc::default(), format!("/{}", desk.service)))
         }
     }
 }
 
+/// The text that names the grant under which a request goes to another availability zone.
+fn grant<M: MakePolicy>(
+    core: &Core<M>,
+    inner: &mut Inner<M::Policy>,
+    to: &Place,
+) -> Option<hyper::header::HeaderValue> {
+    let Place::Az(az) = to else { return None };
+    let grant = inner.policy.across()?.grant(core.now(), az)?;
+    grants::to_text(&core.cfg.vm, grant.id).parse().ok()
+}
+
 fn cancel<P>(inner: &mut Inner<P>, req: policy::RequestId, to: &Place) {
     let Some(pending) = inner.pending.get_mut(&req) else {
         return;
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -10,7 +10,8 @@
 use hyper::{Method, header};
 use rand::RngExt;
 
-use super::{Core, Event, MakePolicy, answers, desk, observe};
+use super::{Core, Event, MakePolicy, answers, desk, observe, steer};
+use crate::coordination::grants;
 use crate::decisions::policy;
 use crate::protocol::{backend, headers, lookup, outcome, ticket};
 use crate::state::{directory, keys};
@@ -74,11 +75,20 @@
     let stopping = core.stopping.load(atomic::Ordering::SeqCst);
     let regions = core.shared.regions.load();
     let own = settings.region_of(&core.cfg.az).map(|region| &region.name);
+    let region = regions.find(caller);
+    let first = match region {
+        Some(region) => {
+            let number = steer::caller_number(caller);
+            let steer = &core.steer;
+            steer.order(core.now(), &settings, service, region, number)
+        }
+        None => Vec::new(),
+    };
     let asks = directory::Asks {
         caller,
-        region: regions.find(caller).or(own),
+        region: region.or(own),
         az: &core.cfg.az,
-        first: &[],
+        first: &first,
     };
     let mut entries = core.named.load().directory.name(&asks);
     entries.retain(|entry| !stopping || entry.vm != core.cfg.vm);
@@ -225,11 +235,22 @@
             &Problem::Refused(why, super::REFRESH),
         );
     };
+    let origin = origin(core, &req);
+    let admitted = match let_in(core, &req, asked, &origin, &desk) {
+        Ok(admitted) => admitted,
+        Err(problem) => {
+            if let Some(key) = &key {
+                core.keys.lock().not_run(key);
+            }
+            let name = asked.service.name.as_str();
+            return refuse(core, req.id, name, req.reply, &problem);
+        }
+    };
     let arrival = policy::Arrival {
         id: policy::RequestId(req.id),
         caller: caller(&req),
         fingerprint: fingerprint(&req, path),
-        origin: origin(core, &req),
+        origin,
         idempotent: asked.op.idempotent,
         worth: asked.op.worth,
         typical: time::Duration::from_secs_f64(asked.op.typical_ms / 1000.0),
@@ -247,6 +268,7 @@
         key,
         idempotent: asked.op.idempotent,
         _permit: req.permit,
+        _admitted: admitted,
         attempts: Vec::new(),
         maybe_run: false,
         answer: None,
@@ -255,6 +277,47 @@
     desk::arrive(core, &desk, arrival, pending);
 }
 
+/// Whether a request may come to this availability zone. One that another entry VM sent needs a
+/// live grant of ours. One of a caller who belongs to another region by the plan is a shift, and
+/// counts against the cap. Whatever is refused here has not run.
+fn let_in<M: MakePolicy>(
+    core: &Core<M>,
+    req: &server::Request,
+    asked: &Asked<'_>,
+    origin: &policy::Origin,
+    desk: &desk::Desk<M::Policy>,
+) -> Result<Option<grants::Admitted>, Problem> {
+    let (now, service) = (core.now(), asked.service);
+    if *origin != policy::Origin::Caller {
+        let admitted = core.steer.admit(now, &service.name, &req.headers);
+        let refused = |_| Problem::Refused(policy::Refusal::Overload, steer::EVERY);
+        return admitted.map(Some).map_err(refused);
+    }
+    let settings = core.shared.settings.load();
+    let regions = core.shared.regions.load();
+    let region = regions.find(req.from.ip());
+    let typical = time::Duration::from_secs_f64(asked.op.typical_ms / 1e3);
+    core.steer.count(&service.name, region, typical);
+    let Some(region) = region else {
+        return Ok(None);
+    };
+    let number = steer::caller_number(req.from.ip());
+    let order = core.steer.order(now, &settings, service, region, number);
+    let placed = order.first().and_then(|az| settings.region_of(az));
+    let here = settings.region_of(&core.cfg.az);
+    if placed.is_none() || placed.map(|r| &r.name) == here.map(|r| &r.name) {
+        return Ok(None);
+    }
+    let taken = desk.with_across(|across| {
+        let taken = across.takes_displaced(now, asked.op.worth);
+        (taken, across.retry_after())
+    });
+    match taken {
+        Some((false, after)) => Err(Problem::Refused(policy::Refusal::Overload, after)),
+        _ => Ok(None),
+    }
+}
+
 fn with_query(path: &str, query: Option<&str>) -> String {
     match query {
         Some(query) => format!("{path}?{query}"),
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -20,6 +20,8 @@
 pub const LOAD: &str = "bulrushwind-load";
 /// The availability zone of the entry VM that sent a request across.
 pub const ORIGIN_AZ: &str = "bulrushwind-origin-az";
+/// The grant under which a request was sent across.
+pub const GRANT: &str = "bulrushwind-grant";
 /// The entry VM that passed a request on to the home of its key.
 pub const VIA: &str = "bulrushwind-via";
 
