--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -382,6 +382,7 @@
         phase: 0,
         seq: 0,
         list: 0,
+        store_up: false,
     }
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -24,7 +24,7 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 
-use crate::coordination::{store, store_http};
+use crate::coordination::{driver, store, store_http};
 use crate::decisions::{naive, policy};
 use crate::state::{directory, fleet, keys, lookup};
 use crate::transport::{client, operators, server};
@@ -213,6 +213,7 @@
 pub struct Entry<M: MakePolicy> {
     core: sync::Arc<Core<M>>,
     server: server::Server,
+    driver: Option<driver::Driver>,
     operators: operators::Server,
     /// Dropped last: every connection lives on it.
     _runtime: tokio::runtime::Runtime,
@@ -227,10 +228,12 @@
         log: slog::Logger,
     ) -> Result<Self, error::Error> {
         let shared = sync::Arc::new(Shared::default());
-        let entry = Self::start_with(cfg, make, shared, log)?;
+        let mut entry = Self::start_with(cfg, make, shared, log)?;
         let platform = sync::Arc::new(platform);
-        feed::start(&entry.core.shared, platform.clone(), &entry.core.log);
-        steer::start(&entry.core, None, channel::never(), platform);
+        let driver = feed::start(&entry.core, platform.clone())?;
+        let (links, inbox) = (driver.peers().cloned(), driver.inbox().clone());
+        steer::start(&entry.core, links, inbox, platform);
+        entry.driver = Some(driver);
         Ok(entry)
     }
 
@@ -294,6 +297,7 @@
         Ok(Self {
             core,
             server,
+            driver: None,
             operators,
             _runtime: runtime,
         })
@@ -313,6 +317,9 @@
     /// what is in flight ends and kept answers stay within reach until the last ticket expired.
     pub fn stop(self) {
         self.core.stopping.store(true, atomic::Ordering::SeqCst);
+        if let Some(driver) = &self.driver {
+            driver.leave();
+        }
         let ttl = self.core.cfg.lookup_ttl_ms.max(self.core.cfg.ticket_ttl_ms);
         let until = time::Instant::now() + time::Duration::from_millis(ttl);
         while time::Instant::now() < until || desk::in_hand(&self.core) > 0 {
@@ -349,6 +356,9 @@
         for desk in core.desks.load().values() {
             desk::tick(&core, desk);
         }
+        for req in core.steer.release() {
+            let _ = core.events.send(Event::Request(req));
+        }
         drop(core);
         thread::sleep(TICK);
     }
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -12,6 +12,7 @@
 
 use super::{Core, Event, MakePolicy, answers, desk, observe, steer};
 use crate::coordination::grants;
+use crate::decisions::grants::Refused;
 use crate::decisions::policy;
 use crate::protocol::{backend, headers, lookup, outcome, ticket};
 use crate::state::{directory, keys};
@@ -236,9 +237,15 @@
         );
     };
     let origin = origin(core, &req);
+    let waited = core.steer.waited(core.now(), req.id);
     let admitted = match let_in(core, &req, asked, &origin, &desk) {
         Ok(admitted) => admitted,
-        Err(problem) => {
+        Err(Turned::Full) if core.steer.may_wait(waited) => {
+            return core.steer.hold(core.now(), req);
+        }
+        Err(turned) => {
+            let problem = turned.problem();
+            core.steer.forget(req.id);
             if let Some(key) = &key {
                 core.keys.lock().not_run(key);
             }
@@ -246,6 +253,7 @@
             return refuse(core, req.id, name, req.reply, &problem);
         }
     };
+    core.steer.forget(req.id);
     let arrival = policy::Arrival {
         id: policy::RequestId(req.id),
         caller: caller(&req),
@@ -254,7 +262,7 @@
         idempotent: asked.op.idempotent,
         worth: asked.op.worth,
         typical: time::Duration::from_secs_f64(asked.op.typical_ms / 1000.0),
-        deadline: core.now() + asked.timeout,
+        deadline: (core.now() + asked.timeout).saturating_sub(waited),
         bytes: req.body.len() as u64,
     };
     let seen = observe::Seen::new(&arrival, core.now(), asked.service, asked.op, &req.headers);
@@ -277,6 +285,24 @@
     desk::arrive(core, &desk, arrival, pending);
 }
 
+/// Why a request may not come to this availability zone.
+enum Turned {
+    /// Its grant has no room now, and may have in a moment.
+    Full,
+    /// It has no live grant, or the cap is reached.
+    Away(time::Duration),
+}
+
+impl Turned {
+    fn problem(&self) -> Problem {
+        let after = match self {
+            Self::Full => steer::EVERY,
+            Self::Away(after) => *after,
+        };
+        Problem::Refused(policy::Refusal::Overload, after)
+    }
+}
+
 /// Whether a request may come to this availability zone. One that another entry VM sent needs a
 /// live grant of ours. One of a caller who belongs to another region by the plan is a shift, and
 /// counts against the cap. Whatever is refused here has not run.
@@ -286,12 +312,14 @@
     asked: &Asked<'_>,
     origin: &policy::Origin,
     desk: &desk::Desk<M::Policy>,
-) -> Result<Option<grants::Admitted>, Problem> {
+) -> Result<Option<grants::Admitted>, Turned> {
     let (now, service) = (core.now(), asked.service);
     if *origin != policy::Origin::Caller {
         let admitted = core.steer.admit(now, &service.name, &req.headers);
-        let refused = |_| Problem::Refused(policy::Refusal::Overload, steer::EVERY);
-        return admitted.map(Some).map_err(refused);
+        return admitted.map(Some).map_err(|why| match why {
+            Refused::NoGrant => Turned::Away(steer::EVERY),
+            Refused::Full | Refused::OwnFirst => Turned::Full,
+        });
     }
     let settings = core.shared.settings.load();
     let regions = core.shared.regions.load();
@@ -313,7 +341,7 @@
         (taken, across.retry_after())
     });
     match taken {
-        Some((false, after)) => Err(Problem::Refused(policy::Refusal::Overload, after)),
+        Some((false, after)) => Err(Turned::Away(after)),
         _ => Ok(None),
     }
 }
--- a/src/entry/steer.rs
+++ b/src/entry/steer.rs
@@ -18,6 +18,7 @@
 use crate::decisions::{across, caps, drain, grants, links, plan, policy};
 use crate::protocol::{headers, peer};
 use crate::state::fleet;
+use crate::transport::server;
 use crate::{id, settings};
 
 /// How often wishes and loads are looked at.
@@ -32,8 +33,19 @@
     applied: Mutex<plan::Applied>,
     links: across::SharedLinks,
     told: Mutex<policy::Moment>,
+    held: Mutex<Held>,
 }
 
+/// Requests under a live grant that wait for room, and since when each does.
+#[derive(Default)]
+struct Held {
+    reqs: Vec<server::Request>,
+    since: collections::HashMap<u64, policy::Moment>,
+}
+
+/// Requests that may wait for room at a time.
+const MAX_HELD: usize = 256;
+
 impl Steer {
     pub(super) fn new(vm: &id::VmId, az: &id::AzId, incarnation: id::Incarnation) -> Self {
         Self {
@@ -44,6 +56,7 @@
             applied: Mutex::default(),
             links: across::SharedLinks::default(),
             told: Mutex::default(),
+            held: Mutex::default(),
         }
     }
 
@@ -59,6 +72,34 @@
         self.lenders.admit(now, service, &from, grant)
     }
 
+    /// How long a request has waited for room so far.
+    pub(super) fn waited(&self, now: policy::Moment, req: u64) -> time::Duration {
+        let since = self.held.lock().since.get(&req).copied();
+        since.map_or(time::Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    /// Whether a request that has waited so long may wait on.
+    pub(super) fn may_wait(&self, waited: time::Duration) -> bool {
+        waited < across::ROOM_WAIT && self.held.lock().reqs.len() < MAX_HELD
+    }
+
+    /// Keeps a request until time passes.
+    pub(super) fn hold(&self, now: policy::Moment, req: server::Request) {
+        let mut held = self.held.lock();
+        held.since.entry(req.id).or_insert(now);
+        held.reqs.push(req);
+    }
+
+    /// A request waits no longer.
+    pub(super) fn forget(&self, req: u64) {
+        self.held.lock().since.remove(&req);
+    }
+
+    /// The requests that wait, to be looked at again.
+    pub(super) fn release(&self) -> Vec<server::Request> {
+        std::mem::take(&mut self.held.lock().reqs)
+    }
+
     /// A caller brought work.
     pub(super) fn count(
         &self,
