Send requests across on the real path, under real HTTP and links

A test with two entry VMs and a surge on one shows bookings running in the other place, each at most once, and forged or missing grants refused.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -308,6 +308,12 @@
         self.server.addr()
     }
 
+    /// Where other entry VMs connect; `None` where there are no links to them.
+    pub fn peers_addr(&self) -> Option<net::SocketAddr> {
+        let links = self.driver.as_ref()?.peers()?;
+        Some(links.addr())
+    }
+
     /// Where operators connect.
     pub fn operators_addr(&self) -> net::SocketAddr {
         self.operators.addr()
--- a/src/standin/steering/mod.rs
+++ b/src/standin/steering/mod.rs
@@ -5,9 +5,12 @@
 //! is a pool of slots with one queue; messages take a fixed time, loads are told twice a second,
 //! callers keep a look-up for five seconds. Nothing reads a clock, all randomness is seeded.
 
+mod callers;
+mod places;
 mod play;
 pub mod scenarios;
 mod tally;
+mod upkeep;
 
 use std::path;
 use std::time;
--- /dev/null
+++ b/src/standin/steering/upkeep.rs
@@ -0,0 +1,205 @@
+//! What time brings: faults, loads, grants, versions of the plan.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use super::play::{Az, Event, SPREAD, TELL, TICK, VMS, World, vm_name};
+use super::{Fault, Way, blank};
+use crate::decisions::{caps, drain, grants, plan, policy};
+use policy::Moment;
+
+impl World<'_> {
+    pub(super) fn fault(&mut self, number: usize) {
+        let (_, fault) = self.scenario.faults[number];
+        match fault {
+            Fault::BackendsDown(region) | Fault::RegionDown(region) => {
+                for az in 0..self.azs.len() {
+                    if self.azs[az].region != region {
+                        continue;
+                    }
+                    self.azs[az].slots = 0;
+                    self.azs[az].busy = 0;
+                    self.azs[az].epoch += 1;
+                    for req in std::mem::take(&mut self.azs[az].queue) {
+                        self.end(req);
+                        self.tally.refused += 1;
+                    }
+                    let dies = matches!(fault, Fault::RegionDown(_));
+                    for vm in &mut self.vms[az * VMS..(az + 1) * VMS] {
+                        vm.up &= !dies;
+                    }
+                }
+            }
+            Fault::Cut(region) => self.cut = Some(region),
+            Fault::Heal(_) => self.cut = None,
+        }
+    }
+
+    pub(super) fn tick(&mut self) {
+        self.after(TICK, Event::Tick);
+        let tells = self.now.as_millis().is_multiple_of(TELL.as_millis());
+        for az in 0..self.azs.len() {
+            if !tells {
+                break;
+            }
+            let a = &mut self.azs[az];
+            a.in_hand = a.busy + a.queue.len() as u32;
+            for (demand, brought) in a.demand.iter_mut().zip(&mut a.brought) {
+                let seen = std::mem::take(brought) / TELL.as_secs_f64();
+                *demand += 0.2 * (seen - *demand);
+            }
+            if self.vms[az * VMS].up && self.cut != Some(a.region) {
+                a.told = self.now;
+            }
+        }
+        for az in &mut self.azs {
+            az.in_use += 0.1 * (f64::from(az.busy) - az.in_use);
+        }
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].up {
+                self.tick_vm(vm, tells);
+            }
+        }
+        if tells && self.way.plans() && self.now.as_secs().is_multiple_of(2) {
+            self.write_plan();
+        }
+    }
+
+    pub(super) fn tick_vm(&mut self, vm: usize, tells: bool) {
+        let az = self.vms[vm].az;
+        let load = self.load(vm);
+        let (now, slots, busy) = (self.now, self.azs[az].slots, self.azs[az].busy);
+        let queued = self.azs[az].queue.len() as u32;
+        let v = &mut self.vms[vm];
+        v.across.tick(now);
+        v.across.own_load(now, slots, busy, queued);
+        v.granter.set_load(now, load);
+        v.granter.tick(now);
+        if !tells {
+            return;
+        }
+        if self.way == Way::OwnFraction {
+            for other in 0..self.azs.len() {
+                let to = &self.azs[other];
+                let full = 0.9 * f64::from(to.slots);
+                let name = to.name.clone();
+                if f64::from(to.in_hand) < full && self.reaches(az, &name) {
+                    let grant = blank(&self.dep.service.name, &name);
+                    self.vms[vm].across.set_grant(now, grant);
+                }
+            }
+        }
+        if !self.way.grants() {
+            return;
+        }
+        for wish in self.vms[vm].across.wishes(now) {
+            let to = self
+                .azs
+                .iter()
+                .position(|a| a.name == wish.az)
+                .expect("it is declared");
+            let per_s = wish.per_s.ceil() as u64;
+            let ask = Event::Wish {
+                from: vm,
+                to: to * VMS + vm % VMS,
+                per_s,
+                asked: now,
+            };
+            self.after(self.dep.one_way(&self.azs[az].name, &wish.az), ask);
+        }
+    }
+
+    pub(super) fn load(&self, vm: usize) -> grants::Load {
+        let az = &self.azs[self.vms[vm].az];
+        grants::Load {
+            slots: az.slots,
+            max_load: 0.9,
+            members: VMS as u32,
+            own: self.vms[vm].own,
+            az_in_flight: az.busy + az.queue.len() as u32,
+            service_time: self.dep.mean(),
+        }
+    }
+
+    pub(super) fn wish(&mut self, from: usize, to: usize, per_s: u64, asked: Moment) {
+        let name = self.azs[self.vms[to].az].name.clone();
+        if !self.vms[to].up || !self.reaches(self.vms[from].az, &name) {
+            return;
+        }
+        let load = self.load(to);
+        let granter = &mut self.vms[to].granter;
+        granter.set_load(self.now, load);
+        if let Some(grant) = granter.ask(self.now, &vm_name(from), per_s as f64) {
+            self.granted.push(grant);
+            let number = self.granted.len() - 1;
+            let back = self.dep.one_way(&name, &self.azs[self.vms[from].az].name);
+            self.after(
+                back,
+                Event::Granted {
+                    to: from,
+                    asked,
+                    number,
+                },
+            );
+        }
+    }
+
+    pub(super) fn write_plan(&mut self) {
+        let step = time::Duration::from_millis(self.dep.service.shift_step_ms);
+        if self.now < self.stepped + step {
+            return;
+        }
+        let summaries: Vec<_> = self.azs.iter().map(|az| self.summary(az)).collect();
+        let mut left = collections::BTreeMap::new();
+        if let Some(drain) = &self.scenario.drain {
+            let part = drain::left(drain, self.now.as_secs_f64());
+            for az in drain::azs(&self.dep.settings, &drain.target) {
+                left.insert(az, part);
+            }
+        }
+        let cfg = plan::Config::default();
+        let inputs = plan::Inputs {
+            settings: &self.dep.settings,
+            service: &self.dep.service,
+            summaries: &summaries,
+            left: &left,
+            now: &self.plan.services[&self.dep.service.name],
+        };
+        let target = plan::target(&cfg, &inputs);
+        let name = &self.dep.service.name;
+        let most = caps::Config::of(&self.dep.service).version_share();
+        let Some(next) = plan::step(&cfg, &self.plan.services[name], &target, most) else {
+            return;
+        };
+        self.stepped = self.now;
+        self.plan = sync::Arc::new(plan::Plan {
+            version: self.plan.version + 1,
+            services: [(name.clone(), next)].into(),
+        });
+        self.versions.push(self.plan.clone());
+        for vm in 0..self.vms.len() {
+            if self
+                .cut
+                .is_none_or(|cut| cut != self.azs[self.vms[vm].az].region)
+            {
+                let number = self.versions.len() - 1;
+                self.after(SPREAD, Event::Version(vm, number));
+            }
+        }
+    }
+
+    pub(super) fn summary(&self, az: &Az) -> plan::Summary {
+        let demand = self.regions.iter().zip(&az.demand);
+        plan::Summary {
+            az: az.name.clone(),
+            service: self.dep.service.name.clone(),
+            slots: az.slots,
+            in_use: az.in_use,
+            demand: demand
+                .map(|(region, work)| (region.clone(), *work))
+                .collect(),
+            age: self.now - az.told,
+        }
+    }
+}
--- /dev/null
+++ b/tests/steering_path.rs
@@ -0,0 +1,270 @@
+//! Requests that go to another availability zone, over real HTTP and real links between processes'
+//! parts: two entry VMs, each in an availability zone of its own.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use bulrushwind::coordination::store;
+use bulrushwind::decisions::{across, caps, dispatch};
+use bulrushwind::protocol::{headers, outcome};
+use bulrushwind::standin::{backend, caller, operator, store as standin};
+use bulrushwind::{config, entry, logging, settings};
+
+/// How long a condition may take. Far more than any machine needs.
+const LIMIT: time::Duration = time::Duration::from_secs(60);
+
+const SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+const SETTINGS: &str = r#"
+[[region]]
+name = "r"
+azs = ["a", "b"]
+max_load = 0.9
+
+[[service]]
+name = "ledger"
+azs = ["a", "b"]
+slots = 8
+connections = 100
+shift_cap = 1.0
+shift_step_ms = 1000
+
+[[service.operation]]
+name = "book"
+method = "POST"
+path = "/book"
+idempotent = false
+worth = 20
+patience_ms = 2000
+typical_ms = 40.0
+
+[[service.operation]]
+name = "read"
+method = "GET"
+path = "/"
+idempotent = true
+worth = 2
+patience_ms = 2000
+typical_ms = 40.0
+"#;
+
+struct MakeDispatch;
+
+impl entry::MakePolicy for MakeDispatch {
+    type Policy = dispatch::Dispatch;
+
+    fn make(
+        &self,
+        cfg: &config::Config,
+        _settings: &settings::Settings,
+        service: &settings::Service,
+    ) -> dispatch::Dispatch {
+        let sending = across::Config {
+            caps: caps::Config::of(service),
+            ..across::Config::default()
+        };
+        let across = across::Across::new(sending, cfg.az.clone());
+        dispatch::Dispatch::new(dispatch::Config::default(), across)
+    }
+}
+
+struct Fleet {
+    platform: standin::Memory,
+    entries: Vec<entry::Entry<MakeDispatch>>,
+    backends: Vec<backend::Backend>,
+}
+
+impl Fleet {
+    /// An entry VM and a backend server in each of `a` and `b`; the one in `a` has `slots` slots.
+    fn start(slots: usize) -> Self {
+        let platform = standin::Memory::default();
+        operator::publish(&platform, "places", SETTINGS, 0).unwrap();
+        let mut fleet = Self {
+            platform,
+            entries: Vec::new(),
+            backends: Vec::new(),
+        };
+        for (az, slots) in [("a", slots), ("b", 8)] {
+            fleet.add_backend(az, slots);
+            fleet.add_entry(az);
+        }
+        for entry in &fleet.entries {
+            let read = caller::Ask {
+                path: "/ledger/bays",
+                ..caller::Ask::default()
+            };
+            wait_for("a read is answered", || {
+                let told = caller::Caller::default().ask(entry.addr(), &read);
+                told.is_ok_and(|told| told.status == 200)
+            });
+        }
+        fleet
+    }
+
+    fn add_backend(&mut self, az: &str, slots: usize) {
+        let behaviour = backend::Behaviour {
+            slots,
+            queue: 4,
+            work_ms: 40,
+            ..backend::Behaviour::default()
+        };
+        let any = "127.0.0.1:0".parse().unwrap();
+        let backend = backend::Backend::start(any, behaviour, None).unwrap();
+        self.platform.put_vm(store::Vm {
+            id: format!("backend-{az}").as_str().into(),
+            az: az.into(),
+            addr: backend.addr(),
+            role: store::VmRole::Backend {
+                service: "ledger".into(),
+            },
+            state: store::VmState::Live,
+        });
+        self.backends.push(backend);
+    }
+
+    fn add_entry(&mut self, az: &str) {
+        let name = format!("entry-{az}");
+        let cfg = config::Config {
+            vm: name.as_str().into(),
+            az: az.into(),
+            root_keys: vec![operator::root().public()],
+            peer_secrets: vec![SECRET.to_owned().into()],
+            ..config::Config::default()
+        };
+        let log = logging::silent();
+        let entry = entry::Entry::start(cfg, MakeDispatch, self.platform.clone(), log).unwrap();
+        self.platform.put_vm(store::Vm {
+            id: name.as_str().into(),
+            az: az.into(),
+            addr: entry.addr(),
+            role: store::VmRole::Entry {
+                peers: entry.peers_addr().unwrap(),
+            },
+            state: store::VmState::Live,
+        });
+        self.entries.push(entry);
+    }
+
+    /// How often each key ran, on all backend servers.
+    fn runs(&self) -> std::collections::BTreeMap<String, u32> {
+        let mut all = std::collections::BTreeMap::new();
+        for backend in &self.backends {
+            for (key, runs) in backend.log().runs {
+                *all.entry(key).or_default() += runs;
+            }
+        }
+        all
+    }
+}
+
+fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let until = time::Instant::now() + LIMIT;
+    while !condition() {
+        assert!(time::Instant::now() < until, "never came true: {what}");
+        thread::sleep(time::Duration::from_millis(20));
+    }
+}
+
+/// Books with a ticket, again and again, until told to stop. Returns each key with what its caller
+/// was told.
+fn book(entry: net::SocketAddr, thread: usize, stop: &sync::atomic::AtomicBool) -> Vec<Booked> {
+    let caller = caller::Caller::default();
+    let ticket = caller.look_up(entry, "ledger").unwrap().ticket.unwrap();
+    let mut booked = Vec::new();
+    for seq in 0..5_000 {
+        if stop.load(sync::atomic::Ordering::SeqCst) {
+            break;
+        }
+        let key = format!("{ticket}.{thread}-{seq}");
+        let body = format!("bay {thread} {seq}");
+        let ask = caller::Ask {
+            method: "POST",
+            path: "/ledger/book",
+            key: Some(&key),
+            body: &body,
+            ..caller::Ask::default()
+        };
+        let Ok(told) = caller.ask(entry, &ask) else {
+            continue;
+        };
+        if told.outcome == Some(outcome::Outcome::Answered) {
+            let echo: backend::Echo = serde_json::from_str(&told.body).unwrap();
+            assert_eq!(
+                echo.body, body,
+                "a caller got the answer to another request"
+            );
+        } else {
+            thread::sleep(time::Duration::from_millis(20));
+        }
+        booked.push(Booked {
+            key,
+            outcome: told.outcome,
+        });
+    }
+    booked
+}
+
+struct Booked {
+    key: String,
+    outcome: Option<outcome::Outcome>,
+}
+
+/// A place has a single slot left and a surge comes in, while the place next to it is idle. Without
+/// spilling, most of its callers would be refused; with careless spilling, a booking would be sent
+/// to both places and bill one bay twice.
+#[test]
+fn a_surge_spills_and_nothing_runs_twice() {
+    let fleet = Fleet::start(1);
+    let stop = sync::atomic::AtomicBool::new(false);
+    let entry = fleet.entries[0].addr();
+    let booked: Vec<Booked> = thread::scope(|scope| {
+        let stop = &stop;
+        let callers: Vec<_> = (0..16)
+            .map(|i| scope.spawn(move || book(entry, i, stop)))
+            .collect();
+        // The idle place has answered the one read that the start waited for.
+        wait_for("bookings run in the other place", || {
+            fleet.backends[1].log().started > 20
+        });
+        stop.store(true, sync::atomic::Ordering::SeqCst);
+        callers
+            .into_iter()
+            .flat_map(|c| c.join().unwrap())
+            .collect()
+    });
+    let runs = fleet.runs();
+    assert!(runs.values().all(|runs| *runs == 1), "{runs:?}");
+    for one in &booked {
+        let ran = runs.contains_key(&one.key);
+        match one.outcome {
+            Some(outcome::Outcome::Answered) => assert!(ran, "{} was answered", one.key),
+            Some(outcome::Outcome::NotRun) => assert!(!ran, "{} ran", one.key),
+            _ => {}
+        }
+    }
+}
+
+/// A sender's grant has run out, or was never given: its requests come after a partition, or from
+/// a process that makes them up. Let in, they would take the place that own callers need.
+#[test]
+fn without_a_live_grant_nothing_is_let_in() {
+    let fleet = Fleet::start(8);
+    let url = format!("http://{}/ledger/book", fleet.entries[1].addr());
+    wait_for("the receiver knows the sender", || {
+        let found = caller::Caller::default().look_up(fleet.entries[1].addr(), "ledger");
+        found.is_ok_and(|found| found.entries.len() == 2)
+    });
+    for grant in [None, Some("entry-a;1f;1"), Some("nonsense")] {
+        let mut req = attohttpc::post(&url).header(headers::ORIGIN_AZ, "a");
+        if let Some(grant) = grant {
+            req = req.header(headers::GRANT, grant);
+        }
+        let answer = req.text("bay 7").send().unwrap();
+        let told = answer.headers().get(headers::OUTCOME).unwrap();
+        assert_eq!(told, outcome::Outcome::NotRun.as_str());
+        assert!(answer.headers().contains_key("retry-after"));
+    }
+    assert!(fleet.runs().is_empty());
+}
