--- /dev/null
+++ b/benches/paths.rs
@@ -0,0 +1,246 @@
+//! The request path beside a bare forwarder in the same run, and look-ups in process.
+//!
+//! The bare forwarder has the same server and client and nothing in between: no workers, no
+//! settings, no keys, no decisions. The difference is what steering costs.
+
+use std::hint;
+use std::io::{Read, Write};
+use std::net;
+use std::path;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use bulrushwind::coordination::store;
+use bulrushwind::state::fleet;
+use bulrushwind::transport::{client, server};
+use bulrushwind::{config, entry, logging, settings};
+use bytes::Bytes;
+use criterion::Criterion;
+
+/// How long one measurement of throughput lasts.
+const SPAN: time::Duration = time::Duration::from_secs(2);
+
+/// Callers' connections while throughput is measured.
+const CONNECTIONS: usize = 128;
+
+/// Backend servers of the service.
+const BACKENDS: usize = 12;
+
+const REQUEST: &[u8] = b"GET /ledger/bays HTTP/1.1\r\nHost: a\r\n\r\n";
+
+fn runtime(threads: usize) -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+fn any() -> net::SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// A backend server that answers at once.
+#[derive(Clone)]
+struct Echo;
+
+impl server::Sink for Echo {
+    fn request(&self, req: server::Request) {
+        let mut answer = server::Answer {
+            body: Bytes::from_static(b"{\"bays\":7}"),
+            ..server::Answer::default()
+        };
+        if let Some(attempt) = req.headers.get("bulrushwind-request") {
+            let name = hyper::header::HeaderName::from_static("bulrushwind-request");
+            answer.headers.insert(name, attempt.clone());
+        }
+        req.reply.send(answer);
+    }
+
+    fn gone(&self, _id: u64) {}
+
+    fn fault(&self, _fault: server::Fault) -> server::Answer {
+        server::Answer::default()
+    }
+}
+
+/// Sends each request to the next backend server and hands back what comes.
+#[derive(Clone)]
+struct Bare {
+    client: client::Client,
+    backends: sync::Arc<Vec<net::SocketAddr>>,
+    next: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl server::Sink for Bare {
+    fn request(&self, req: server::Request) {
+        let turn = self.next.fetch_add(1, atomic::Ordering::Relaxed);
+        let mut out = hyper::Request::new(req.body);
+        *out.uri_mut() = "/bays".parse().unwrap();
+        let call = client::Call {
+            to: self.backends[turn % self.backends.len()],
+            req: out,
+            timeout: time::Duration::from_secs(5),
+            body_bytes: 1 << 20,
+        };
+        let reply = req.reply;
+        let _attempt = self.client.send(call, move |result| {
+            reply.send(result.unwrap_or_default());
+        });
+    }
+
+    fn gone(&self, _id: u64) {}
+
+    fn fault(&self, _fault: server::Fault) -> server::Answer {
+        server::Answer::default()
+    }
+}
+
+fn shared(backends: &[net::SocketAddr], entries: usize) -> sync::Arc<entry::Shared> {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/cooperative");
+    let mut settings = settings::Settings::read(&root).unwrap();
+    for team in settings.teams.values_mut() {
+        for service in &mut team.services {
+            // Backend servers that answer at once bear more than the examples' do.
+            service.slots = 100;
+        }
+    }
+    let backend = |(n, addr): (usize, &net::SocketAddr)| store::Vm {
+        id: format!("l{n}").as_str().into(),
+        az: "ub-a".into(),
+        addr: *addr,
+        role: store::VmRole::Backend {
+            service: "ledger".into(),
+        },
+        state: store::VmState::Live,
+    };
+    let azs: Vec<_> = settings.regions().flat_map(|r| r.azs.clone()).collect();
+    let entry = |n: usize| store::Vm {
+        id: format!("e{n}").as_str().into(),
+        az: azs[n % azs.len()].clone(),
+        addr: any(),
+        role: store::VmRole::Entry { peers: any() },
+        state: store::VmState::Live,
+    };
+    let vms = backends.iter().enumerate().map(backend);
+    let vms = vms.chain((0..entries).map(entry)).collect();
+    let shared = sync::Arc::new(entry::Shared::default());
+    shared.put_in_force(settings).unwrap();
+    shared.fleet.store(sync::Arc::new(fleet::Fleet::new(vms)));
+    shared
+}
+
+fn start<M: entry::MakePolicy>(make: M, shared: sync::Arc<entry::Shared>) -> entry::Entry<M> {
+    let cfg = config::Config {
+        vm: "e0".into(),
+        az: "ub-a".into(),
+        ..config::Config::default()
+    };
+    entry::Entry::start_with(cfg, make, shared, logging::silent()).unwrap()
+}
+
+/// One keep-alive connection that sends a request and reads its answer.
+struct Caller {
+    stream: net::TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Caller {
+    fn new(addr: net::SocketAddr) -> Self {
+        let stream = net::TcpStream::connect(addr).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self {
+            stream,
+            buf: vec![0; 4096],
+        }
+    }
+
+    fn request(&mut self) {
+        self.stream.write_all(REQUEST).unwrap();
+        let mut len = 0;
+        loop {
+            let got = self.stream.read(&mut self.buf[len..]).unwrap();
+            assert!(got > 0, "closed");
+            len += got;
+            if self.buf[..len].ends_with(b"}") {
+                break;
+            }
+        }
+        assert!(self.buf.starts_with(b"HTTP/1.1 200"), "not answered");
+    }
+}
+
+fn throughput(name: &str, addr: net::SocketAddr) {
+    let stop = sync::Arc::new(atomic::AtomicBool::new(false));
+    let callers: Vec<_> = (0..CONNECTIONS)
+        .map(|_| {
+            let stop = stop.clone();
+            thread::spawn(move || {
+                let mut caller = Caller::new(addr);
+                let mut count = 0_u64;
+                while !stop.load(atomic::Ordering::Relaxed) {
+                    caller.request();
+                    count += 1;
+                }
+                count
+            })
+        })
+        .collect();
+    let begun = time::Instant::now();
+    thread::sleep(SPAN);
+    stop.store(true, atomic::Ordering::Relaxed);
+    let count: u64 = callers.into_iter().map(|c| c.join().unwrap()).sum();
+    let rate = count as f64 / begun.elapsed().as_secs_f64();
+    println!("throughput {name}: {rate:.0} requests/s over {CONNECTIONS} connections");
+}
+
+fn main() {
+    let backend_runtime = runtime(2);
+    let backends: Vec<_> = (0..BACKENDS)
+        .map(|_| {
+            let limits = server::Limits::default();
+            server::start(backend_runtime.handle(), any(), limits, Echo).unwrap()
+        })
+        .collect();
+    let addrs: Vec<_> = backends.iter().map(server::Server::addr).collect();
+    let bare_runtime = runtime(4);
+    let bare = Bare {
+        client: client::Client::new(bare_runtime.handle().clone(), client::Config::default()),
+        backends: sync::Arc::new(addrs.clone()),
+        next: sync::Arc::default(),
+    };
+    let limits = server::Limits::default();
+    let bare = server::start(bare_runtime.handle(), any(), limits, bare).unwrap();
+    let steered = start(entry::MakeNaive, shared(&addrs, 12));
+
+    let mut criterion = Criterion::default()
+        .sample_size(60)
+        .measurement_time(time::Duration::from_secs(3))
+        .configure_from_args();
+    latency(&mut criterion, "direct", addrs[0]);
+    latency(&mut criterion, "bare forwarder", bare.addr());
+    latency(&mut criterion, "entry", steered.addr());
+    look_ups(&mut criterion, "12 entry VMs", &steered);
+    let large = start(entry::MakeNaive, shared(&addrs, 4400));
+    look_ups(&mut criterion, "4400 entry VMs in 6 zones", &large);
+    criterion.final_summary();
+    throughput("bare forwarder", bare.addr());
+    throughput("entry", steered.addr());
+}
+
+fn latency(criterion: &mut Criterion, name: &str, addr: net::SocketAddr) {
+    let mut caller = Caller::new(addr);
+    criterion.bench_function(&format!("request/{name}"), |b| b.iter(|| caller.request()));
+}
+
+fn look_ups<M: entry::MakePolicy>(criterion: &mut Criterion, name: &str, entry: &entry::Entry<M>) {
+    let caller = net::IpAddr::from([127, 1, 0, 7]);
+    criterion.bench_function(&format!("look-up/{name}"), |b| {
+        b.iter(|| {
+            let found = entry.look_up(caller, "ledger").unwrap();
+            hint::black_box(serde_json::to_vec(&found).unwrap())
+        });
+    });
+}
--- a/src/entry/feed.rs
+++ b/src/entry/feed.rs
@@ -9,6 +9,7 @@
 
 use super::Shared;
 use crate::coordination::store;
+use crate::state::fleet;
 use crate::{id, settings};
 
 /// The prefix under which teams' settings lie.
@@ -46,10 +47,10 @@
         let Some(shared) = shared.upgrade() else {
             return;
         };
-        if let Ok(vms) = listed {
-            shared
-                .fleet
-                .store(sync::Arc::new(crate::state::fleet::Fleet::new(vms)));
+        let fleet = listed.map(fleet::Fleet::new);
+        // An unchanged list must not cause work that grows with the fleet.
+        if let Some(fleet) = fleet.ok().filter(|fleet| *fleet != **shared.fleet.load()) {
+            shared.fleet.store(sync::Arc::new(fleet));
         }
         drop(shared);
         thread::sleep(VMS_EVERY);
--- a/src/protocol/ticket.rs
+++ b/src/protocol/ticket.rs
@@ -119,11 +119,9 @@
 
 /// A VM's name may hold a dot, which parts the fields of a ticket.
 fn hex(text: &str) -> String {
-    use fmt::Write;
-    text.bytes().fold(String::new(), |mut out, byte| {
-        let _ = write!(out, "{byte:02x}");
-        out
-    })
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let digits = |byte: u8| [byte >> 4, byte & 15].map(|at| char::from(DIGITS[usize::from(at)]));
+    text.bytes().flat_map(digits).collect()
 }
 
 fn unhex(text: &str) -> Option<id::VmId> {
