--- a/src/entry.rs
+++ b/src/entry.rs
@@ -23,9 +23,9 @@
 
 use crate::coordination::{store, store_http};
 use crate::decisions::{naive, policy};
-use crate::state::{directory, fleet, keys, lookup};
+use crate::state::{fleet, keys, lookup};
 use crate::transport::{client, server};
-use crate::{config, error, id, protocol, settings};
+use crate::{config, error, id, settings};
 use policy::Policy;
 
 /// How often time passes for the policies.
@@ -125,7 +125,6 @@
     started: time::Instant,
     shared: sync::Arc<Shared>,
     desks: arc_swap::ArcSwap<Desks<M::Policy>>,
-    directory: arc_swap::ArcSwap<directory::Directory>,
     keys: Mutex<keys::Keys<server::Reply>>,
     client: client::Client,
     events: channel::Sender<Event<M::Policy>>,
@@ -219,7 +218,6 @@
             started: time::Instant::now(),
             shared,
             desks: arc_swap::ArcSwap::default(),
-            directory: arc_swap::ArcSwap::default(),
             keys: Mutex::new(keys::Keys::new(key_limits)),
             client: client::Client::new(runtime.handle().clone(), client::Config::default()),
             events,
@@ -256,11 +254,6 @@
         self.server.addr()
     }
 
-    /// Answers a look-up as a caller at that address gets it. `None`: no such service.
-    pub fn look_up(&self, caller: net::IpAddr, service: &str) -> Option<protocol::lookup::Lookup> {
-        route::find(&self.core, caller, service)
-    }
-
     /// Stops as planned: look-ups stop naming this VM and new requests are told where to go, while
     /// what is in flight ends and kept answers stay within reach until the last ticket expired.
     pub fn stop(self) {
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -21,7 +21,7 @@
 use crate::coordination::store;
 use crate::decisions::policy;
 use crate::protocol::{backend, backend_http, headers, outcome};
-use crate::state::{directory, fleet, keys};
+use crate::state::{fleet, keys};
 use crate::transport::{client, server};
 use crate::{id, settings};
 use backend::Wire;
@@ -471,8 +471,6 @@
     let settings = core.shared.settings.load_full();
     let fleet = core.shared.fleet.load_full();
     let old = core.desks.load_full();
-    let named = directory::Directory::new(&fleet, &settings, &core.cfg.az, wall_clock_s());
-    core.directory.store(sync::Arc::new(named));
     let mut desks = super::Desks::with_capacity(old.len());
     for service in settings.services() {
         let desk = old.get(&service.name).cloned().unwrap_or_else(|| {
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -13,7 +13,7 @@
 use super::{Core, Event, MakePolicy, answers, desk};
 use crate::decisions::policy;
 use crate::protocol::{backend, headers, lookup, outcome, ticket};
-use crate::state::keys;
+use crate::state::{fleet, keys};
 use crate::transport::{client, server};
 use crate::{id, settings};
 use outcome::Problem;
@@ -54,8 +54,7 @@
     }
 }
 
-/// The answer to a look-up; `None` where the service is not declared.
-pub(super) fn find<M: MakePolicy>(
+fn find<M: MakePolicy>(
     core: &Core<M>,
     caller: net::IpAddr,
     service: &str,
@@ -64,7 +63,14 @@
     let service = settings.service(service)?;
     let stopping = core.stopping.load(atomic::Ordering::SeqCst);
     let regions = core.shared.regions.load();
-    let mut entries = core.directory.load().name(caller, regions.find(caller));
+    let own = settings.region_of(&core.cfg.az).map(|region| &region.name);
+    let asks = fleet::Asks {
+        caller,
+        region: regions.find(caller).or(own),
+        az: &core.cfg.az,
+    };
+    let fleet = core.shared.fleet.load();
+    let mut entries = fleet.look_up(&asks, &settings, desk::wall_clock_s());
     entries.retain(|entry| !stopping || entry.vm != core.cfg.vm);
     Some(lookup::Lookup {
         service: service.name.clone(),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,7 +4,6 @@
 //! A thread that holds the second never takes the first. Everything else that is shared is
 //! replaced whole through an `ArcSwap` and needs no lock.
 
-pub mod directory;
 pub mod fleet;
 pub mod keys;
 pub mod lookup;
