--- a/benches/paths.rs
+++ b/benches/paths.rs
@@ -61,7 +61,7 @@
 
     fn gone(&self, _id: u64) {}
 
-    fn fault(&self, _fault: server::Fault) -> server::Answer {
+    fn fault(&self, _id: u64, _fault: server::Fault) -> server::Answer {
         server::Answer::default()
     }
 }
@@ -93,7 +93,7 @@
 
     fn gone(&self, _id: u64) {}
 
-    fn fault(&self, _fault: server::Fault) -> server::Answer {
+    fn fault(&self, _id: u64, _fault: server::Fault) -> server::Answer {
         server::Answer::default()
     }
 }
