--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -109,14 +109,16 @@
     pub(super) avoid: Vec<id::VmId>,
     pub(super) attempts: u32,
     pub(super) maybe_run: bool,
+    since: Moment,
     gone: bool,
     crossed: bool,
 }
 
 impl Pending {
-    fn new(req: policy::Arrival) -> Self {
+    fn new(req: policy::Arrival, since: Moment) -> Self {
         Self {
             req,
+            since,
             stage: Stage::Queued,
             sends: Vec::new(),
             avoid: Vec::new(),
@@ -161,6 +163,7 @@
     pub(super) swept: Moment,
     pub(super) probed: Option<Moment>,
     shares: admission::Shares,
+    leaving: admission::Leaving,
 }
 
 impl Dispatch {
@@ -179,6 +182,7 @@
             swept: Moment::ZERO,
             probed: None,
             shares: admission::Shares::default(),
+            leaving: admission::Leaving::default(),
             cfg,
         }
     }
@@ -222,21 +226,29 @@
             }
             quarantine::State::Suspect | quarantine::State::Clear => {}
         }
-        if !self.queue.is_empty() && !self.shares.fair(&self.cfg.admission, req.caller) {
+        let crowded = self.queue.crowded(kind(req));
+        if crowded && !self.shares.fair(&self.cfg.admission, req.caller) {
             return Some((Refusal::CallerShare, self.back(now, req)));
         }
         None
     }
 
     fn may_try_suspect(&self, now: Moment) -> bool {
-        self.suspects.len() < self.cfg.quarantine.waiting && self.view(now).sound().count() >= 2
+        self.suspects.len() < self.cfg.quarantine.waiting && self.spare(now)
+    }
+
+    /// Whether a backend server could crash without being the last one.
+    pub(super) fn spare(&self, now: Moment) -> bool {
+        let safe = |m: &&members::Member| m.safe(&self.cfg.members, now);
+        self.members.iter().filter(safe).count() >= 2
     }
 
     /// When the caller of a refused request is asked to come back.
     pub(super) fn back(&mut self, now: Moment, req: &policy::Arrival) -> time::Duration {
         let rate = self.view(now).rate();
         let wait = self.queue.wait(&self.cfg.queue, now, kind(req), rate);
-        self.cfg.admission.back(wait, self.rng.random())
+        let left = req.deadline.saturating_sub(now);
+        self.cfg.admission.back(wait, left, self.rng.random())
     }
 
     /// Why a request cannot be answered in time here, if it cannot.
@@ -251,7 +263,9 @@
             return Some(Refusal::NoBackend);
         }
         let work = req.typical.mul_f64(view.best_pace());
-        if self.cfg.admission.in_time(now, req.deadline, wait, work) {
+        let left = req.deadline.saturating_sub(now);
+        let patience = self.leaving.patience(&self.cfg.admission, now);
+        if admission::in_time(left, patience, wait, work) {
             return None;
         }
         match wait.is_zero() {
@@ -323,10 +337,7 @@
     /// A request from another availability zone is taken only into a free slot: the own callers
     /// go first.
     fn admit_foreign(&mut self, now: Moment, pending: Pending, out: &mut Vec<Action>) {
-        let need = placement::Need {
-            idempotent: pending.req.idempotent,
-            avoid: &[],
-        };
+        let need = placement::Need { avoid: &[] };
         let view = placement::View::new(&self.cfg, now, &self.members);
         let free = self.queue.is_empty() && view.pick(&mut self.rng, &need).is_some();
         if !free {
@@ -405,6 +416,7 @@
         let took = now.saturating_sub(attempt.at);
         match how {
             Ended::Answered => {
+                member.crashed = member.crashed.filter(|at| attempt.at <= *at);
                 member.took(&cfg.members, took, attempt.typical);
                 let queued = member.trust.believed(&cfg.trust, now).map(|r| r.queued);
                 member.limit.answered(&cfg.limit, queued, member.pace);
@@ -414,7 +426,11 @@
             Ended::Failed => self.failed(now, i),
             Ended::TimedOut => {
                 member.took(&cfg.members, took, attempt.typical);
-                self.failed(now, i);
+                // A caller with little patience left says nothing of the backend server.
+                let long = retry::hedge_at(&cfg.retry, attempt.at, attempt.typical, 1.0);
+                if now >= long {
+                    self.failed(now, i);
+                }
             }
             Ended::Shed => member.limit.shed(&cfg.limit),
             Ended::NotSent => self.broke(now, i),
@@ -425,10 +441,10 @@
 
     fn failed(&mut self, now: Moment, i: usize) {
         let cfg = &self.cfg.ejection;
-        let outlier = |m: &members::Member| {
-            matches!(m.health.state(), ejection::State::Out { down: false, .. })
-        };
-        let out = self.members.iter().filter(|m| outlier(m)).count();
+        let others = self.members.iter().enumerate().filter(|(j, _)| *j != i);
+        let out = others
+            .filter(|(_, m)| !m.sound(&self.cfg.members, now))
+            .count();
         let wants = self.members[i].health.failed(cfg);
         if wants && ejection::room(cfg, self.members.len(), out) {
             self.members[i].health.eject(cfg, now, false);
@@ -522,7 +538,7 @@
         self.budget.fill(&self.cfg.retry);
         let refusal = self.refusal(now, &req);
         self.shares.add(req.caller);
-        let pending = Pending::new(req);
+        let pending = Pending::new(req, now);
         if let Some((why, retry_after)) = refusal {
             return self.settle(pending, Fate::NotRun { why, retry_after }, out);
         }
@@ -573,6 +589,9 @@
             return;
         };
         pending.gone = true;
+        let (waited, patience) = (now - pending.since, pending.req.deadline - pending.since);
+        self.leaving
+            .left(&self.cfg.admission, now, waited, patience);
         let kind = pending.kind();
         match pending.stage {
             Stage::Queued => {
--- a/src/decisions/ejection.rs
+++ b/src/decisions/ejection.rs
@@ -188,7 +188,8 @@
     }
 }
 
-/// Whether one more of `members` may be out as an outlier.
+/// Whether one more of `members` may be out as an outlier, while `out` are out already for any
+/// cause.
 pub fn room(cfg: &Config, members: usize, out: usize) -> bool {
     (out + 1) as f64 <= members as f64 * cfg.max_out
 }
--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -15,8 +15,9 @@
 /// Thresholds of the limit.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
-    /// The queue at a backend server, as a share of its slots, above which the limit sinks. Half
-    /// the slots keeps them all busy over the delay between an answer and the next request.
+    /// The queue at a backend server, as a share of its slots, above which the limit sinks. As
+    /// many waiting as running keep all slots busy while reports lag; at half of that the limit
+    /// swung so low that a tenth of the slots idled at saturation.
     pub queue: f64,
     /// Without a believed report: how many times the usual time answers may take before the limit
     /// sinks. Work varies by about a half; 2.5 is clear of that.
@@ -31,7 +32,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            queue: 0.5,
+            queue: 1.0,
             pace: 2.5,
             step: 0.1,
             shed: 0.7,
--- a/src/decisions/members.rs
+++ b/src/decisions/members.rs
@@ -70,7 +70,7 @@
     pub watch: probe::Watch,
     /// The suspect that it is kept free for.
     pub alone: Option<policy::RequestId>,
-    /// When connections to it last broke.
+    /// When connections to it last broke, if it has not answered since.
     pub crashed: Option<policy::Moment>,
     listed_leaving: bool,
     said_leaving: Option<policy::Moment>,
@@ -124,6 +124,11 @@
         self.health.state() == ejection::State::In && !self.leaving(cfg, now)
     }
 
+    /// Whether it is sound and has answered since connections to it last broke.
+    pub fn safe(&self, cfg: &Config, now: policy::Moment) -> bool {
+        self.sound(cfg, now) && self.crashed.is_none()
+    }
+
     /// Requests that this VM may have in flight there. `ramping` is absent while cold backend
     /// servers get their share at once.
     pub fn cap(&self, ramping: Option<&ramp::Config>) -> usize {
--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -57,8 +57,6 @@
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
-    /// Whether it may run twice.
-    pub idempotent: bool,
     /// Where it has failed already.
     pub avoid: &'a [id::VmId],
 }
@@ -73,6 +71,8 @@
         let warm = members.iter().filter(|m| m.ramp.warm()).count();
         let sound = members.iter().filter(|m| m.sound(&cfg.members, now));
         let best = sound.map(|m| m.pace).reduce(f64::min);
+        // Where none is sound, those on trial are compared with one another.
+        let best = best.or_else(|| members.iter().map(|m| m.pace).reduce(f64::min));
         Self {
             cfg,
             now,
@@ -109,7 +109,16 @@
     pub fn pick(&self, rng: &mut rand_chacha::ChaCha8Rng, need: &Need<'_>) -> Option<usize> {
         let fits = |i: &usize| {
             let member = &self.members[*i];
-            self.has_room(member, need) && !self.slow(member)
+            self.has_room(member) && self.trusted(member) && !self.slow(member)
+        };
+        self.least_loaded(rng, need, fits)
+    }
+
+    /// The backend server on trial that a read could go to now.
+    pub fn pick_trial(&self, rng: &mut rand_chacha::ChaCha8Rng, need: &Need<'_>) -> Option<usize> {
+        let fits = |i: &usize| {
+            let member = &self.members[*i];
+            self.has_room(member) && member.health.state() == ejection::State::Trial
         };
         self.least_loaded(rng, need, fits)
     }
@@ -118,7 +127,7 @@
     pub fn pick_slow(&self, rng: &mut rand_chacha::ChaCha8Rng, need: &Need<'_>) -> Option<usize> {
         let fits = |i: &usize| {
             let member = &self.members[*i];
-            self.has_room(member, need) && self.slow(member)
+            self.has_room(member) && self.trusted(member) && self.slow(member)
         };
         self.least_loaded(rng, need, fits)
     }
@@ -143,10 +152,14 @@
             .map(|(_, _, i)| i)
     }
 
-    fn has_room(&self, member: &members::Member, need: &Need<'_>) -> bool {
-        let tried = member.health.state() != ejection::State::Trial || need.idempotent;
+    fn has_room(&self, member: &members::Member) -> bool {
         let room = member.out.len() < member.cap(self.ramping);
-        tried && room && member.alone.is_none() && !member.leaving(&self.cfg.members, self.now)
+        room && member.alone.is_none() && !member.leaving(&self.cfg.members, self.now)
+    }
+
+    /// One on trial gets reads by [`Self::pick_trial`], and other work only where none is sound.
+    fn trusted(&self, member: &members::Member) -> bool {
+        member.health.state() != ejection::State::Trial || self.sound().next().is_none()
     }
 
     /// What a request adds itself to, as the time it would take.
--- a/src/decisions/serve.rs
+++ b/src/decisions/serve.rs
@@ -8,6 +8,7 @@
     /// Sends as much of what waits as there is room for.
     pub(super) fn serve(&mut self, now: Moment, out: &mut Vec<Action>) {
         self.serve_suspects(now, out);
+        self.serve_trials(now, out);
         self.serve_queue(now, out);
         self.serve_reserve(now, out);
     }
@@ -24,7 +25,6 @@
                 continue;
             }
             let need = placement::Need {
-                idempotent: pending.req.idempotent,
                 avoid: &pending.avoid,
             };
             let view = placement::View::new(&self.cfg, now, &self.members);
@@ -36,6 +36,25 @@
         }
     }
 
+    /// Lets the least worthy reads try backend servers that have just come back.
+    fn serve_trials(&mut self, now: Moment, out: &mut Vec<Action>) {
+        while let Some(item) = self.queue.peek_last() {
+            let Some(pending) = self.pending.get(&item.id) else {
+                return;
+            };
+            let need = placement::Need {
+                avoid: &pending.avoid,
+            };
+            let view = placement::View::new(&self.cfg, now, &self.members);
+            let trial = view.pick_trial(&mut self.rng, &need);
+            let Some(member) = trial.filter(|_| pending.req.idempotent) else {
+                return;
+            };
+            self.queue.pop_last();
+            self.send(now, item.id, member, out);
+        }
+    }
+
     /// Gives the least worthy reads to slow backend servers, once the queue is longer than what
     /// their slowness costs.
     fn serve_reserve(&mut self, now: Moment, out: &mut Vec<Action>) {
@@ -44,10 +63,10 @@
                 return;
             };
             let need = placement::Need {
-                idempotent: pending.req.idempotent,
                 avoid: &pending.avoid,
             };
             let (kind, typical) = (pending.kind(), pending.req.typical);
+            let idempotent = pending.req.idempotent;
             let view = placement::View::new(&self.cfg, now, &self.members);
             let Some(member) = view.pick_slow(&mut self.rng, &need) else {
                 return;
@@ -55,7 +74,7 @@
             let rate = view.rate();
             let cost = typical.mul_f64(self.members[member].pace - view.best_pace());
             let wait = self.queue.wait(&self.cfg.queue, now, kind, rate);
-            if !need.idempotent || wait < cost || now + cost > item.deadline {
+            if !idempotent || wait < cost || now + cost > item.deadline {
                 return;
             }
             self.queue.pop_last();
@@ -74,8 +93,8 @@
         };
         let state = self.quarantine.state(now, pending.req.fingerprint);
         let late = now + pending.req.typical > pending.req.deadline;
-        let lonely = self.view(now).sound().count() < 2;
-        if matches!(state, quarantine::State::Banned { .. }) || late || lonely {
+        let banned = matches!(state, quarantine::State::Banned { .. });
+        if banned || late || !self.spare(now) {
             self.suspects.pop_front();
             return self.give_up(now, id, Refusal::Quarantined, out);
         }
@@ -96,14 +115,18 @@
 
     /// The backend server that is kept free for a suspect. There is one at a time.
     fn keep_free(&mut self, now: Moment, id: RequestId) -> Option<usize> {
+        let cfg = &self.cfg.members;
+        let safe = |m: &members::Member| m.safe(cfg, now);
         let kept = self.members.iter().position(|m| m.alone.is_some());
         if let Some(kept) = kept {
-            return (self.members[kept].alone == Some(id)).then_some(kept);
+            let member = &mut self.members[kept];
+            if safe(member) {
+                return (member.alone == Some(id)).then_some(kept);
+            }
+            member.alone = None;
         }
-        let cfg = &self.cfg.members;
-        let sound = |m: &members::Member| m.sound(cfg, now);
         let least = (0..self.members.len())
-            .filter(|i| sound(&self.members[*i]))
+            .filter(|i| safe(&self.members[*i]))
             .min_by_key(|i| self.members[*i].out.len())?;
         self.members[least].alone = Some(id);
         Some(least)
@@ -158,10 +181,7 @@
             return;
         }
         let avoid = [at.clone()];
-        let need = placement::Need {
-            idempotent: true,
-            avoid: &avoid,
-        };
+        let need = placement::Need { avoid: &avoid };
         let view = placement::View::new(&self.cfg, now, &self.members);
         let Some(member) = view.pick(&mut self.rng, &need) else {
             return;
