--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -193,6 +193,9 @@
         pending.attempts.retain(|(at, _)| *at != end.at);
         let not_run = matches!(how, Ended::Shed | Ended::NotSent);
         pending.maybe_run |= !not_run;
+        if let Some(answer) = &answer {
+            core.steer.answered(&desk.service, answer.body.len());
+        }
         if answer.is_some() {
             pending.answer = answer;
         }
--- a/src/entry/feed.rs
+++ b/src/entry/feed.rs
@@ -30,7 +30,10 @@
     fn vms(&self, vms: Vec<store::Vm>) {
         if let Some(shared) = self.shared.upgrade() {
             let fleet = fleet::Fleet::new(vms);
-            shared.fleet.store(sync::Arc::new(fleet));
+            // An unchanged list must not cause work that grows with the fleet.
+            if fleet != **shared.fleet.load() {
+                shared.fleet.store(sync::Arc::new(fleet));
+            }
         }
     }
 
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -66,7 +66,8 @@
     }
 }
 
-fn find<M: MakePolicy>(
+/// The answer to a look-up; `None` where the service is not declared.
+pub(super) fn find<M: MakePolicy>(
     core: &Core<M>,
     caller: net::IpAddr,
     service: &str,
@@ -263,7 +264,7 @@
         worth: asked.op.worth,
         typical: time::Duration::from_secs_f64(asked.op.typical_ms / 1000.0),
         deadline: (core.now() + asked.timeout).saturating_sub(waited),
-        bytes: req.body.len() as u64,
+        bytes: req.body.len() as u64 + core.steer.answer_bytes(&asked.service.name),
     };
     let seen = observe::Seen::new(&arrival, core.now(), asked.service, asked.op, &req.headers);
     let pending = desk::Pending {
--- a/src/entry/steer.rs
+++ b/src/entry/steer.rs
@@ -34,6 +34,7 @@
     links: across::SharedLinks,
     told: Mutex<policy::Moment>,
     held: Mutex<Held>,
+    answers: Mutex<collections::BTreeMap<id::ServiceId, f64>>,
 }
 
 /// Requests under a live grant that wait for room, and since when each does.
@@ -43,6 +44,9 @@
     since: collections::HashMap<u64, policy::Moment>,
 }
 
+/// What remains of the longest answer with each that comes. A link is rather counted too full.
+const ANSWER_FADE: f64 = 0.99;
+
 /// Requests that may wait for room at a time.
 const MAX_HELD: usize = 256;
 
@@ -57,6 +61,7 @@
             links: across::SharedLinks::default(),
             told: Mutex::default(),
             held: Mutex::default(),
+            answers: Mutex::default(),
         }
     }
 
@@ -72,6 +77,21 @@
         self.lenders.admit(now, service, &from, grant)
     }
 
+    /// An answer of a service came.
+    pub(super) fn answered(&self, service: &id::ServiceId, bytes: usize) {
+        let mut answers = self.answers.lock();
+        let longest = answers.entry(service.clone()).or_insert(0.0);
+        *longest = (*longest * ANSWER_FADE).max(bytes as f64);
+    }
+
+    /// The bytes that an answer of a service is expected to have: links count them before it comes.
+    pub(super) fn answer_bytes(&self, service: &id::ServiceId) -> u64 {
+        self.answers
+            .lock()
+            .get(service)
+            .map_or(0, |bytes| *bytes as u64)
+    }
+
     /// How long a request has waited for room so far.
     pub(super) fn waited(&self, now: policy::Moment, req: u64) -> time::Duration {
         let since = self.held.lock().since.get(&req).copied();
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -7,7 +7,7 @@
 use crate::{id, settings};
 
 /// The VMs that are there, by what they do. Replaced whole when the list changes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fleet {
     vms: collections::BTreeMap<id::VmId, store::Vm>,
 }
