--- /dev/null
+++ b/src/burn/text.rs
@@ -0,0 +1,141 @@
+//! The report as tables for a terminal.
+
+use super::report;
+use crate::cli::output;
+use output::{BAD, GOOD, WARN, percent, styled};
+
+/// Renders the report.
+pub fn render(report: &report::Report) -> String {
+    let mut text = format!("{} entry VMs answered\n", report.entries);
+    for silent in &report.silent {
+        text.push_str(&format!("{}\n", styled(WARN, &format!("silent: {silent}"))));
+    }
+    for service in &report.services {
+        text.push_str(&of_service(service));
+    }
+    if !report.drains.is_empty() {
+        let rows: Vec<_> = report.drains.iter().map(drain_row).collect();
+        text.push('\n');
+        text.push_str(&output::table(
+            &["drain", "state", "took", "in flight"],
+            &rows,
+        ));
+    }
+    text
+}
+
+fn of_service(service: &report::Service) -> String {
+    let objective = &service.objective;
+    let mut text = format!(
+        "\nservice {}: {} answered, {} of them within {} ms\n",
+        service.name,
+        percent_exact(objective.answered),
+        percent_exact(objective.in_time),
+        objective.latency_ms,
+    );
+    if service.alerts.is_empty() {
+        text.push_str(&format!("  {}\n", styled(GOOD, "within its objectives")));
+    }
+    for alert in &service.alerts {
+        text.push_str(&format!(
+            "  {}\n",
+            styled(BAD, &format!("burning: {alert}"))
+        ));
+    }
+    let rows: Vec<_> = service.windows.iter().map(window_row).collect();
+    let headings = [
+        "window",
+        "reaches back",
+        "requests",
+        "unanswered",
+        "burn",
+        "late",
+        "burn",
+        "p50",
+        "p99",
+        "worth",
+        "lost",
+        "unknown",
+    ];
+    text.push_str(&output::table(&headings, &rows));
+    let rows: Vec<_> = service.regions.iter().map(region_row).collect();
+    if !rows.is_empty() {
+        let headings = ["region", "slots", "in hand", "load", "limit", "headroom"];
+        text.push_str(&output::table(&headings, &rows));
+    }
+    text
+}
+
+fn window_row(window: &report::Window) -> Vec<String> {
+    vec![
+        report::span(window.asked_s),
+        reach(window),
+        window.requests.to_string(),
+        percent_exact(window.unanswered),
+        format!("{:.1}", window.answered_burn),
+        percent_exact(window.late),
+        format!("{:.1}", window.in_time_burn),
+        latency(window.p50_s),
+        latency(window.p99_s),
+        window.worth_answered.to_string(),
+        window.worth_lost.to_string(),
+        window.unknown.to_string(),
+    ]
+}
+
+/// How far back the VMs' memories reach.
+pub fn reach(window: &report::Window) -> String {
+    if window.of == 0 {
+        return "no VM knows it".to_owned();
+    }
+    if window.full == window.of {
+        return "fully".to_owned();
+    }
+    format!(
+        "{} of {} VMs; shortest {}",
+        window.full,
+        window.of,
+        output::seconds(window.shortest_s * 1000)
+    )
+}
+
+/// A latency for people. It is a bucket's upper bound.
+pub fn latency(s: Option<f64>) -> String {
+    match s {
+        None => "-".to_owned(),
+        Some(s) if s.is_infinite() => "over 15 s".to_owned(),
+        Some(s) => format!("{:.0} ms", s * 1000.0),
+    }
+}
+
+/// A share with as many digits as objectives need.
+pub fn percent_exact(share: f64) -> String {
+    let text = format!("{:.3}", share * 100.0);
+    let text = text.trim_end_matches('0').trim_end_matches('.');
+    format!("{text}%")
+}
+
+fn region_row(region: &report::Region) -> Vec<String> {
+    vec![
+        region.name.to_string(),
+        region.slots.to_string(),
+        region.in_hand.to_string(),
+        percent(region.load()),
+        percent(region.max_load),
+        percent(region.max_load - region.load()),
+    ]
+}
+
+fn drain_row(drain: &report::Drain) -> Vec<String> {
+    let state = if drain.empty {
+        "empty"
+    } else {
+        "still has traffic"
+    };
+    vec![
+        drain.target.clone(),
+        state.to_owned(),
+        output::seconds(drain.took_s * 1000),
+        drain.in_flight.to_string(),
+    ]
+}
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -23,9 +23,9 @@
     pub command: Command,
 }
 
-/// Options of every command.
+/// Where a deployment is.
 #[derive(Clone, Debug, clap::Args)]
-pub struct Shared {
+pub struct Place {
     /// Directory that holds `teams/` and, beside it, `deployment.toml`
     #[arg(
         long,
@@ -58,6 +58,14 @@
         value_delimiter = ','
     )]
     pub entries: Vec<net::SocketAddr>,
+}
+
+/// Options of every command.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Shared {
+    /// Where the deployment is.
+    #[command(flatten)]
+    pub place: Place,
     /// How to print results
     #[arg(
         long,
--- a/src/cli/drain.rs
+++ b/src/cli/drain.rs
@@ -39,7 +39,7 @@
     if !plan.excesses.is_empty() {
         return Err(super::refusal("the drain was not written", &plan.excesses));
     }
-    edit(&cx.shared.dir, |drains| {
+    edit(&cx.place.dir, |drains| {
         drains.retain(|other| other.target != drain.target || over(other, now));
         drains.push(drain.clone());
         Ok(())
@@ -50,7 +50,7 @@
 /// Takes a target's drains back.
 pub fn undrain(cx: &Context, args: &args::Undrain) -> Result<exit_codes::ExitCode, error::Error> {
     let target = target(&args.target)?;
-    edit(&cx.shared.dir, |drains| {
+    edit(&cx.place.dir, |drains| {
         let before = drains.len();
         drains.retain(|drain| drain.target != target);
         if drains.len() < before {
@@ -72,7 +72,7 @@
     ramp: Option<u64>,
     loads: &[(id::ServiceId, f64)],
 ) -> Result<(plan::Plan, settings::Drain), error::Error> {
-    let dir = directory::Directory::read(&cx.shared.dir)?;
+    let dir = directory::Directory::read(&cx.place.dir)?;
     let remote = cx.remote()?;
     let options = cx.planning(&planning(loads));
     let make = |drain: &settings::Drain| {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -27,8 +27,8 @@
 /// What every command works with.
 #[derive(Debug)]
 pub struct Context {
-    /// Options of every command.
-    pub shared: args::Shared,
+    /// Where the operator says that it is.
+    pub place: args::Place,
     /// Where the deployment is.
     pub deployment: directory::Deployment,
     /// Where results go.
@@ -36,19 +36,20 @@
 }
 
 impl Context {
-    fn new(shared: &args::Shared) -> Result<Self, error::Error> {
-        let mut deployment = directory::Deployment::read(&shared.dir)?;
-        deployment.store = shared.store.or(deployment.store);
-        if !shared.root_keys.is_empty() {
-            deployment.root_keys.clone_from(&shared.root_keys);
+    /// Puts the options over the directory's `deployment.toml`.
+    pub fn new(place: &args::Place, out: output::Output) -> Result<Self, error::Error> {
+        let mut deployment = directory::Deployment::read(&place.dir)?;
+        deployment.store = place.store.or(deployment.store);
+        if !place.root_keys.is_empty() {
+            deployment.root_keys.clone_from(&place.root_keys);
         }
-        if !shared.entries.is_empty() {
-            deployment.entries.clone_from(&shared.entries);
+        if !place.entries.is_empty() {
+            deployment.entries.clone_from(&place.entries);
         }
         Ok(Self {
-            shared: shared.clone(),
+            place: place.clone(),
             deployment,
-            out: output::Output::new(shared.format, shared.color),
+            out,
         })
     }
 
@@ -74,7 +75,8 @@
         Ok(&self.deployment.root_keys)
     }
 
-    fn remote(&self) -> Result<remote::Remote, error::Error> {
+    /// What the store holds.
+    pub fn remote(&self) -> Result<remote::Remote, error::Error> {
         remote::Remote::read(&self.store()?, self.roots()?)
     }
 
@@ -82,7 +84,7 @@
         &self,
         planning: &args::Planning,
     ) -> Result<(plan::Plan, remote::Remote), error::Error> {
-        let dir = directory::Directory::read(&self.shared.dir)?;
+        let dir = directory::Directory::read(&self.place.dir)?;
         let remote = self.remote()?;
         let plan = plan::Plan::make(&dir, &remote, &self.planning(planning))?;
         Ok((plan, remote))
@@ -113,7 +115,8 @@
 }
 
 fn command(cli: &args::Cli) -> Result<exit_codes::ExitCode, error::Error> {
-    let cx = Context::new(&cli.shared)?;
+    let out = output::Output::new(cli.shared.format, cli.shared.color);
+    let cx = Context::new(&cli.shared.place, out)?;
     match &cli.command {
         args::Command::Check(args) => check(&cx, args),
         args::Command::Plan(args) => plan(&cx, args),
@@ -134,7 +137,7 @@
 }
 
 fn check(cx: &Context, args: &args::Check) -> Result<exit_codes::ExitCode, error::Error> {
-    let dir = directory::Directory::read(&cx.shared.dir)?;
+    let dir = directory::Directory::read(&cx.place.dir)?;
     let mut all = settings::Settings::default();
     if args.with_store {
         all = cx.remote()?.settings();
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -59,19 +59,24 @@
         if self.is_json() || rows.is_empty() {
             return;
         }
-        let mut table = comfy_table::Table::new();
-        table
-            .load_style(comfy_table::presets::NOTHING)
-            .set_content_arrangement(comfy_table::ContentArrangement::Disabled)
-            .set_header(headings);
-        for row in rows {
-            table.add_row(row);
-        }
-        for column in table.column_iter_mut() {
-            column.set_padding((0, 2));
-        }
-        self.line(&table.trim_fmt());
+        self.line(table(headings, rows).trim_end());
+    }
+}
+
+/// Rows under headings.
+pub fn table(headings: &[&str], rows: &[Vec<String>]) -> String {
+    let mut table = comfy_table::Table::new();
+    table
+        .load_style(comfy_table::presets::NOTHING)
+        .set_content_arrangement(comfy_table::ContentArrangement::Disabled)
+        .set_header(headings);
+    for row in rows {
+        table.add_row(row);
+    }
+    for column in table.column_iter_mut() {
+        column.set_padding((0, 2));
     }
+    format!("{}\n", table.trim_fmt())
 }
 
 /// Prints an error on standard error and gives its exit code.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 #[macro_use]
 mod macros;
 
+pub mod burn;
 pub mod cli;
 pub mod config;
 pub mod coordination;
