--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,7 +25,7 @@
 
 use crate::coordination::{store, store_http};
 use crate::decisions::{naive, policy};
-use crate::state::{fleet, keys, lookup};
+use crate::state::{directory, fleet, keys, lookup};
 use crate::transport::{client, operators, server};
 use crate::{config, error, id, metrics, settings};
 use policy::Policy;
@@ -131,6 +131,14 @@
 
 type Desks<P> = collections::HashMap<id::ServiceId, sync::Arc<desk::Desk<P>>>;
 
+/// The entry VMs that look-ups name, and what they were worked out from.
+#[derive(Default)]
+struct Named {
+    settings: sync::Arc<settings::Settings>,
+    fleet: sync::Arc<fleet::Fleet>,
+    directory: directory::Directory,
+}
+
 /// Everything that the workers share.
 struct Core<M: MakePolicy> {
     cfg: config::Config,
@@ -141,6 +149,7 @@
     started: time::Instant,
     shared: sync::Arc<Shared>,
     desks: arc_swap::ArcSwap<Desks<M::Policy>>,
+    named: arc_swap::ArcSwap<Named>,
     keys: Mutex<keys::Keys<server::Reply>>,
     client: client::Client,
     events: channel::Sender<Event<M::Policy>>,
@@ -249,6 +258,7 @@
             started: time::Instant::now(),
             shared,
             desks: arc_swap::ArcSwap::default(),
+            named: arc_swap::ArcSwap::default(),
             keys: Mutex::new(keys::Keys::new(key_limits)),
             client: client::Client::new(runtime.handle().clone(), client::Config::default()),
             events,
