--- a/src/standin/processes.rs
+++ b/src/standin/processes.rs
@@ -56,6 +56,11 @@
         self.addr
     }
 
+    /// Its number on this machine.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends it a signal by name, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) -> io::Result<()> {
         let status = process::Command::new("kill")
