--- a/src/coordination/driver.rs
+++ b/src/coordination/driver.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing on the request path waits for any of them: what they find out is handed to a [`Feed`].
 
+use std::collections;
 use std::net;
 use std::sync;
 use std::thread;
@@ -39,10 +40,26 @@
     /// This is the list of VMs.
     fn vms(&self, vms: Vec<store::Vm>);
 
+    /// This is how it goes now.
+    fn standing(&self, standing: Standing);
+
     /// Whether anybody still reads what is fed.
     fn is_wanted(&self) -> bool;
 }
 
+data! {
+    /// How a process stands with the platform and its peers.
+    #[derive(Eq, Default)]
+    pub struct Standing {
+        /// The version of each team's settings in force.
+        pub versions: collections::BTreeMap<id::TeamId, u64>,
+        /// Whether the store answered the last call of the availability zone's reader.
+        pub store_up: bool,
+        /// Entry VMs that are linked.
+        pub peers: u64,
+    }
+}
+
 /// What a driver starts from.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -84,6 +101,8 @@
     started: time::Instant,
     next_tick: policy::Moment,
     next_links: policy::Moment,
+    linked: u64,
+    standing: Standing,
     out: Vec<Action>,
     log: slog::Logger,
 }
@@ -114,6 +133,8 @@
             started: time::Instant::now(),
             next_tick: policy::Moment::ZERO,
             next_links: policy::Moment::ZERO,
+            linked: 0,
+            standing: Standing::default(),
             out: Vec::new(),
             log: log.clone(),
         };
@@ -219,8 +240,6 @@
         Err(_) => "refused",
     };
     metrics::counter!(names::STORE_CALLS, "call" => call, "outcome" => outcome).increment(1);
-    let up = matches!(outcome, "answered" | "refused");
-    metrics::gauge!(names::STORE_UP).set(f64::from(u8::from(up)));
 }
 
 impl<F: Feed> Loop<F> {
@@ -266,13 +285,26 @@
         {
             self.next_links = now + LINKS_EVERY;
             let linked = peers.linked();
-            #[expect(clippy::cast_precision_loss, reason = "links are few")]
-            metrics::gauge!(names::PEERS).set(linked.len() as f64);
+            self.linked = linked.len() as u64;
             self.step(node::Event::Links(linked));
         }
         if now >= self.next_tick {
             self.next_tick = now + TICK;
             self.step(node::Event::Tick);
+            self.tell_standing();
+        }
+    }
+
+    fn tell_standing(&mut self) {
+        let versions = self.node.sync().book().versions().iter();
+        let standing = Standing {
+            versions: versions.map(|(t, r)| (t.clone(), r.version)).collect(),
+            store_up: self.node.store_is_up(),
+            peers: self.linked,
+        };
+        if standing != self.standing {
+            self.feed.standing(standing.clone());
+            self.standing = standing;
         }
     }
 
@@ -321,14 +353,7 @@
 
     fn tell(&self, note: &Note) {
         match note {
-            Note::InForce { team, version } => {
-                #[expect(clippy::cast_precision_loss, reason = "a version is a time in ms")]
-                let version = *version as f64;
-                let team = team.to_string();
-                metrics::gauge!(names::SETTINGS_VERSION, "team" => team).set(version);
-                slog::info!(self.log, "{}", note);
-            }
-            Note::Reader(_) => slog::info!(self.log, "{}", note),
+            Note::InForce { .. } | Note::Reader(_) => slog::info!(self.log, "{}", note),
             _ => slog::error!(self.log, "{}", note),
         }
     }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -99,6 +99,7 @@
     next_vms: policy::Moment,
     reading_vms: bool,
     wanted_vms: Option<policy::Moment>,
+    store_up: bool,
     store_lost: Option<policy::Moment>,
     started: policy::Moment,
     seeded: bool,
@@ -117,6 +118,7 @@
             next_vms: now,
             reading_vms: false,
             wanted_vms: None,
+            store_up: false,
             store_lost: None,
             started: now,
             seeded: false,
@@ -140,9 +142,9 @@
         self.reader.as_ref()
     }
 
-    /// Whether the store is taken to be out of reach. Only a reader knows.
-    pub fn store_is_lost(&self) -> bool {
-        self.budget.is_open()
+    /// Whether the store answered the last call of this availability zone's reader.
+    pub fn store_is_up(&self) -> bool {
+        self.store_up
     }
 
     /// Takes an event and appends what is to be done.
@@ -202,6 +204,9 @@
                 let first = self.election.alive(now, from, alive, &mut sends);
                 self.relay(first, from, &message, out);
                 let leads = before.as_ref() == Some(&alive.vm);
+                if leads {
+                    self.store_up = alive.store_up;
+                }
                 if leads || self.view.list_hash() == 0 {
                     self.want_vms(now, from, alive.list, out);
                 }
@@ -271,6 +276,7 @@
             Err(store::Error::Unavailable(_) | store::Error::Unknown(_))
         );
         self.budget.ended(now, !failed);
+        self.store_up = !failed;
     }
 
     fn list_changed(&mut self, out: &mut Vec<Action>) {
@@ -382,6 +388,7 @@
                 reader::Out::All(mut message) => {
                     if let peer::Message::Alive(alive) = &mut message {
                         alive.list = self.view.list_hash();
+                        alive.store_up = self.store_up;
                     }
                     out.push(Action::ToOwnAz {
                         except: None,
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -132,6 +132,9 @@
         pub seq: u64,
         /// A hash of the list of VMs that it goes by.
         pub list: u64,
+        /// Whether the store answered its last call.
+        #[serde(default)]
+        pub store_up: bool,
     }
 
     /// Word to a reader that its heartbeats did not arrive.
@@ -247,6 +250,7 @@
             phase: 3,
             seq: 4,
             list: 5,
+            store_up: true,
         })
     }
 
