Measure signing, peer messages and decisions against size

Change: the capacity benchmark signs and verifies envelopes, encodes and decodes peer messages, and runs one request's decisions, each at several sizes.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -7,7 +7,11 @@
 use std::time;
 
 use bulrushwind::coordination::store;
-use bulrushwind::{settings, state};
+use bulrushwind::decisions::{across, dispatch, policy};
+use bulrushwind::protocol::peer;
+use bulrushwind::settings::{envelope, keys};
+use bulrushwind::{id, settings, state};
+use policy::Policy;
 use rand::{RngExt, SeedableRng};
 use state::{directory, fleet, lookup};
 
@@ -24,6 +28,9 @@
     vm_list();
     directory();
     settings_change();
+    signing();
+    peer_messages();
+    decisions();
 }
 
 /// A straight line through measured points, by least squares.
@@ -252,3 +259,148 @@
         cpu.slope() * 1e6
     );
 }
+
+fn signing() {
+    println!("a signed change: checked by every process that takes it");
+    println!("text bytes     sign us   verify us");
+    let key = keys::SecretKey::generate();
+    let root = keys::SecretKey::generate();
+    let team = id::TeamId::from("bench");
+    let team_key = keys::TeamKey {
+        public: key.public(),
+        holder: "bench".to_owned(),
+        until: None,
+    };
+    let ring = keys::KeyRing::sign(team.clone(), 1, vec![team_key], &root)
+        .and_then(|ring| ring.verify(&team, &[root.public()], None))
+        .expect("the ring is sound");
+    let mut cpu = Fit::default();
+    for len in [1_000, 10_000, 100_000, 900_000] {
+        let text = "x".repeat(len);
+        let change = envelope::ChangeId::draw();
+        let sign = || envelope::Envelope::sign(team.clone(), 1, change.clone(), text.clone(), &key);
+        let sign_s = best_of(10, sign);
+        let signed = sign();
+        let verify_s = best_of(10, || signed.verify(&team, &ring));
+        cpu.add(len as f64, verify_s);
+        println!("{len:10} {:11.0} {:11.0}", sign_s * 1e6, verify_s * 1e6);
+    }
+    println!("slope: {:.2} ns of verifying a byte\n", cpu.slope() * 1e9);
+}
+
+fn peer_messages() {
+    println!("messages between entry processes");
+    println!("message                      bytes   encode us   decode us");
+    let alive = peer::Message::Alive(peer::Alive {
+        vm: "entry-region-3-1-1234".into(),
+        incarnation: id::Incarnation(u64::MAX / 3),
+        counter: 3,
+        phase: 2,
+        seq: 100_000,
+        list: u64::MAX / 7,
+    });
+    peer_message("heartbeat", &alive);
+    for services in [3, 30, 300] {
+        let row = |i: usize| peer::WorkRow {
+            service: format!("service-{i}").as_str().into(),
+            slots: 36,
+            in_hand: 20,
+            demand: (0..11)
+                .map(|r| (format!("region-{r}").as_str().into(), 1.5))
+                .collect(),
+        };
+        let work = peer::Work {
+            rows: (0..services).map(row).collect(),
+        };
+        let message = peer::Message::Work(work);
+        peer_message(&format!("work of {services} services"), &message);
+    }
+    let mut bytes = Fit::default();
+    for count in [50, 500, NODES] {
+        let list = peer::VmList {
+            reader: "entry-region-3-1-1234".into(),
+            rows: (0..count).map(made_up_vm).collect(),
+        };
+        let len = peer_message(&format!("list of {count} VMs"), &peer::Message::Vms(list));
+        bytes.add(count as f64, len as f64);
+    }
+    println!("slope: {:.0} bytes a VM\n", bytes.slope());
+}
+
+fn peer_message(name: &str, message: &peer::Message) -> usize {
+    let bytes = peer::encode(message);
+    let encode_s = best_of(20, || peer::encode(message));
+    let decode_s = best_of(20, || peer::decode(&bytes));
+    println!(
+        "{name:24} {:9} {:11.1} {:11.1}",
+        bytes.len(),
+        encode_s * 1e6,
+        decode_s * 1e6
+    );
+    bytes.len()
+}
+
+fn decisions() {
+    println!("one request's decisions: let in, placed, ended");
+    println!("backends   us/request");
+    let mut cpu = Fit::default();
+    for count in [6, 24, 96] {
+        let across = across::Across::new(across::Config::default(), "az".into());
+        let mut dispatch = dispatch::Dispatch::new(dispatch::Config::default(), across);
+        let mut out = Vec::new();
+        let backends: Vec<_> = (0..count)
+            .map(|i| policy::Backend {
+                id: format!("backend-{i}").as_str().into(),
+                slots: 3,
+                leaving: false,
+            })
+            .collect();
+        dispatch.set_backends(policy::Moment::ZERO, &backends, &mut out);
+        out.clear();
+        let requests = 20_000;
+        let (mut id, mut now) = (0, time::Duration::from_secs(60));
+        let run_s = best_of(3, || {
+            for _ in 0..requests {
+                id += 1;
+                now += time::Duration::from_micros(200);
+                serve_one(&mut dispatch, now, id, &mut out);
+            }
+        });
+        let us = run_s / f64::from(requests) * 1e6;
+        cpu.add(f64::from(count), us);
+        println!("{count:8} {us:12.2}");
+    }
+    println!("slope: {:.3} us a backend server\n", cpu.slope());
+}
+
+/// Lets one request in, and ends every attempt that it leads to with an answer.
+fn serve_one(
+    dispatch: &mut dispatch::Dispatch,
+    now: policy::Moment,
+    id: u64,
+    out: &mut Vec<policy::Action>,
+) {
+    let arrival = policy::Arrival {
+        id: policy::RequestId(id),
+        caller: policy::CallerId(id % 100),
+        fingerprint: policy::Fingerprint(id),
+        origin: policy::Origin::Caller,
+        idempotent: true,
+        worth: 1,
+        typical: time::Duration::from_millis(1),
+        deadline: now + time::Duration::from_secs(1),
+        bytes: 500,
+    };
+    dispatch.arrive(now, arrival, out);
+    let report = Some(policy::Report {
+        in_flight: 1,
+        queued: 0,
+        leaving: false,
+    });
+    while let Some(action) = out.pop() {
+        if let policy::Action::Send { req, to, .. } = action {
+            let after = now + time::Duration::from_millis(1);
+            dispatch.ended(after, req, &to, policy::Ended::Answered, report, out);
+        }
+    }
+}
