--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -298,6 +298,7 @@
         phase: 2,
         seq: 100_000,
         list: u64::MAX / 7,
+        store_up: true,
     });
     peer_message("heartbeat", &alive);
     for services in [3, 30, 300] {
