--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,7 +27,7 @@
 use crate::decisions::{naive, policy};
 use crate::state::{directory, fleet, keys, lookup};
 use crate::transport::{client, operators, server};
-use crate::{config, error, id, metrics, settings};
+use crate::{config, error, id, metrics, protocol, settings};
 use policy::Policy;
 
 /// How often time passes for the policies.
@@ -300,6 +300,11 @@
         self.server.addr()
     }
 
+    /// Answers a look-up as a caller at that address gets it. `None`: no such service.
+    pub fn look_up(&self, caller: net::IpAddr, service: &str) -> Option<protocol::lookup::Lookup> {
+        route::find(&self.core, caller, service)
+    }
+
     /// Where operators connect.
     pub fn operators_addr(&self) -> net::SocketAddr {
         self.operators.addr()
