--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -306,6 +306,7 @@
             service: format!("service-{i}").as_str().into(),
             slots: 36,
             in_hand: 20,
+            in_use: 3.0,
             demand: (0..11)
                 .map(|r| (format!("region-{r}").as_str().into(), 1.5))
                 .collect(),
