--- a/examples/cost.rs
+++ b/examples/cost.rs
@@ -15,7 +15,7 @@
 use std::time;
 
 use bulrushwind::coordination::store;
-use bulrushwind::standin::{caller, control, processes};
+use bulrushwind::standin::{caller, control, operator, processes};
 use bulrushwind::{config, settings};
 use clap::Parser;
 
@@ -25,12 +25,18 @@
 /// Bytes of a page of memory.
 const PAGE_BYTES: f64 = 4096.0;
 
+/// The secret by which the entry processes know each other.
+const SECRET: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+
 /// Measures what an entry process costs.
 #[derive(Parser)]
 struct Cli {
-    /// Seconds of each phase.
+    /// Seconds under load.
     #[arg(long, default_value_t = 20)]
     seconds: u64,
+    /// Seconds idle.
+    #[arg(long, default_value_t = 20)]
+    idle: u64,
     /// Requests a second that each entry process gets while loaded.
     #[arg(long, default_value_t = 200)]
     rate: u64,
@@ -69,7 +75,7 @@
     println!("| phase | core share of one process, mean / max | memory, max | bytes/s a process |");
     println!("|---|---|---|---|");
     phase(&cli, "idle", &running, || {
-        thread::sleep(time::Duration::from_secs(cli.seconds));
+        thread::sleep(time::Duration::from_secs(cli.idle));
     });
     let addrs: Vec<_> = running
         .entries
@@ -151,6 +157,8 @@
             vm: format!("e{n}").as_str().into(),
             az: azs[n % 2].into(),
             store: store.addr(),
+            root_keys: vec![operator::root().public()],
+            peer_secrets: vec![SECRET.into()],
             operators_listen: net::SocketAddr::from(([127, 60, 0, octet], 7103)),
             peers_listen: net::SocketAddr::from(([127, 60, 0, octet], 7102)),
             listen: net::SocketAddr::from(([127, 60, 0, octet], 7101)),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,6 +5,7 @@
 //! request that waits for a slot is a row in its service's desk and holds no thread.
 
 mod answers;
+pub mod args;
 mod desk;
 mod feed;
 mod observe;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -68,8 +68,8 @@
 /// How long the process has run.
 pub const UPTIME_SECONDS: &str = "bulrushwind_uptime_seconds";
 
-/// The upper bounds of [`LATENCY`]'s buckets, in seconds. They are close enough for a p99 within a
-/// third of its value, from answers inside an availability zone to the longest patience.
+/// The upper bounds of [`LATENCY`]'s buckets, in seconds, from answers inside an availability zone
+/// to the longest patience. Each is at most twice the one before, up to 2 s.
 pub const LATENCY_BUCKETS: [f64; 20] = [
     0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3,
     0.5, 1.0, 2.0, 5.0, 15.0,
--- a/src/state/totals.rs
+++ b/src/state/totals.rs
@@ -128,7 +128,8 @@
     }
 
     /// The latency that a share of answers stayed within, in seconds; `None` without answers. The
-    /// value is a bucket's upper bound, so it is never too small but may be a third too large.
+    /// value is a bucket's upper bound, so it is never too small but may be twice too large,
+    /// and three times above 2 s.
     pub fn quantile(&self, share: f64) -> Option<f64> {
         let all: u64 = self.latency.iter().sum();
         if all == 0 {
