--- a/benches/http.rs
+++ b/benches/http.rs
@@ -5,12 +5,15 @@
 use std::io;
 use std::io::{Read, Write};
 use std::net;
+use std::path;
 use std::process;
+use std::sync;
 use std::sync::mpsc;
 use std::thread;
 use std::time;
 
 use bulrushwind::transport::{client, server};
+use bulrushwind::{config, entry, logging, settings};
 use bytes::Bytes;
 
 /// Idle connections, as many as an entry VM must bear.
@@ -27,11 +30,13 @@
     match args.get(1).map(String::as_str) {
         Some("tiny_http") => serve_tiny(),
         Some("hyper") => serve_hyper(),
+        Some("entry") => serve_entry(),
         _ => {
             for kind in ["tiny_http", "hyper"] {
                 measure_server(kind);
             }
             measure_clients();
+            measure_entry();
         }
     }
 }
@@ -43,7 +48,7 @@
 
 /// A pool of four workers that answer whole requests, as a service on tiny_http would.
 fn serve_tiny() {
-    let http = std::sync::Arc::new(tiny_http::Server::http("127.0.0.1:0").unwrap());
+    let http = sync::Arc::new(tiny_http::Server::http("127.0.0.1:0").unwrap());
     announce(http.server_addr().to_ip().unwrap());
     let workers: Vec<_> = (0..4)
         .map(|_| {
@@ -94,6 +99,44 @@
     }
 }
 
+/// A whole entry process with the cooperative's settings.
+fn serve_entry() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/cooperative");
+    let shared = sync::Arc::new(entry::Shared::default());
+    shared
+        .put_in_force(settings::Settings::read(&root).unwrap())
+        .unwrap();
+    let cfg = config::Config {
+        az: "ub-a".into(),
+        ..config::Config::default()
+    };
+    let log = logging::silent();
+    let entry = entry::Entry::start_with(cfg, entry::MakeNaive, shared, log).unwrap();
+    announce(entry.addr());
+    loop {
+        thread::park();
+    }
+}
+
+fn measure_entry() {
+    let child = Child::start("entry");
+    println!("entry process: at rest {}", child.state());
+    let mut idle = Vec::new();
+    for _ in 0..IDLE {
+        let mut stream = net::TcpStream::connect(child.addr).unwrap();
+        let req = "GET /lookup/ledger HTTP/1.1\r\nHost: a\r\n\r\n";
+        stream.write_all(req.as_bytes()).unwrap();
+        let mut buf = [0; 4096];
+        assert!(stream.read(&mut buf).unwrap() > 0);
+        idle.push(stream);
+    }
+    println!(
+        "entry process: {} connections, a look-up on each: {}",
+        idle.len(),
+        child.state()
+    );
+}
+
 fn runtime(threads: usize) -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
--- a/examples/tryout/deployment.rs
+++ b/examples/tryout/deployment.rs
@@ -18,6 +18,7 @@
 /// Everything that runs.
 pub(crate) struct Deployment {
     pub(crate) store: processes::Process,
+    settings: settings::Settings,
     pub(crate) entries: collections::BTreeMap<String, processes::Process>,
     pub(crate) backends: collections::BTreeMap<String, processes::Process>,
     rows: collections::BTreeMap<String, store::Vm>,
@@ -35,6 +36,7 @@
         processes::put_settings(store.addr(), &settings)?;
         Ok(Self {
             store,
+            settings,
             entries: collections::BTreeMap::new(),
             backends: collections::BTreeMap::new(),
             rows: collections::BTreeMap::new(),
@@ -110,6 +112,19 @@
         self.list(vm)
     }
 
+    /// Drains a VM by the settings, from now on.
+    pub(crate) fn drain(&mut self, name: &str) -> io::Result<()> {
+        let drain = settings::Drain {
+            target: settings::DrainTarget::Vm(name.into()),
+            start_s: 1,
+            ramp_s: 1,
+            end_s: None,
+        };
+        let places = self.settings.teams.get_mut(settings::PLACES_TEAM);
+        places.ok_or(io::ErrorKind::NotFound)?.drains.push(drain);
+        processes::put_settings(self.store.addr(), &self.settings)
+    }
+
     /// Takes a VM off the platform's list.
     pub(crate) fn unlist(&mut self, name: &str) -> io::Result<()> {
         let vm = name.into();
--- a/examples/tryout/scenes.rs
+++ b/examples/tryout/scenes.rs
@@ -12,7 +12,7 @@
 use bulrushwind::standin::{backend, caller, processes};
 
 /// How long one scene lasts.
-const SCENE: time::Duration = time::Duration::from_secs(2);
+const SCENE: time::Duration = time::Duration::from_millis(1500);
 
 /// Callers that send at the same time.
 const CALLERS: u64 = 16;
@@ -23,6 +23,11 @@
 /// A few seconds, after which a backend server that leaves gets no new work.
 const QUIET: time::Duration = time::Duration::from_secs(2);
 
+/// The services, how long their backend servers work on a request, in milliseconds, and how many
+/// of them run in each availability zone. Of the archive three leave.
+const SERVICES: [(&str, u64, u32); 3] =
+    [("availability", 4, 2), ("ledger", 8, 2), ("archive", 15, 4)];
+
 /// The two availability zones, one in each of two regions.
 const AZS: [&str; 2] = ["ub-a", "khovd-a"];
 
@@ -30,8 +35,8 @@
 pub(crate) fn play() -> io::Result<report::Report> {
     let mut all = deployment::Deployment::start()?;
     for az in AZS {
-        for (service, work_ms) in [("availability", 4), ("ledger", 8), ("archive", 15)] {
-            for _ in 0..2 {
+        for (service, work_ms, count) in SERVICES {
+            for _ in 0..count {
                 all.backend(az, service, work_ms)?;
             }
         }
@@ -59,6 +64,9 @@
     leave_by_word(&mut all, &mut report)?;
     scene("a backend server left, by its word", &callers, &mut report);
 
+    leave_by_settings(&mut all, &mut report)?;
+    scene("a backend server left, by settings", &callers, &mut report);
+
     stop_entry(&mut all, &mut report)?;
     scene("an entry VM stopped as planned", &callers, &mut report);
 
@@ -132,6 +140,16 @@
     gone_quiet(all, &name, addr, report)
 }
 
+/// An operator drains a backend server by the settings.
+fn leave_by_settings(
+    all: &mut deployment::Deployment,
+    report: &mut report::Report,
+) -> io::Result<()> {
+    let (name, addr) = archive(all)?;
+    all.drain(&name)?;
+    gone_quiet(all, &name, addr, report)
+}
+
 /// A few seconds on, a backend server that leaves must get no new work.
 fn gone_quiet(
     all: &mut deployment::Deployment,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -314,6 +314,7 @@
     /// what is in flight ends and kept answers stay within reach until the last ticket expired.
     pub fn stop(self) {
         self.core.stopping.store(true, atomic::Ordering::SeqCst);
+        self.server.leave();
         if let Some(driver) = &self.driver {
             driver.leave();
         }
--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -8,6 +8,9 @@
 use crate::protocol::{backend, headers, lookup, outcome};
 use crate::transport::server;
 
+/// When to ask again about a request that got lost in this process.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
 /// The answer that tells a problem.
 pub(super) fn problem(problem: &outcome::Problem) -> server::Answer {
     let body = serde_json::to_vec(&problem.body()).expect("a problem is text and numbers");
@@ -56,6 +59,7 @@
         server::Fault::TooLarge(most) => outcome::Problem::TooLarge(most),
         server::Fault::Incomplete => outcome::Problem::BodyIncomplete,
         server::Fault::Busy => outcome::Problem::Busy,
+        server::Fault::Dropped => outcome::Problem::Lost(RETRY_AFTER),
     }
 }
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -39,7 +39,9 @@
         Self {
             connect_timeout: time::Duration::from_secs(1),
             idle: 16,
-            idle_timeout: time::Duration::from_secs(20),
+            // Shorter than what servers usually keep an idle connection for: one that they close
+            // just as a booking goes out on it leaves the booking's outcome unknown.
+            idle_timeout: time::Duration::from_secs(4),
             head_bytes: 64 * 1024,
         }
     }
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -114,6 +114,8 @@
     Incomplete,
     /// The process holds as many bodies as it can.
     Busy,
+    /// It was taken, and its [`Reply`] was dropped unused. It may have run.
+    Dropped,
 }
 
 /// What takes requests. Calls must not block.
@@ -138,6 +140,7 @@
 pub struct Server {
     addr: net::SocketAddr,
     open: sync::Arc<atomic::AtomicUsize>,
+    leaving: sync::Arc<atomic::AtomicBool>,
     stop: watch::Sender<bool>,
 }
 
@@ -152,6 +155,13 @@
         self.open.load(atomic::Ordering::Relaxed)
     }
 
+    /// From now on closes each connection with its next answer. A connection that is kept open
+    /// until the very end could be closed just as its caller sends the next request on it, and
+    /// that request would be cut.
+    pub fn leave(&self) {
+        self.leaving.store(true, atomic::Ordering::SeqCst);
+    }
+
     /// Takes no more connections, and closes each one when its request in hand is answered.
     pub fn stop(&self) {
         let _ = self.stop.send(true);
@@ -164,6 +174,7 @@
     bodies: sync::Arc<tokio::sync::Semaphore>,
     next_id: atomic::AtomicU64,
     open: sync::Arc<atomic::AtomicUsize>,
+    leaving: sync::Arc<atomic::AtomicBool>,
 }
 
 /// Listens on `addr` and hands what comes to `sink`.
@@ -177,6 +188,7 @@
     listener.set_nonblocking(true)?;
     let bound = listener.local_addr()?;
     let open = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let leaving = sync::Arc::new(atomic::AtomicBool::new(false));
     let (stop, stopped) = watch::channel(false);
     let shared = sync::Arc::new(Shared {
         bodies: sync::Arc::new(tokio::sync::Semaphore::new(limits.all_bodies / BODY_UNIT)),
@@ -184,11 +196,13 @@
         limits,
         next_id: atomic::AtomicU64::new(1),
         open: open.clone(),
+        leaving: leaving.clone(),
     });
     runtime.spawn(accept(listener, shared, stopped));
     Ok(Server {
         addr: bound,
         open,
+        leaving,
         stop,
     })
 }
@@ -293,8 +307,11 @@
     let answer = rx.await;
     waiting.answered = true;
     match answer {
-        Ok(answer) => response(shared, id, answer, false),
-        Err(_) => response(shared, id, shared.sink.fault(id, Fault::Busy), true),
+        Ok(answer) => {
+            let leaving = shared.leaving.load(atomic::Ordering::Relaxed);
+            response(shared, id, answer, leaving)
+        }
+        Err(_) => response(shared, id, shared.sink.fault(id, Fault::Dropped), true),
     }
 }
 
--- a/tests/path/stop.rs
+++ b/tests/path/stop.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time;
 
-use super::testenv;
+use super::{local, testenv};
 use bulrushwind::coordination::store;
 use bulrushwind::protocol::outcome::Outcome;
 use bulrushwind::settings;
@@ -58,6 +58,9 @@
             let found = look_up();
             found.ticket.is_none() && found.entries.iter().all(|e| e.vm.as_str() == "e2")
         });
+        let kept_open = "GET /lookup/ledger HTTP/1.1\r\nHost: a\r\n\r\n";
+        let closing = local::send(leaving.addr(), kept_open).to_ascii_lowercase();
+        assert!(closing.contains("connection: close"), "{closing}");
         let refused = caller.ask(leaving.addr(), &booking(&keys[3])).unwrap();
         assert_eq!(refused.outcome, Some(Outcome::NotRun), "{refused:?}");
         assert_eq!(refused.problem().unwrap().reason, "stopping");
