Put the decisions on the real path, and rest backend servers that shed

Cause: the entry process ran the naive policy. In a test under real HTTP a backend server that sheds all it gets would be picked for half of the requests, since it always looks idle, and the budget of second attempts would be spent on it. Change: the entry process builds Dispatch; a backend server that sheds gets nothing for 10 ms, twice as long each time up to 1 s.

--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -434,7 +434,7 @@
                     self.failed(now, i);
                 }
             }
-            Ended::Shed => member.limit.shed(&cfg.limit),
+            Ended::Shed => member.limit.shed(&cfg.limit, now),
             Ended::NotSent => self.broke(now, i),
             Ended::Lost => self.lost(now, i, &attempt),
             Ended::Cancelled => {}
--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -9,8 +9,14 @@
 //! The limit never exceeds the slots, because more can only wait. It sinks while the backend
 //! server reports a queue, or sheds, and rises again while there is none. Where reports cannot be
 //! believed, the time that answers take stands in for them.
+//!
+//! A backend server that sheds also gets nothing for a moment, twice as long each time. One that
+//! sheds all it gets would otherwise look idle and cost each read a second attempt, until the
+//! budget for these is spent.
+
+use std::time;
 
-use super::range;
+use super::{policy, range};
 
 /// Thresholds of the limit.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +33,10 @@
     pub step: f64,
     /// What is left of the limit when the backend server sheds.
     pub shed: f64,
+    /// How long a backend server that sheds gets nothing at first. About one request's time.
+    pub rest: time::Duration,
+    /// How long it gets nothing at most, however often it sheds.
+    pub longest_rest: time::Duration,
 }
 
 impl Default for Config {
@@ -36,6 +46,8 @@
             pace: 2.5,
             step: 0.1,
             shed: 0.7,
+            rest: time::Duration::from_millis(10),
+            longest_rest: time::Duration::from_secs(1),
         }
     }
 }
@@ -46,7 +58,10 @@
         range::check("limit.queue", self.queue, 0.0..=10.0)?;
         range::check("limit.pace", self.pace, 1.0..=100.0)?;
         range::check("limit.step", self.step, 0.001..=1.0)?;
-        range::check("limit.shed", self.shed, 0.1..=1.0)
+        range::check("limit.shed", self.shed, 0.1..=1.0)?;
+        range::check("limit.rest", self.rest.as_secs_f64(), 0.0..=1.0)?;
+        let longest = self.longest_rest.as_secs_f64();
+        range::check("limit.longest_rest", longest, 0.0..=60.0)
     }
 }
 
@@ -55,6 +70,8 @@
 pub struct Limit {
     value: f64,
     slots: f64,
+    sheds: u32,
+    until: policy::Moment,
 }
 
 impl Limit {
@@ -64,17 +81,23 @@
         Self {
             value: slots,
             slots,
+            sheds: 0,
+            until: policy::Moment::ZERO,
         }
     }
 
-    /// The limit now: at least 1, at most the slots.
-    pub fn get(&self) -> usize {
-        self.value.round() as usize
+    /// The limit now: at most the slots, and at least 1 unless it has just shed.
+    pub fn get(&self, now: policy::Moment) -> usize {
+        match now < self.until {
+            true => 0,
+            false => self.value.round() as usize,
+        }
     }
 
     /// An answer came. `queued` is what the backend server believably says waits there, `pace`
     /// how many times the usual time answers take.
     pub fn answered(&mut self, cfg: &Config, queued: Option<u32>, pace: f64) {
+        self.sheds = 0;
         let full = match queued {
             Some(queued) => f64::from(queued) > cfg.queue * self.slots,
             None => pace > cfg.pace,
@@ -86,8 +109,11 @@
     }
 
     /// The backend server refused a request.
-    pub fn shed(&mut self, cfg: &Config) {
+    pub fn shed(&mut self, cfg: &Config, now: policy::Moment) {
         self.set(self.value * cfg.shed);
+        let rest = cfg.rest * 2_u32.pow(self.sheds.min(16));
+        self.until = now + rest.min(cfg.longest_rest);
+        self.sheds += 1;
     }
 
     fn set(&mut self, value: f64) {
@@ -99,26 +125,34 @@
 mod tests {
     use super::*;
 
+    const NOW: policy::Moment = policy::Moment::from_secs(1);
+
     #[test]
     fn it_sinks_under_a_queue_and_rises_after() {
         let (mut limit, cfg) = (Limit::new(4), Config::default());
         (0..100).for_each(|_| limit.answered(&cfg, Some(5), 1.0));
-        assert_eq!(limit.get(), 1);
+        assert_eq!(limit.get(NOW), 1);
         (0..100).for_each(|_| limit.answered(&cfg, Some(0), 1.0));
-        assert_eq!(limit.get(), 4);
+        assert_eq!(limit.get(NOW), 4);
     }
 
     #[test]
     fn slow_answers_stand_in_for_reports() {
         let (mut limit, cfg) = (Limit::new(3), Config::default());
         (0..100).for_each(|_| limit.answered(&cfg, None, 9.0));
-        assert_eq!(limit.get(), 1);
+        assert_eq!(limit.get(NOW), 1);
     }
 
     #[test]
     fn a_refusal_takes_effect_at_once() {
         let (mut limit, cfg) = (Limit::new(3), Config::default());
-        limit.shed(&cfg);
-        assert_eq!(limit.get(), 2);
+        limit.shed(&cfg, NOW);
+        assert_eq!(limit.get(NOW), 0);
+        assert_eq!(limit.get(NOW + cfg.rest), 2);
+        limit.shed(&cfg, NOW);
+        assert_eq!(limit.get(NOW + cfg.rest), 0);
+        limit.answered(&cfg, Some(0), 1.0);
+        limit.shed(&cfg, NOW);
+        assert_eq!(limit.get(NOW + cfg.rest), 1);
     }
 }
--- a/src/decisions/members.rs
+++ b/src/decisions/members.rs
@@ -131,10 +131,10 @@
 
     /// Requests that this VM may have in flight there. `ramping` is absent while cold backend
     /// servers get their share at once.
-    pub fn cap(&self, ramping: Option<&ramp::Config>) -> usize {
+    pub fn cap(&self, now: policy::Moment, ramping: Option<&ramp::Config>) -> usize {
         let ramped = |cfg| self.ramp.cap(cfg, self.slots);
         match self.health.state() {
-            ejection::State::In => self.limit.get().min(ramping.map_or(usize::MAX, ramped)),
+            ejection::State::In => self.limit.get(now).min(ramping.map_or(usize::MAX, ramped)),
             ejection::State::Trial => 1,
             ejection::State::Out { .. } => 0,
         }
--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -95,7 +95,7 @@
     /// Seconds of usual work that this VM's share of the slots gets through in each second.
     pub fn rate(&self) -> f64 {
         let fast = self.sound().filter(|m| !self.slow(m));
-        fast.map(|m| m.cap(self.ramping) as f64 / m.pace.max(1.0))
+        fast.map(|m| m.cap(self.now, self.ramping) as f64 / m.pace.max(1.0))
             .sum()
     }
 
@@ -153,7 +153,7 @@
     }
 
     fn has_room(&self, member: &members::Member) -> bool {
-        let room = member.out.len() < member.cap(self.ramping);
+        let room = member.out.len() < member.cap(self.now, self.ramping);
         room && member.alone.is_none() && !member.leaving(&self.cfg.members, self.now)
     }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -24,7 +24,7 @@
 use rand::RngExt;
 
 use crate::coordination::{driver, store, store_http};
-use crate::decisions::{naive, policy};
+use crate::decisions::{across, dispatch, naive, policy};
 use crate::state::{directory, fleet, keys, lookup};
 use crate::transport::{client, operators, server};
 use crate::{config, error, id, metrics, settings};
@@ -70,6 +70,28 @@
     }
 }
 
+/// Builds the decisions of this VM: inside its availability zone, and across.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MakeDispatch;
+
+impl MakePolicy for MakeDispatch {
+    type Policy = dispatch::Dispatch;
+
+    fn make(
+        &self,
+        cfg: &config::Config,
+        _settings: &settings::Settings,
+        _service: &settings::Service,
+    ) -> Self::Policy {
+        let decisions = dispatch::Config {
+            seed: rand::rng().random(),
+            ..dispatch::Config::default()
+        };
+        let across = across::Across::new(across::Config::default(), cfg.az.clone());
+        dispatch::Dispatch::new(decisions, across)
+    }
+}
+
 /// What the request path reads and coordination feeds. Both parts are replaced whole.
 #[derive(Debug, Default)]
 pub struct Shared {
@@ -372,7 +394,7 @@
     ])
     .map_err(|err| error::Error::Config(format!("cannot wait for signals: {err}")))?;
     let platform = store_http::Client::new(cfg.store);
-    let entry = Entry::start(cfg, MakeNaive, platform, log)?;
+    let entry = Entry::start(cfg, MakeDispatch, platform, log)?;
     println!("listening {}", entry.addr());
     println!("operators {}", entry.operators_addr());
     let _ = std::io::stdout().flush();
--- /dev/null
+++ b/tests/path/decisions.rs
@@ -0,0 +1,86 @@
+//! The decisions inside an availability zone, under real HTTP and with real processes.
+
+use std::net;
+
+use bulrushwind::protocol::outcome;
+use bulrushwind::standin::{backend, caller, processes};
+
+use super::testenv;
+
+fn read(entry: net::SocketAddr, path: &str) -> caller::Told {
+    let ask = caller::Ask {
+        path,
+        ..caller::Ask::default()
+    };
+    caller::Caller::default().ask(entry, &ask).unwrap()
+}
+
+/// An entry VM before backend servers that behave as told.
+fn start(
+    env: &testenv::TestEnv,
+    behaviours: &[backend::Behaviour],
+) -> (processes::Process, Vec<processes::Process>) {
+    let backends = behaviours.iter().enumerate().map(|(n, behaviour)| {
+        let backend = env.backend(&format!("l{n}"), "ledger", &[]);
+        backend::behave(backend.addr(), behaviour).unwrap();
+        backend
+    });
+    let backends = backends.collect();
+    let entry = env.entry("e1");
+    testenv::wait_answered(entry.addr(), "/ledger/bays");
+    (entry, backends)
+}
+
+/// One of two backend servers refuses all work, as one does whose disk is full. Callers are
+/// answered all the same, and the one that refuses is left alone more and more.
+#[test]
+fn a_backend_server_that_sheds_costs_no_caller_an_answer() {
+    let env = testenv::TestEnv::new();
+    let shedding = backend::Behaviour {
+        shedding: true,
+        ..backend::Behaviour::default()
+    };
+    let (entry, backends) = start(&env, &[shedding, backend::Behaviour::default()]);
+    for i in 0..200 {
+        let told = read(entry.addr(), &format!("/ledger/bays?n={i}"));
+        assert_eq!(told.status, 200, "{told:?}");
+    }
+    let shed = backend::read_log(backends[0].addr()).unwrap().shed;
+    assert!(shed < 100, "{shed} of 200 were tried there");
+}
+
+/// One of two backend servers fails each request at once. It always looks idle, so it would draw
+/// more work than the sound one, and callers would get its errors.
+#[test]
+fn a_backend_server_that_fails_is_put_out() {
+    let env = testenv::TestEnv::new();
+    let failing = backend::Behaviour {
+        failing: true,
+        ..backend::Behaviour::default()
+    };
+    let (entry, backends) = start(&env, &[failing, backend::Behaviour::default()]);
+    for i in 0..200 {
+        let told = read(entry.addr(), &format!("/ledger/bays?n={i}"));
+        assert_eq!(told.status, 200, "{told:?}");
+    }
+    let started = backend::read_log(backends[0].addr()).unwrap().started;
+    assert!(started < 50, "{started} of 200 were tried there");
+}
+
+/// One request crashes each backend server that runs it, and its caller sends it again. After two
+/// crashes it is refused as not run, and the last backend server goes on answering others.
+#[test]
+fn a_request_that_crashes_backend_servers_is_refused() {
+    let env = testenv::TestEnv::new();
+    let sound = [0; 3].map(|_| backend::Behaviour::default());
+    let (entry, backends) = start(&env, &sound);
+    let killer = format!("/ledger/bays?{}", backend::CRASH);
+    testenv::wait_for("the request is refused as not run", || {
+        let told = read(entry.addr(), &killer);
+        let quarantined = told.problem().is_some_and(|body| body.reason == "quarantined");
+        quarantined && told.outcome == Some(outcome::Outcome::NotRun)
+    });
+    let live = |b: &&processes::Process| backend::read_log(b.addr()).is_ok();
+    assert!(backends.iter().any(|b| live(&b)), "none is left");
+    testenv::wait_answered(entry.addr(), "/ledger/bays");
+}
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod decisions;
 mod end_to_end;
 mod local;
 mod once;
