--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -64,7 +64,8 @@
     }
 }
 
-fn find<M: MakePolicy>(
+/// The answer to a look-up; `None` where the service is not declared.
+pub(super) fn find<M: MakePolicy>(
     core: &Core<M>,
     caller: net::IpAddr,
     service: &str,
