--- a/tests/path/decisions.rs
+++ b/tests/path/decisions.rs
@@ -77,7 +77,9 @@
     let killer = format!("/ledger/bays?{}", backend::CRASH);
     testenv::wait_for("the request is refused as not run", || {
         let told = read(entry.addr(), &killer);
-        let quarantined = told.problem().is_some_and(|body| body.reason == "quarantined");
+        let quarantined = told
+            .problem()
+            .is_some_and(|body| body.reason == "quarantined");
         quarantined && told.outcome == Some(outcome::Outcome::NotRun)
     });
     let live = |b: &&processes::Process| backend::read_log(b.addr()).is_ok();
