--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,11 +5,13 @@
 //! request that waits for a slot is a row in its service's desk and holds no thread.
 
 mod answers;
+pub mod args;
 mod desk;
 mod feed;
 mod observe;
 mod operate;
 mod route;
+mod steer;
 
 use std::collections;
 use std::io::Write;
@@ -24,10 +26,10 @@
 use rand::RngExt;
 
 use crate::coordination::{driver, store, store_http};
-use crate::decisions::{naive, policy};
+use crate::decisions::{across, dispatch, naive, policy};
 use crate::state::{directory, fleet, keys, lookup};
 use crate::transport::{client, operators, server};
-use crate::{config, error, id, metrics, settings};
+use crate::{config, error, id, metrics, protocol, settings};
 use policy::Policy;
 
 /// How often time passes for the policies.
@@ -70,6 +72,28 @@
     }
 }
 
+/// Builds the decisions of this VM: inside its availability zone, and across.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MakeDispatch;
+
+impl MakePolicy for MakeDispatch {
+    type Policy = dispatch::Dispatch;
+
+    fn make(
+        &self,
+        cfg: &config::Config,
+        _settings: &settings::Settings,
+        _service: &settings::Service,
+    ) -> Self::Policy {
+        let decisions = dispatch::Config {
+            seed: rand::rng().random(),
+            ..dispatch::Config::default()
+        };
+        let across = across::Across::new(across::Config::default(), cfg.az.clone());
+        dispatch::Dispatch::new(decisions, across)
+    }
+}
+
 /// What the request path reads and coordination feeds. Both parts are replaced whole.
 #[derive(Debug, Default)]
 pub struct Shared {
@@ -145,6 +169,7 @@
     make: M,
     log: slog::Logger,
     observer: observe::Observer,
+    steer: steer::Steer,
     incarnation: id::Incarnation,
     started: time::Instant,
     shared: sync::Arc<Shared>,
@@ -227,7 +252,11 @@
     ) -> Result<Self, error::Error> {
         let shared = sync::Arc::new(Shared::default());
         let mut entry = Self::start_with(cfg, make, shared, log)?;
-        entry.driver = Some(feed::start(&entry.core, platform)?);
+        let platform = sync::Arc::new(platform);
+        let driver = feed::start(&entry.core, platform.clone())?;
+        let (links, inbox) = (driver.peers().cloned(), driver.inbox().clone());
+        steer::start(&entry.core, links, inbox, platform);
+        entry.driver = Some(driver);
         Ok(entry)
     }
 
@@ -250,12 +279,14 @@
             ttl: time::Duration::from_millis(cfg.ticket_ttl_ms),
             ..keys::Limits::default()
         };
+        let incarnation = new_incarnation();
         let core = sync::Arc::new(Core {
+            steer: steer::Steer::new(&cfg.vm, &cfg.az, incarnation),
             cfg,
             make,
             observer: observe::Observer::new(&log),
             log,
-            incarnation: new_incarnation(),
+            incarnation,
             started: time::Instant::now(),
             shared,
             desks: arc_swap::ArcSwap::default(),
@@ -300,6 +331,17 @@
         self.server.addr()
     }
 
+    /// Where other entry VMs connect; `None` where there are no links to them.
+    pub fn peers_addr(&self) -> Option<net::SocketAddr> {
+        let links = self.driver.as_ref()?.peers()?;
+        Some(links.addr())
+    }
+
+    /// Answers a look-up as a caller at that address gets it. `None`: no such service.
+    pub fn look_up(&self, caller: net::IpAddr, service: &str) -> Option<protocol::lookup::Lookup> {
+        route::find(&self.core, caller, service)
+    }
+
     /// Where operators connect.
     pub fn operators_addr(&self) -> net::SocketAddr {
         self.operators.addr()
@@ -309,6 +351,7 @@
     /// what is in flight ends and kept answers stay within reach until the last ticket expired.
     pub fn stop(self) {
         self.core.stopping.store(true, atomic::Ordering::SeqCst);
+        self.server.leave();
         if let Some(driver) = &self.driver {
             driver.leave();
         }
@@ -348,6 +391,9 @@
         for desk in core.desks.load().values() {
             desk::tick(&core, desk);
         }
+        for req in core.steer.release() {
+            let _ = core.events.send(Event::Request(req));
+        }
         drop(core);
         thread::sleep(TICK);
     }
@@ -372,7 +418,7 @@
     ])
     .map_err(|err| error::Error::Config(format!("cannot wait for signals: {err}")))?;
     let platform = store_http::Client::new(cfg.store);
-    let entry = Entry::start(cfg, MakeNaive, platform, log)?;
+    let entry = Entry::start(cfg, MakeDispatch, platform, log)?;
     println!("listening {}", entry.addr());
     println!("operators {}", entry.operators_addr());
     let _ = std::io::stdout().flush();
