--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,6 +11,7 @@
 mod observe;
 mod operate;
 mod route;
+mod steer;
 
 use std::collections;
 use std::io::Write;
@@ -168,6 +169,7 @@
     make: M,
     log: slog::Logger,
     observer: observe::Observer,
+    steer: steer::Steer,
     incarnation: id::Incarnation,
     started: time::Instant,
     shared: sync::Arc<Shared>,
@@ -250,7 +252,11 @@
     ) -> Result<Self, error::Error> {
         let shared = sync::Arc::new(Shared::default());
         let mut entry = Self::start_with(cfg, make, shared, log)?;
-        entry.driver = Some(feed::start(&entry.core, platform)?);
+        let platform = sync::Arc::new(platform);
+        let driver = feed::start(&entry.core, platform.clone())?;
+        let (links, inbox) = (driver.peers().cloned(), driver.inbox().clone());
+        steer::start(&entry.core, links, inbox, platform);
+        entry.driver = Some(driver);
         Ok(entry)
     }
 
@@ -273,12 +279,14 @@
             ttl: time::Duration::from_millis(cfg.ticket_ttl_ms),
             ..keys::Limits::default()
         };
+        let incarnation = new_incarnation();
         let core = sync::Arc::new(Core {
+            steer: steer::Steer::new(&cfg.vm, &cfg.az, incarnation),
             cfg,
             make,
             observer: observe::Observer::new(&log),
             log,
-            incarnation: new_incarnation(),
+            incarnation,
             started: time::Instant::now(),
             shared,
             desks: arc_swap::ArcSwap::default(),
@@ -323,6 +331,12 @@
         self.server.addr()
     }
 
+    /// Where other entry VMs connect; `None` where there are no links to them.
+    pub fn peers_addr(&self) -> Option<net::SocketAddr> {
+        let links = self.driver.as_ref()?.peers()?;
+        Some(links.addr())
+    }
+
     /// Answers a look-up as a caller at that address gets it. `None`: no such service.
     pub fn look_up(&self, caller: net::IpAddr, service: &str) -> Option<protocol::lookup::Lookup> {
         route::find(&self.core, caller, service)
@@ -377,6 +391,9 @@
         for desk in core.desks.load().values() {
             desk::tick(&core, desk);
         }
+        for req in core.steer.release() {
+            let _ = core.events.send(Event::Request(req));
+        }
         drop(core);
         thread::sleep(TICK);
     }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -12,4 +12,5 @@
 pub mod operator;
 pub mod processes;
 pub mod run;
+pub mod steering;
 pub mod store;
