--- a/src/burn/html.rs
+++ b/src/burn/html.rs
@@ -24,7 +24,7 @@
 table { border-collapse: collapse; margin: .8rem 0; font-variant-numeric: tabular-nums; }
 th, td { padding: .25rem .8rem .25rem 0; text-align: right; white-space: nowrap; }
 th { color: #5a6575; font-weight: 500; border-bottom: 1px solid #dde1e7; }
-th:first-child, td:first-child { text-align: left; }
+th:first-child, td:first-child, .wide th:nth-child(2), .wide td:nth-child(2) { text-align: left; }
 .plots { display: flex; flex-wrap: wrap; gap: 1.2rem; }
 figure { margin: 0; }
 figcaption { color: #5a6575; font-size: .85rem; }
@@ -64,6 +64,10 @@
         text::percent_exact(objective.in_time),
         objective.latency_ms
     );
+    if !service.is_used() {
+        html.push_str("<p class=\"note\">No requests in any window.</p></section>\n");
+        return html;
+    }
     if service.alerts.is_empty() {
         html.push_str("<p class=\"good\">Within its objectives.</p>\n");
     }
@@ -86,9 +90,9 @@
         "reaches back",
         "requests",
         "unanswered",
-        "burn",
+        "burn of answered",
         "late",
-        "burn",
+        "burn of in time",
         "p50",
         "p99",
         "worth answered",
@@ -111,7 +115,8 @@
             window.unknown.to_string(),
         ]
     });
-    table(&headings, &rows.collect::<Vec<_>>())
+    let table = table(&headings, &rows.collect::<Vec<_>>());
+    format!("<div class=\"wide\">{table}</div>")
 }
 
 fn regions(service: &report::Service) -> String {
@@ -127,7 +132,7 @@
     });
     let rows: Vec<_> = rows.collect();
     if rows.is_empty() {
-        return "<p class=\"note\">No slots known.</p>\n".to_owned();
+        return "<p class=\"note\">No backend server takes work.</p>\n".to_owned();
     }
     table(
         &["region", "slots", "in hand", "load", "limit", "headroom"],
@@ -260,7 +265,7 @@
         output::seconds(oldest * 1000)
     ));
     format!(
-        "<figure>{svg}<figcaption>{}</figcaption></figure>",
+        "<figure><figcaption>{}</figcaption>{svg}</figure>",
         escape(plot.caption)
     )
 }
--- a/src/burn/report.rs
+++ b/src/burn/report.rs
@@ -125,6 +125,13 @@
     }
 }
 
+impl Service {
+    /// Whether any window has requests.
+    pub fn is_used(&self) -> bool {
+        self.windows.iter().any(|window| window.requests > 0)
+    }
+}
+
 impl Region {
     /// In hand over slots.
     pub fn load(&self) -> f64 {
--- a/src/burn/text.rs
+++ b/src/burn/text.rs
@@ -33,6 +33,10 @@
         percent_exact(objective.in_time),
         objective.latency_ms,
     );
+    if !service.is_used() {
+        text.push_str("  no requests in any window\n");
+        return text;
+    }
     if service.alerts.is_empty() {
         text.push_str(&format!("  {}\n", styled(GOOD, "within its objectives")));
     }
@@ -48,9 +52,9 @@
         "reaches back",
         "requests",
         "unanswered",
-        "burn",
+        "its burn",
         "late",
-        "burn",
+        "its burn",
         "p50",
         "p99",
         "worth",
