--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -434,7 +434,7 @@
                     self.failed(now, i);
                 }
             }
-            Ended::Shed => member.limit.shed(&cfg.limit),
+            Ended::Shed => member.limit.shed(&cfg.limit, now),
             Ended::NotSent => self.broke(now, i),
             Ended::Lost => self.lost(now, i, &attempt),
             Ended::Cancelled => {}
@@ -545,6 +545,10 @@
 }
 
 impl Policy for Dispatch {
+    fn across(&mut self) -> Option<&mut across::Across> {
+        Some(&mut self.across)
+    }
+
     fn arrive(&mut self, now: Moment, req: policy::Arrival, out: &mut Vec<Action>) {
         if req.origin == Origin::Caller {
             self.across.arrived(now);
--- /dev/null
+++ b/tests/steering_model.rs
@@ -0,0 +1,64 @@
+//! Bounds on what the ways to move traffic give, in the virtual-time model of question 2. A change
+//! that moves a figure over its bound has to be measured and told.
+
+use std::path;
+use std::time;
+
+use bulrushwind::standin::steering::{self, Way, scenarios};
+
+/// The first minute of a scenario, in one of the ways.
+fn play(name: &str, way: Way) -> steering::Tally {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let dep = steering::Deployment::ledger(root).unwrap();
+    let all = scenarios::all();
+    let scenario = all.iter().find(|scenario| scenario.name == name).unwrap();
+    let scenario = steering::Scenario {
+        lasts: time::Duration::from_secs(60),
+        ..scenario.clone()
+    };
+    steering::play(&dep, &scenario, way)
+}
+
+fn share(tally: &steering::Tally) -> f64 {
+    tally.worth as f64 / tally.offered as f64
+}
+
+/// Two regions are overfull and see the same room in a third. Senders that go by what they see fill
+/// it beyond its limit, and its own callers are answered late.
+#[test]
+fn grants_keep_a_herd_away() {
+    let name = "a surge on two regions, the third at 0.8";
+    let (own, grants) = (play(name, Way::OwnFraction), play(name, Way::Grants));
+    assert!(own.seconds_over >= 10, "{}", own.seconds_over);
+    assert!(grants.seconds_over <= 2, "{}", grants.seconds_over);
+    assert!(grants.largest_shift <= grants.cap);
+}
+
+/// A region's backend servers die at once, and its callers stay with its entry VMs. Moved as fast
+/// as they want to, they would arrive on cold caches all together.
+#[test]
+fn a_lost_region_keeps_the_cap_and_is_left() {
+    let name = "a region's backend servers die";
+    let (naive, grants) = (play(name, Way::Naive), play(name, Way::Grants));
+    assert!(naive.largest_shift > naive.cap, "{}", naive.largest_shift);
+    assert!(grants.largest_shift <= 0.5 * grants.cap);
+    assert_eq!(grants.violations(), 0);
+    assert!(share(&grants) > share(&play(name, Way::GrantsOnly)));
+}
+
+#[test]
+fn without_overload_all_ways_give_the_same() {
+    let naive = play("calm", Way::Naive);
+    for way in Way::ALL {
+        let tally = play("calm", way);
+        assert_eq!((tally.worth, tally.spilled), (naive.worth, 0), "{way:?}");
+    }
+}
+
+/// Long answers go over a thin link. What is promised is the link's limit in each second.
+#[test]
+fn a_link_keeps_its_limit() {
+    let tally = play("a surge of large answers", Way::Grants);
+    assert!(tally.spilled > 0);
+    assert!(tally.peak_link <= 1.0, "{}", tally.peak_link);
+}
