--- a/tests/steering_path.rs
+++ b/tests/steering_path.rs
@@ -7,10 +7,9 @@
 use std::time;
 
 use bulrushwind::coordination::store;
-use bulrushwind::decisions::{across, caps, dispatch};
 use bulrushwind::protocol::{headers, outcome};
 use bulrushwind::standin::{backend, caller, operator, store as standin};
-use bulrushwind::{config, entry, logging, settings};
+use bulrushwind::{config, entry, logging};
 
 /// How long a condition may take. Far more than any machine needs.
 const LIMIT: time::Duration = time::Duration::from_secs(60);
@@ -50,29 +49,9 @@
 typical_ms = 40.0
 "#;
 
-struct MakeDispatch;
-
-impl entry::MakePolicy for MakeDispatch {
-    type Policy = dispatch::Dispatch;
-
-    fn make(
-        &self,
-        cfg: &config::Config,
-        _settings: &settings::Settings,
-        service: &settings::Service,
-    ) -> dispatch::Dispatch {
-        let sending = across::Config {
-            caps: caps::Config::of(service),
-            ..across::Config::default()
-        };
-        let across = across::Across::new(sending, cfg.az.clone());
-        dispatch::Dispatch::new(dispatch::Config::default(), across)
-    }
-}
-
 struct Fleet {
     platform: standin::Memory,
-    entries: Vec<entry::Entry<MakeDispatch>>,
+    entries: Vec<entry::Entry<entry::MakeDispatch>>,
     backends: Vec<backend::Backend>,
 }
 
@@ -134,7 +113,8 @@
             ..config::Config::default()
         };
         let log = logging::silent();
-        let entry = entry::Entry::start(cfg, MakeDispatch, self.platform.clone(), log).unwrap();
+        let entry =
+            entry::Entry::start(cfg, entry::MakeDispatch, self.platform.clone(), log).unwrap();
         self.platform.put_vm(store::Vm {
             id: name.as_str().into(),
             az: az.into(),
