Leave more room free of foreign callers in the plan

Change: three twentieths. The unit tests of the plan name the margin that their numbers were made for.

--- a/src/decisions/plan.rs
+++ b/src/decisions/plan.rs
@@ -74,8 +74,9 @@
     pub gone: time::Duration,
     /// A change that moves less than this share of callers is not worth a version.
     pub least: f64,
-    /// The share of a place's capacity kept free when it is given foreign callers. A tenth: random
-    /// arrivals take a region of a dozen slots some hundredths over its mean.
+    /// The share of a place's capacity kept free when it is given foreign callers. Three twentieths:
+    /// with a tenth, random arrivals and cold caches took regions of a dozen slots over their limit
+    /// for a few seconds (`cargo bench --bench steering`).
     pub margin: f64,
 }
 
@@ -85,7 +86,7 @@
             fresh: time::Duration::from_secs(3),
             gone: time::Duration::from_secs(10),
             least: 0.005,
-            margin: 0.1,
+            margin: 0.15,
         }
     }
 }
@@ -532,7 +533,11 @@
             left: &left,
             now: &now,
         };
-        target(&Config::default(), &inputs)
+        let cfg = Config {
+            margin: 0.1,
+            ..Config::default()
+        };
+        target(&cfg, &inputs)
     }
 
     fn weight(plan: &ByRegion, region: &str, az: &str) -> f64 {
