--- a/src/logging.rs
+++ b/src/logging.rs
@@ -10,7 +10,8 @@
 /// Builds the root logger of a process. Lines that cannot be queued are counted and dropped, so
 /// that a slow reader of the log never holds up a request.
 pub fn root(process: &str) -> slog::Logger {
-    let json = slog_json::Json::new(io::stderr())
+    // One write a line: pieces of lines of several processes would mix on a shared terminal.
+    let json = slog_json::Json::new(io::LineWriter::new(io::stderr()))
         .add_default_keys()
         .build()
         .fuse();
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -5,13 +5,27 @@
 #[expect(dead_code, reason = "the tests of the path use more of it")]
 mod testenv;
 
+use std::fs;
+use std::io;
 use std::net;
 use std::process;
 use std::sync::atomic;
 
+use bulrushwind::burn;
 use bulrushwind::protocol::{history, operators};
-use bulrushwind::standin::{caller, processes};
+use bulrushwind::standin::{caller, operator, processes};
 use bulrushwind::state::explain;
+use io::BufRead;
+
+/// A process that does not outlive its test.
+struct Killed(process::Child);
+
+impl Drop for Killed {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
 
 /// An address that no other test listens on: loopback has more than one.
 fn own_addr() -> net::SocketAddr {
@@ -121,3 +135,108 @@
     let shown = run(&["status"]);
     assert!(shown.contains("e4") && shown.contains("ub-a"), "{shown}");
 }
+
+/// Bookings are refused because no backend server is left, and a timer asks for the report.
+#[test]
+fn the_burn_report_exits_with_5_while_a_budget_burns() {
+    let env = testenv::TestEnv::new();
+    let (entry, addr) = entry(&env, "e5");
+    let ask = caller::Ask {
+        path: "/availability/bays",
+        ..caller::Ask::default()
+    };
+    let caller = caller::Caller::default();
+    for _ in 0..30 {
+        assert_eq!(caller.ask(entry.addr(), &ask).unwrap().status, 503);
+    }
+    let run = |format: &str, at: net::SocketAddr| {
+        let out = process::Command::new(env!("CARGO_BIN_EXE_bulrushwind-burn"))
+            .args(["--dir", "examples/cooperative", "--format", format])
+            .args(["--entry", &at.to_string()])
+            .output()
+            .unwrap();
+        (
+            out.status.code().unwrap(),
+            String::from_utf8(out.stdout).unwrap(),
+        )
+    };
+    let (code, text) = run("text", addr);
+    assert_eq!(code, 5, "{text}");
+    assert!(text.contains("burning: objective `answered`"), "{text}");
+    assert!(text.contains("0 of 1 VMs"), "{text}");
+    let (_, text) = run("json", addr);
+    let report: burn::report::Report = serde_json::from_str(&text).unwrap();
+    assert!(
+        report
+            .services
+            .iter()
+            .any(|service| service.windows[0].worth_lost >= 30)
+    );
+    let (_, page) = run("html", addr);
+    assert!(
+        page.starts_with("<!doctype html>") && !page.contains("http"),
+        "{page}"
+    );
+    assert_eq!(run("text", own_addr()).0, 1);
+}
+
+/// An operator sends a log to somebody else. It must not carry what opens a door, or what a caller
+/// told in confidence.
+#[test]
+fn the_log_holds_no_secret() {
+    let (peer_secret, password, body) = (
+        "5ec4e7".repeat(11)[..64].to_owned(),
+        "hunter2-x",
+        "iban-nl91",
+    );
+    let dir = tempfile::tempdir().unwrap();
+    let log = dir.path().join("log");
+    let store = testenv::TestEnv::new();
+    let addr = own_addr();
+    let child = process::Command::new(env!("CARGO_BIN_EXE_bulrushwind-entry"))
+        .args([
+            "--set",
+            "vm=e6",
+            "--set",
+            "az=ub-a",
+            "--set",
+            "listen=127.0.0.1:0",
+        ])
+        .args(["--set", "peers_listen=127.0.0.1:0"])
+        .args(["--set", &format!("operators_listen={addr}")])
+        .args(["--set", &format!("store={}", store.store.addr())])
+        .env("BULRUSHWIND_PEER_SECRETS", &peer_secret)
+        .env(
+            "BULRUSHWIND_ROOT_KEYS",
+            operator::root().public().to_string(),
+        )
+        .stdout(process::Stdio::piped())
+        .stderr(fs::File::create(&log).unwrap())
+        .spawn()
+        .unwrap();
+    let mut child = Killed(child);
+    let mut lines = io::BufReader::new(child.0.stdout.take().unwrap()).lines();
+    let line = lines.next().unwrap().unwrap();
+    let entry = line.strip_prefix("listening ").unwrap().to_owned();
+    testenv::wait_for("the settings are in force", || {
+        attohttpc::get(format!("http://{addr}/ready"))
+            .send()
+            .is_ok_and(|res| res.is_success())
+    });
+    let res = attohttpc::post(format!("http://{entry}/ledger/book"))
+        .header("authorization", format!("Bearer {password}"))
+        .text(body)
+        .send()
+        .unwrap();
+    assert!(!res.is_success());
+    testenv::wait_for("the refusal is logged", || {
+        fs::read_to_string(&log)
+            .unwrap()
+            .contains("\"event\":\"refused\"")
+    });
+    drop(child);
+    let text = fs::read_to_string(&log).unwrap();
+    for secret in [peer_secret.as_str(), password, body] {
+        assert!(!text.contains(secret), "{secret} is in the log: {text}");
+    }
+}
