Keep places for each kind in a full queue

Cause: a test of starvation failed: in a queue full of bookings each read was displaced by the next booking, 3 reads of 1,000 answers. Change: each kind keeps its floor of places.

--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -298,7 +298,7 @@
             return self.give_up_on(now, pending, why, out);
         }
         if self.queue.len() >= self.cfg.queue.most {
-            match self.queue.displace(kind) {
+            match self.queue.displace(&self.cfg.queue, kind) {
                 Some(item) => self.give_up(now, item.id, Refusal::Overload, out),
                 None => return self.give_up_on(now, pending, Refusal::Overload, out),
             }
--- a/src/decisions/queue.rs
+++ b/src/decisions/queue.rs
@@ -222,10 +222,18 @@
         class.items.front().copied()
     }
 
-    /// Makes room for a request of this kind by taking out the newest of a worse kind.
-    pub fn displace(&mut self, kind: Kind) -> Option<Item> {
-        let worse = |c: &&mut Class| !c.items.is_empty() && c.kind.density() < kind.density();
-        let class = self.classes.iter_mut().rev().find(worse)?;
+    /// Makes room for a request of this kind by taking out the newest of a worse kind. Each kind
+    /// keeps its floor of places, whatever else comes in: without it, reads would find a queue
+    /// that is full of bookings each time and be starved.
+    pub fn displace(&mut self, cfg: &Config, kind: Kind) -> Option<Item> {
+        let least = ((cfg.most as f64 * cfg.floor) as usize).max(1);
+        let own = self.class(kind);
+        let few = self.classes[own].items.len() < least;
+        let spare = |c: &&mut Class| {
+            let worse = c.kind.density() < kind.density();
+            c.items.len() > least && (worse || few)
+        };
+        let class = self.classes.iter_mut().rev().find(spare)?;
         self.len -= 1;
         class.items.pop_back()
     }
@@ -346,6 +354,21 @@
         assert!((95..=100).contains(&reads), "{reads}");
     }
 
+    /// The queue is full of bookings. One read finds a place all the same, and a second does not.
+    #[test]
+    fn each_kind_keeps_a_place() {
+        let cfg = Config {
+            most: 8,
+            ..Config::default()
+        };
+        let mut queue = Queue::default();
+        (0..8).for_each(|i| queue.push(BOOK, item(i)));
+        assert_eq!(queue.displace(&cfg, READ), Some(item(7)));
+        queue.push(READ, item(8));
+        assert_eq!(queue.displace(&cfg, READ), None);
+        assert_eq!(queue.displace(&cfg, BOOK), None);
+    }
+
     #[test]
     fn the_wait_counts_what_better_classes_take() {
         let (mut queue, cfg) = (Queue::default(), Config::default());
