Place by own counts alone, and keep the limit at the slots

Cause: with reports that lag by 100 ms a steady load was spread worse than in turn, and limits that followed reports or latency sank where a report lied. Change: load at a backend server is what this VM has in flight there times how long answers take; the limit is the slots, less after a shed. Reports serve only what other zones are told.

--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -420,8 +420,7 @@
             Ended::Answered => {
                 member.crashed = member.crashed.filter(|at| attempt.at <= *at);
                 member.took(&cfg.members, took, attempt.typical);
-                let queued = member.trust.believed(&cfg.trust, now).map(|r| r.queued);
-                member.limit.answered(&cfg.limit, queued, member.pace);
+                member.limit.answered(&cfg.limit);
                 member.ramp.answered();
                 member.health.answered(&cfg.ejection);
             }
--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -5,9 +5,9 @@
 //! it as a tail of latency that one backend server causes alone.
 //!
 //! The least loaded of a few picks gets the request, where load is what this VM has in flight
-//! there, plus what others have according to reports that are believed, as a share of the slots,
-//! times how long answers take there. A few picks and not all: with many entry VMs, all of them
-//! would run to the one that looks idle.
+//! there, as a share of the slots, times how long answers take there. What others have in flight
+//! shows in how long answers take. Reports are not used: they lag by ten times the length of a
+//! request, and with them a steady load was spread worse than in turn.
 //!
 //! A backend server that takes several times as long as the best is held in reserve: it gets the
 //! least worthy reads, once the queue is longer than the time that waiting for a better one costs.
@@ -165,8 +165,6 @@
     /// What a request adds itself to, as the time it would take.
     fn load(&self, member: &members::Member) -> f64 {
         let own = member.out.len() as f64;
-        let report = member.trust.believed(&self.cfg.trust, self.now);
-        let total = report.map_or(own, |r| f64::from(r.in_flight + r.queued).max(own));
-        member.pace * (1.0 + total / f64::from(member.slots.max(1)))
+        member.pace * (1.0 + own / f64::from(member.slots.max(1)))
     }
 }
--- a/src/decisions/trust.rs
+++ b/src/decisions/trust.rs
@@ -1,8 +1,9 @@
 //! How far a backend server's report of itself is believed.
 //!
-//! Load pattern: any, while reports are frozen or lie. Without this, a backend server that says
-//! it is idle draws all the work, and the more it drowns the more it gets. One notices it as one
-//! backend server with a long queue whose own figure stays at nought.
+//! Load pattern: any, while reports are frozen or lie. Reports say how full the availability zone
+//! is, which decides what other zones may send here. Believed without a check, a report of an idle
+//! backend server brings in work of others on top of a queue. One notices it as one backend server
+//! with a long queue whose own figure stays at nought.
 //!
 //! What this VM has in flight at a backend server is known for certain, so a report that stays
 //! below it is wrong. Reports lag, so single ones prove nothing: both figures are averaged over
