--- /dev/null
+++ b/benches/decision.rs
@@ -0,0 +1,70 @@
+//! What one decision costs: a request comes in, is sent, and its answer is taken in.
+
+use std::time;
+
+use bulrushwind::decisions::{across, dispatch, policy};
+use criterion::{criterion_group, criterion_main};
+use policy::{Action, Ended, Policy};
+
+fn decisions(c: &mut criterion::Criterion) {
+    for backends in [2, 20] {
+        c.bench_function(&format!("decision/{backends} backend servers"), |b| {
+            let mut play = Play::new(backends);
+            b.iter(|| play.one());
+        });
+    }
+}
+
+struct Play {
+    dispatch: dispatch::Dispatch,
+    now: policy::Moment,
+    next: u64,
+    out: Vec<Action>,
+}
+
+impl Play {
+    fn new(backends: usize) -> Self {
+        let across = across::Across::new(across::Config::default(), "here".into());
+        let mut dispatch = dispatch::Dispatch::new(dispatch::Config::default(), across);
+        let backends: Vec<_> = (0..backends)
+            .map(|i| policy::Backend {
+                id: format!("backend-{i}").as_str().into(),
+                slots: 3,
+                leaving: false,
+            })
+            .collect();
+        dispatch.set_backends(policy::Moment::ZERO, &backends, &mut Vec::new());
+        Self {
+            dispatch,
+            now: policy::Moment::from_secs(1),
+            next: 0,
+            out: Vec::new(),
+        }
+    }
+
+    fn one(&mut self) {
+        self.next += 1;
+        self.now += time::Duration::from_micros(50);
+        let req = policy::Arrival {
+            id: policy::RequestId(self.next),
+            caller: policy::CallerId(self.next % 1_000),
+            fingerprint: policy::Fingerprint(self.next),
+            origin: policy::Origin::Caller,
+            idempotent: true,
+            worth: 2,
+            typical: time::Duration::from_millis(6),
+            deadline: self.now + time::Duration::from_secs(2),
+            bytes: 200,
+        };
+        self.dispatch.arrive(self.now, req, &mut self.out);
+        let Some(Action::Send { req, to, .. }) = self.out.pop() else {
+            panic!("the request was not sent");
+        };
+        let (now, how) = (self.now, Ended::Answered);
+        self.dispatch.ended(now, req, &to, how, None, &mut self.out);
+        self.out.clear();
+    }
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
