--- /dev/null
+++ b/src/standin/steering/play.rs
@@ -0,0 +1,298 @@
+//! One run of a scenario.
+
+use std::cmp;
+use std::collections;
+use std::sync;
+use std::time;
+
+use rand::SeedableRng;
+
+use super::{Deployment, Scenario, Tally, Way, initial};
+use crate::decisions::{across, caps, grants, links, plan, policy};
+use crate::id;
+use policy::Moment;
+
+/// Entry VMs in each availability zone.
+pub(super) const VMS: usize = 2;
+
+pub(super) const TICK: time::Duration = time::Duration::from_millis(100);
+
+/// How often loads are told and grants asked for.
+pub(super) const TELL: time::Duration = time::Duration::from_millis(500);
+
+/// How long callers keep a look-up.
+pub(super) const TTL: time::Duration = time::Duration::from_secs(5);
+
+/// How long a version of the plan takes to every node.
+pub(super) const SPREAD: time::Duration = time::Duration::from_secs(2);
+
+/// A wait from which a request looks for another place.
+pub(super) const CROSS_AFTER: time::Duration = time::Duration::from_millis(100);
+
+/// How many times as long a request of another region's callers takes on cold caches, and after how
+/// many of them most of the cold has gone.
+pub(super) const COLD: (f64, f64) = (3.0, 3_000.0);
+
+/// How often a request that waits for room under its grant is looked at.
+pub(super) const RETRY: time::Duration = time::Duration::from_millis(5);
+
+pub(super) const CALLERS: u64 = 20_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Event {
+    Ask(usize),
+    Arrive {
+        req: usize,
+        vm: usize,
+    },
+    Cross {
+        req: usize,
+        vm: usize,
+        grant: Option<u64>,
+    },
+    Bounce {
+        req: usize,
+        how: u8,
+    },
+    Done {
+        az: usize,
+        epoch: u32,
+        req: usize,
+    },
+    Told(usize),
+    Wish {
+        from: usize,
+        to: usize,
+        per_s: u64,
+        asked: Moment,
+    },
+    Granted {
+        to: usize,
+        asked: Moment,
+        number: usize,
+    },
+    Version(usize, usize),
+    Fault(usize),
+    Tick,
+}
+
+pub(super) struct Req {
+    pub(super) at: Moment,
+    pub(super) region: usize,
+    pub(super) caller: u64,
+    pub(super) op: usize,
+    pub(super) work: time::Duration,
+    pub(super) deadline: Moment,
+    pub(super) vm: usize,
+    pub(super) crossed: Option<usize>,
+    pub(super) reached: Option<Moment>,
+    pub(super) grant: Option<(usize, grants::GrantId)>,
+}
+
+pub(super) struct Vm {
+    pub(super) az: usize,
+    pub(super) up: bool,
+    pub(super) across: across::Across,
+    pub(super) granter: grants::Granter,
+    pub(super) applied: plan::Applied,
+    pub(super) own: u32,
+}
+
+pub(super) struct Az {
+    pub(super) name: id::AzId,
+    pub(super) region: usize,
+    pub(super) slots: u32,
+    pub(super) busy: u32,
+    pub(super) epoch: u32,
+    pub(super) queue: collections::VecDeque<usize>,
+    pub(super) served: collections::BTreeMap<usize, f64>,
+    pub(super) brought: Vec<f64>,
+    pub(super) demand: Vec<f64>,
+    pub(super) told: Moment,
+    pub(super) in_hand: u32,
+    pub(super) in_use: f64,
+}
+
+pub(super) struct World<'a> {
+    pub(super) dep: &'a Deployment,
+    pub(super) scenario: &'a Scenario,
+    pub(super) way: Way,
+    pub(super) now: Moment,
+    pub(super) seq: u64,
+    pub(super) events: collections::BinaryHeap<cmp::Reverse<(Moment, u64, Event)>>,
+    pub(super) rng: rand_chacha::ChaCha8Rng,
+    pub(super) reqs: Vec<Req>,
+    pub(super) vms: Vec<Vm>,
+    pub(super) azs: Vec<Az>,
+    pub(super) regions: Vec<id::RegionId>,
+    pub(super) cut: Option<usize>,
+    pub(super) granted: Vec<grants::Grant>,
+    // A caller's look-up lasts; weights are kept by the times of look-ups.
+    pub(super) lookups: collections::BTreeMap<(usize, u64), (u64, Vec<usize>)>,
+    pub(super) plan: sync::Arc<plan::Plan>,
+    pub(super) versions: Vec<sync::Arc<plan::Plan>>,
+    pub(super) stepped: Moment,
+    pub(super) tally: Tally,
+}
+
+/// Plays a scenario in one of the ways.
+pub fn play(dep: &Deployment, scenario: &Scenario, way: Way) -> Tally {
+    let mut world = World::new(dep, scenario, way);
+    world.start();
+    while let Some(cmp::Reverse((at, _, event))) = world.events.pop() {
+        if at > scenario.lasts {
+            break;
+        }
+        world.now = at;
+        world.handle(event);
+    }
+    let link = dep.settings.links().next().expect("links are declared");
+    let limit = dep.settings.regions().next().expect("regions are declared");
+    world.tally.cap = dep.service.shift_cap;
+    world.tally.max_load = limit.max_load;
+    let region_slots = f64::from(dep.slots) * 2.0;
+    world.tally.finish(region_slots, link.bytes_per_s as f64);
+    world.tally
+}
+
+impl<'a> World<'a> {
+    fn new(dep: &'a Deployment, scenario: &'a Scenario, way: Way) -> Self {
+        let regions: Vec<_> = dep.settings.regions().map(|r| r.name.clone()).collect();
+        let azs: Vec<_> = dep
+            .service
+            .azs
+            .iter()
+            .map(|name| {
+                let home = dep.settings.region_of(name).expect("it is declared");
+                Az {
+                    name: name.clone(),
+                    region: regions.iter().position(|r| *r == home.name).unwrap_or(0),
+                    slots: dep.slots,
+                    busy: 0,
+                    epoch: 0,
+                    queue: collections::VecDeque::new(),
+                    served: collections::BTreeMap::new(),
+                    brought: vec![0.0; regions.len()],
+                    demand: vec![0.0; regions.len()],
+                    told: Moment::ZERO,
+                    in_hand: 0,
+                    in_use: 0.0,
+                }
+            })
+            .collect();
+        let vms = (0..azs.len() * VMS)
+            .map(|i| new_vm(dep, &azs, i / VMS, i))
+            .collect();
+        let plan = sync::Arc::new(initial(dep));
+        Self {
+            dep,
+            scenario,
+            way,
+            now: Moment::ZERO,
+            seq: 0,
+            events: collections::BinaryHeap::new(),
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(1),
+            reqs: Vec::new(),
+            vms,
+            azs,
+            regions,
+            cut: None,
+            granted: Vec::new(),
+            lookups: collections::BTreeMap::new(),
+            versions: vec![plan.clone()],
+            plan,
+            stepped: Moment::ZERO,
+            tally: Tally::default(),
+        }
+    }
+
+    fn start(&mut self) {
+        for vm in 0..self.vms.len() {
+            self.vms[vm].applied.offer(self.plan.clone());
+        }
+        for region in 0..self.regions.len() {
+            self.push(Moment::ZERO, Event::Ask(region));
+        }
+        for (i, (at, _)) in self.scenario.faults.iter().enumerate() {
+            self.push(*at, Event::Fault(i));
+        }
+        self.push(Moment::ZERO, Event::Tick);
+    }
+
+    pub(super) fn push(&mut self, at: Moment, event: Event) {
+        self.seq += 1;
+        self.events.push(cmp::Reverse((at, self.seq, event)));
+    }
+
+    pub(super) fn after(&mut self, delay: time::Duration, event: Event) {
+        self.push(self.now + delay, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Ask(region) => self.ask(region),
+            Event::Arrive { req, vm } => self.arrive(req, vm),
+            Event::Cross { req, vm, grant } => self.cross(req, vm, grant),
+            Event::Bounce { req, how } => self.bounce(req, how),
+            Event::Done { az, epoch, req } => self.done(az, epoch, req),
+            Event::Told(req) => self.told(req),
+            Event::Wish {
+                from,
+                to,
+                per_s,
+                asked,
+            } => self.wish(from, to, per_s, asked),
+            Event::Granted { to, asked, number } => {
+                let grant = self.granted[number].clone();
+                self.vms[to].across.set_grant(asked, grant);
+            }
+            Event::Version(vm, number) => {
+                let plan = self.versions[number].clone();
+                self.vms[vm].applied.offer(plan);
+            }
+            Event::Fault(number) => self.fault(number),
+            Event::Tick => self.tick(),
+        }
+    }
+}
+
+pub(super) fn vm_name(vm: usize) -> id::VmId {
+    format!("{vm}").as_str().into()
+}
+
+pub(super) fn vm_index(name: &id::VmId) -> usize {
+    name.as_str().parse().expect("it is a number here")
+}
+
+fn new_vm(dep: &Deployment, azs: &[Az], az: usize, number: usize) -> Vm {
+    let cfg = across::Config {
+        caps: caps::Config::of(&dep.service),
+        ..across::Config::default()
+    };
+    let mut across = across::Across::new(cfg, azs[az].name.clone());
+    across.set_routes(dep.routes(&azs[az].name));
+    let mut own_links = links::Links::new(links::Config::default());
+    let home = &dep
+        .settings
+        .region_of(&azs[az].name)
+        .expect("it is declared")
+        .name;
+    for link in dep.settings.links().filter(|link| link.from == *home) {
+        own_links.set(Moment::ZERO, &link.to, link.bytes_per_s, 4 * VMS as u32);
+    }
+    across.set_links(sync::Arc::new(parking_lot::Mutex::new(own_links)));
+    let lender = grants::Lender {
+        service: dep.service.name.clone(),
+        az: azs[az].name.clone(),
+        vm: vm_name(number),
+        incarnation: id::Incarnation(number as u64),
+    };
+    Vm {
+        az,
+        up: true,
+        across,
+        granter: grants::Granter::new(grants::Config::default(), Moment::ZERO, lender),
+        applied: plan::Applied::default(),
+        own: 0,
+    }
+}
