Outlive faults of our own: workers go on after a panic, forgotten requests end

Cause: a panic ended its worker for good, so that as many bad requests as there are workers left an entry process that takes connections and answers nothing; and a request that a policy never settled stayed in hand until the end of the process, which held up a planned stop for ever.

Change: the handling of each event is caught and logged; a request still in hand five seconds after its deadline ends as unknown. What the desks do from time to time moved to a module of its own.

A request that the policy forgot is told unknown; nothing reached the backend server.

A lost action after a panic costs its request only.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -16,6 +16,7 @@
 use std::collections;
 use std::io::Write;
 use std::net;
+use std::panic;
 use std::sync;
 use std::sync::atomic;
 use std::thread;
@@ -375,7 +376,20 @@
         let Some(core) = core.upgrade() else {
             return;
         };
-        core.handle(event);
+        survive(&core.log, || core.handle(event));
+    }
+}
+
+/// Goes on after a panic. A fault in the handling of one request would otherwise end a worker for
+/// good, and a request that is sent again would end them all; one would notice an entry process
+/// that takes connections and answers nothing. The request at fault ends as unknown, since its
+/// reply is dropped.
+fn survive(log: &slog::Logger, work: impl FnOnce()) {
+    if panic::catch_unwind(panic::AssertUnwindSafe(work)).is_err() {
+        slog::crit!(
+            log,
+            "the handling of an event failed; please report the message before this"
+        );
     }
 }
 
@@ -383,13 +397,16 @@
     let mut refreshed = None;
     while let Some(core) = core.upgrade() {
         if refreshed.is_none_or(|at: time::Instant| at.elapsed() >= REFRESH) {
-            desk::refresh(&core);
-            desk::observe(&core);
-            metrics::exporter().upkeep();
+            survive(&core.log, || {
+                desk::refresh(&core);
+                desk::end_overdue(&core);
+                desk::observe(&core);
+                metrics::exporter().upkeep();
+            });
             refreshed = Some(time::Instant::now());
         }
         for desk in core.desks.load().values() {
-            desk::tick(&core, desk);
+            survive(&core.log, || desk::tick(&core, desk));
         }
         for req in core.steer.release() {
             let _ = core.events.send(Event::Request(req));
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -7,6 +7,8 @@
 //! of which an attempt may have run is not sent again, and nothing that may have run is called
 //! not run.
 
+mod upkeep;
+
 use std::collections;
 use std::net;
 use std::sync;
@@ -18,15 +20,17 @@
 use parking_lot::Mutex;
 
 use super::{Core, Event, MakePolicy, answers, observe};
-use crate::coordination::{grants, store};
+use crate::coordination::grants;
 use crate::decisions::{across, policy};
-use crate::protocol::{backend, backend_http, headers, operators, outcome};
-use crate::state::{directory, fleet, keys};
+use crate::protocol::{backend, backend_http, headers, outcome};
+use crate::state::keys;
 use crate::transport::{client, server};
 use crate::{id, settings};
 use backend::Wire;
 use policy::{Action, Ended, Fate, Place, Policy};
 
+pub(super) use upkeep::{all_in_hand, end_overdue, in_flight_at, observe, refresh, wall_clock_s};
+
 /// How long a probe may take.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -52,6 +56,8 @@
     pub(super) key: Option<String>,
     /// Whether it may run twice.
     pub(super) idempotent: bool,
+    /// When its caller stops waiting.
+    pub(super) deadline: policy::Moment,
     /// Holds the body's share of the process's memory.
     pub(super) _permit: Option<tokio::sync::OwnedSemaphorePermit>,
     /// What operators see of it.
@@ -508,156 +514,3 @@
         let _ = events.send(Event::Probed(desk, to, result));
     });
 }
-
-/// Brings the desks in line with the settings, the list of VMs and what backend servers said.
-pub(super) fn refresh<M: MakePolicy>(core: &sync::Arc<Core<M>>) {
-    let settings = core.shared.settings.load_full();
-    let fleet = core.shared.fleet.load_full();
-    let old = core.desks.load_full();
-    let mut desks = super::Desks::with_capacity(old.len());
-    for service in settings.services() {
-        let desk = old.get(&service.name).cloned().unwrap_or_else(|| {
-            let policy = core.make.make(&core.cfg, &settings, service);
-            sync::Arc::new(Desk::new(service, policy))
-        });
-        desk.body_bytes
-            .store(service.max_body_bytes, atomic::Ordering::Relaxed);
-        set_backends(core, &desk, service, &settings, &fleet);
-        desks.insert(service.name.clone(), desk);
-    }
-    // A service that was taken out ends what it has in hand first.
-    for (name, desk) in old.iter() {
-        if !desks.contains_key(name) && !desk.inner.lock().pending.is_empty() {
-            desks.insert(name.clone(), desk.clone());
-        }
-    }
-    name_entries(core, settings, fleet);
-    if desks.len() != old.len() || desks.keys().any(|name| !old.contains_key(name)) {
-        core.desks.store(sync::Arc::new(desks));
-    }
-}
-
-/// Works out anew which entry VMs look-ups name, if anything that decides it may have changed.
-fn name_entries<M: MakePolicy>(
-    core: &Core<M>,
-    settings: sync::Arc<settings::Settings>,
-    fleet: sync::Arc<fleet::Fleet>,
-) {
-    let old = core.named.load();
-    let same_fleet = sync::Arc::ptr_eq(&old.fleet, &fleet);
-    if !same_fleet {
-        // VMs are replaced all day long; connections to those that went would pile up.
-        let addrs = fleet.addrs();
-        core.client.retain(|addr| addrs.contains(addr));
-    }
-    let same = same_fleet && sync::Arc::ptr_eq(&old.settings, &settings);
-    // A drain begins and ends by the clock, without any change.
-    if same && settings.drains().next().is_none() {
-        return;
-    }
-    let directory = directory::Directory::build(&settings, &fleet, wall_clock_s());
-    core.named.store(sync::Arc::new(super::Named {
-        settings,
-        fleet,
-        directory,
-    }));
-}
-
-fn set_backends<M: MakePolicy>(
-    core: &sync::Arc<Core<M>>,
-    desk: &sync::Arc<Desk<M::Policy>>,
-    service: &settings::Service,
-    settings: &settings::Settings,
-    fleet: &fleet::Fleet,
-) {
-    let now_s = wall_clock_s();
-    let mut inner = desk.inner.lock();
-    let mut backends = collections::BTreeMap::new();
-    let mut shown = Vec::new();
-    for vm in fleet.backends(&service.name, &core.cfg.az) {
-        let known = inner.backends.remove(&vm.id);
-        let known = known.filter(|known| known.addr == vm.addr);
-        let known = known.unwrap_or_else(|| Known {
-            addr: vm.addr,
-            wire: sync::Arc::default(),
-            said_leaving: false,
-        });
-        shown.push(policy::Backend {
-            id: vm.id.clone(),
-            slots: service.slots,
-            leaving: vm.state == store::VmState::Leaving
-                || known.said_leaving
-                || fleet::drained(vm, settings, now_s),
-        });
-        backends.insert(vm.id.clone(), known);
-    }
-    inner.backends = backends;
-    if inner.shown.as_ref() == Some(&shown) {
-        return;
-    }
-    let now = core.now();
-    step(core, desk, &mut inner, |policy, out| {
-        policy.set_backends(now, &shown, out);
-    });
-    inner.shown = Some(shown);
-}
-
-/// Collects what operators see of each service.
-pub(super) fn observe<M: MakePolicy>(core: &sync::Arc<Core<M>>) {
-    let now = core.now();
-    for (name, desk) in core.desks.load().iter() {
-        let (notes, in_hand) = {
-            let mut inner = desk.inner.lock();
-            (inner.policy.notes(), inner.pending.len())
-        };
-        for note in notes {
-            core.observer.noted(now, name, &note);
-        }
-        core.observer.in_hand(name, in_hand as u64);
-    }
-    core.observer.tick(now);
-}
-
-/// Each service's slots and requests in hand.
-pub(super) fn all_in_hand<M: MakePolicy>(
-    core: &Core<M>,
-) -> collections::BTreeMap<id::ServiceId, operators::Service> {
-    let desks = core.desks.load();
-    let of_desk = |desk: &Desk<M::Policy>| {
-        let inner = desk.inner.lock();
-        let working = |pending: &&Pending| !pending.attempts.is_empty();
-        let in_flight = inner.pending.values().filter(working).count() as u64;
-        let shown = inner.shown.iter().flatten().filter(|b| !b.leaving);
-        operators::Service {
-            slots: shown.map(|backend| u64::from(backend.slots)).sum(),
-            in_flight,
-            queued: inner.pending.len() as u64 - in_flight,
-        }
-    };
-    desks
-        .iter()
-        .map(|(name, desk)| (name.clone(), of_desk(desk)))
-        .collect()
-}
-
-/// Requests of this VM that an availability zone works on.
-pub(super) fn in_flight_at<M: MakePolicy>(core: &Core<M>, az: &id::AzId) -> u64 {
-    let there = |place: &Place| match place {
-        Place::Backend(_) => *az == core.cfg.az,
-        Place::Az(to) => to == az,
-    };
-    let desks = core.desks.load();
-    let count = |desk: &sync::Arc<Desk<M::Policy>>| {
-        let inner = desk.inner.lock();
-        let attempts = inner.pending.values().flat_map(|pending| &pending.attempts);
-        attempts.filter(|(place, _)| there(place)).count() as u64
-    };
-    desks.values().map(count).sum()
-}
-
-/// Seconds since 1970, for drains that operators dated.
-pub(super) fn wall_clock_s() -> u64 {
-    time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .map_or(0, |since| since.as_secs())
-}
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -276,6 +276,7 @@
         body: req.body,
         key,
         idempotent: asked.op.idempotent,
+        deadline: arrival.deadline,
         _permit: req.permit,
         _admitted: admitted,
         attempts: Vec::new(),
--- a/tests/path/local.rs
+++ b/tests/path/local.rs
@@ -112,6 +112,14 @@
 
 /// An entry process before backend servers of the ledger.
 pub(crate) fn entry(backends: &[net::SocketAddr]) -> entry::Entry<entry::MakeNaive> {
+    entry_with(entry::MakeNaive, backends)
+}
+
+/// An entry process with a policy of the test's own.
+pub(crate) fn entry_with<M: entry::MakePolicy>(
+    make: M,
+    backends: &[net::SocketAddr],
+) -> entry::Entry<M> {
     let root = path::Path::new("examples/cooperative");
     let shared = sync::Arc::new(entry::Shared::default());
     shared
@@ -135,7 +143,7 @@
         .fleet
         .store(sync::Arc::new(fleet::Fleet::new(vms.collect())));
     let log = logging::silent();
-    let entry = entry::Entry::start_with(cfg, entry::MakeNaive, shared, log).unwrap();
+    let entry = entry::Entry::start_with(cfg, make, shared, log).unwrap();
     testenv::wait_for("the entry process takes requests", || {
         send(
             entry.addr(),
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod cancel;
 mod decisions;
 mod end_to_end;
+mod faulty;
 mod local;
 mod once;
 mod stop;
