--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -23,6 +23,9 @@
     pub command: Command,
 }
 
+/// Sets the shared options apart from a command's own.
+const OF_EVERY: &str = "Options of every command";
+
 /// Where a deployment is.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Place {
@@ -31,18 +34,21 @@
         long,
         short = 'C',
         global = true,
+        help_heading = OF_EVERY,
         default_value = ".",
         env = "BULRUSHWIND_DIR",
         value_name = "DIR"
     )]
     pub dir: path::PathBuf,
     /// Address of the platform's store [default: `store` in deployment.toml]
-    #[arg(long, global = true, env = "BULRUSHWIND_STORE", value_name = "IP:PORT")]
+    #[arg(long, global = true,
+        help_heading = OF_EVERY, env = "BULRUSHWIND_STORE", value_name = "IP:PORT")]
     pub store: Option<net::SocketAddr>,
     /// Public root key that signs the teams' key rings [default: `root_keys` in deployment.toml]
     #[arg(
         long = "root-key",
         global = true,
+        help_heading = OF_EVERY,
         env = "BULRUSHWIND_ROOT_KEYS",
         value_name = "HEX",
         value_delimiter = ','
@@ -53,6 +59,7 @@
     #[arg(
         long = "entry",
         global = true,
+        help_heading = OF_EVERY,
         env = "BULRUSHWIND_ENTRIES",
         value_name = "IP:PORT",
         value_delimiter = ','
@@ -70,13 +77,15 @@
     #[arg(
         long,
         global = true,
+        help_heading = OF_EVERY,
         value_enum,
         default_value_t,
         value_name = "FORMAT"
     )]
     pub format: Format,
     /// When to use colours; NO_COLOR turns them off too
-    #[arg(long, global = true, value_enum, default_value_t, value_name = "WHEN")]
+    #[arg(long, global = true,
+        help_heading = OF_EVERY, value_enum, default_value_t, value_name = "WHEN")]
     pub color: Color,
 }
 
--- a/src/cli/directory.rs
+++ b/src/cli/directory.rs
@@ -155,6 +155,15 @@
             return Err(stray(&path, "finish writing it, or remove it"));
         }
         any |= toml;
+        let len = fs::metadata(&path).map_or(0, |meta| meta.len());
+        if toml && len > settings::MAX_TEAM_BYTES as u64 {
+            let what = format!("the file has {len} bytes");
+            let remedy = format!(
+                "keep all of a team's files under {} bytes",
+                settings::MAX_TEAM_BYTES
+            );
+            return Err(half_written(&path, &what, &remedy));
+        }
     }
     if any {
         return Ok(());
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -184,11 +184,21 @@
     write(cx, &plan, &remote, &args.signing)
 }
 
+/// The largest kept plan that is read, in bytes: some teams of the largest size.
+const MAX_PLAN_BYTES: u64 = 64 << 20;
+
 fn read_plan(path: &path::Path) -> Result<plan::Plan, error::Error> {
-    let text = fs::read(path).map_err(|source| error::Error::Read {
+    let read = |source| error::Error::Read {
         path: path.to_owned(),
         source,
-    })?;
+    };
+    if fs::metadata(path).map_err(read)?.len() > MAX_PLAN_BYTES {
+        return Err(error::Error::Config(format!(
+            "{}: over {MAX_PLAN_BYTES} bytes; this is not a plan that `bulrushwind plan --out` kept",
+            path.display()
+        )));
+    }
+    let text = fs::read(path).map_err(read)?;
     serde_json::from_slice(&text).map_err(|err| {
         error::Error::Config(format!(
             "{}: {err}; make the plan again with `bulrushwind plan --out`",
