--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -298,7 +298,7 @@
             return self.give_up_on(now, pending, why, out);
         }
         if self.queue.len() >= self.cfg.queue.most {
-            match self.queue.displace(kind) {
+            match self.queue.displace(&self.cfg.queue, kind) {
                 Some(item) => self.give_up(now, item.id, Refusal::Overload, out),
                 None => return self.give_up_on(now, pending, Refusal::Overload, out),
             }
@@ -420,8 +420,7 @@
             Ended::Answered => {
                 member.crashed = member.crashed.filter(|at| attempt.at <= *at);
                 member.took(&cfg.members, took, attempt.typical);
-                let queued = member.trust.believed(&cfg.trust, now).map(|r| r.queued);
-                member.limit.answered(&cfg.limit, queued, member.pace);
+                member.limit.answered(&cfg.limit);
                 member.ramp.answered();
                 member.health.answered(&cfg.ejection);
             }
