--- a/src/decisions/probe.rs
+++ b/src/decisions/probe.rs
@@ -1,7 +1,7 @@
 //! When a backend server is asked how it is.
 //!
-//! Load pattern: any. A probe occupies a slot for about 6 ms, a sixth of a percent of a backend
-//! server for each one a second. Without probes, one that is out can only be tried with callers'
+//! Load pattern: any. A probe occupies a slot for about 6 ms, a fifth of a percent of a backend
+//! server of 3 slots for each one a second. Without probes, one that is out can only be tried with callers'
 //! requests; with too many, each VM's probes take slots from callers. One notices it as probes
 //! that are a visible share of attempts.
 //!
--- a/src/decisions/retry.rs
+++ b/src/decisions/retry.rs
@@ -24,7 +24,7 @@
     /// Attempts after the first for one request.
     pub most: u32,
     /// A read is tried elsewhere as well once it has taken this many times its usual time.
-    /// Work varies by about a half, and three times it is beyond 99 of 100 answers.
+    /// Work varies by about a half, and four times it is beyond 99 of 100 answers.
     pub hedge_after: f64,
     /// It is not tried elsewhere sooner than this, because ticks are 10 ms apart.
     pub hedge_least: time::Duration,
