Serve the stand-in store by our own listener, which answers every call

Cause: tests with many processes failed now and then because a call to the stand-in store was not answered for 30 s. Where two connections came at once and one thread of tiny_http was idle, the second waited until some kept connection closed. Ruled out: the store's own threads, of which 64 wait for calls.

Change: the stand-in store sits behind transport::server, as the stand-in backend server does already.

--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -10,14 +10,21 @@
 use std::thread;
 use std::time;
 
+use crossbeam::channel;
+use hyper::StatusCode;
+
 use super::control;
 use crate::coordination::{store, store_http};
 use crate::id;
+use crate::transport::server;
 use store::Store;
 
 /// The largest value, as on the platform.
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// The largest call: a value as JSON, a number for each byte.
+const MAX_CALL_BYTES: usize = 5 << 20;
+
 /// How many writes the history keeps before a watch gets a gap.
 const HISTORY: usize = 4096;
 
@@ -324,64 +331,84 @@
 
 /// A store that answers over HTTP until it is dropped.
 pub struct Server {
-    addr: net::SocketAddr,
-    http: sync::Arc<tiny_http::Server>,
-    threads: Vec<thread::JoinHandle<()>>,
+    server: server::Server,
+    /// Dropped last: every connection lives on it.
+    _runtime: tokio::runtime::Runtime,
 }
 
 impl Server {
     /// Where it listens.
     pub fn addr(&self) -> net::SocketAddr {
-        self.addr
+        self.server.addr()
     }
 }
 
-impl Drop for Server {
-    fn drop(&mut self) {
-        for _ in &self.threads {
-            self.http.unblock();
-        }
+#[derive(Clone)]
+struct Sink(channel::Sender<server::Request>);
+
+impl server::Sink for Sink {
+    fn request(&self, req: server::Request) {
+        let _ = self.0.send(req);
+    }
+
+    fn gone(&self, _id: u64) {}
+
+    fn fault(&self, _id: u64, _fault: server::Fault) -> server::Answer {
+        status(StatusCode::INTERNAL_SERVER_ERROR)
     }
 }
 
 /// Answers the store's wire on `addr`. `threads` calls are answered at a time; a waiting watch
 /// holds one of them.
 pub fn serve(memory: &Memory, addr: net::SocketAddr, threads: usize) -> io::Result<Server> {
-    let http = tiny_http::Server::http(addr).map_err(io::Error::other)?;
-    let bound = http.server_addr().to_ip().unwrap_or(addr);
-    let http = sync::Arc::new(http);
-    let threads = (0..threads)
-        .map(|_| {
-            let (http, memory) = (http.clone(), memory.clone());
-            thread::spawn(move || {
-                while let Ok(req) = http.recv() {
-                    answer(&memory, req);
-                }
-            })
-        })
-        .collect();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()?;
+    let (tx, rx) = channel::unbounded();
+    let limits = server::Limits {
+        body_bytes: MAX_CALL_BYTES,
+        ..server::Limits::default()
+    };
+    let server = server::start(runtime.handle(), addr, limits, Sink(tx))?;
+    for _ in 0..threads {
+        let (rx, memory) = (rx.clone(), memory.clone());
+        thread::spawn(move || {
+            while let Ok(req) = rx.recv() {
+                answer(&memory, req);
+            }
+        });
+    }
     Ok(Server {
-        addr: bound,
-        http,
-        threads,
+        server,
+        _runtime: runtime,
     })
 }
 
-fn answer(memory: &Memory, mut req: tiny_http::Request) {
-    if req.url() == control::PATH {
-        return change(memory, req);
+fn status(status: StatusCode) -> server::Answer {
+    server::Answer {
+        status,
+        ..server::Answer::default()
     }
-    let call = match serde_json::from_reader(req.as_reader()) {
+}
+
+fn answer(memory: &Memory, req: server::Request) {
+    if req.uri.path() == control::PATH {
+        return req.reply.send(change(memory, &req.body));
+    }
+    let call = match serde_json::from_slice(&req.body) {
         Ok(call) => call,
         Err(err) => {
-            let text = format!("not a call of the store: {err}");
-            let _ = req.respond(tiny_http::Response::from_string(text).with_status_code(400));
-            return;
+            return req.reply.send(server::Answer {
+                status: StatusCode::BAD_REQUEST,
+                body: format!("not a call of the store: {err}").into(),
+                ..server::Answer::default()
+            });
         }
     };
     let reply = match perform(memory, call) {
-        // A lost reply is a closed connection without an answer.
-        Err(store::Error::Unknown(_)) => return drop(req.into_writer()),
+        // A lost reply is no answer to the call.
+        Err(store::Error::Unknown(_)) => return,
         Err(store::Error::Unavailable(why)) => store_http::Reply::Unavailable(why),
         Err(store::Error::Conflict { key, now }) => store_http::Reply::Conflict { key, now },
         Err(store::Error::LeaseGone) => store_http::Reply::LeaseGone,
@@ -389,18 +416,20 @@
         Ok(reply) => reply,
     };
     let body = serde_json::to_vec(&reply).expect("a reply has only values that JSON can hold");
-    let _ = req.respond(tiny_http::Response::from_data(body));
+    req.reply.send(server::Answer {
+        body: body.into(),
+        ..server::Answer::default()
+    });
 }
 
-fn change(memory: &Memory, mut req: tiny_http::Request) {
-    let status = match serde_json::from_reader(req.as_reader()) {
+fn change(memory: &Memory, body: &[u8]) -> server::Answer {
+    match serde_json::from_slice(body) {
         Ok(control) => {
             control::perform(memory, control);
-            200
+            status(StatusCode::OK)
         }
-        Err(_) => 400,
-    };
-    let _ = req.respond(tiny_http::Response::empty(status));
+        Err(_) => status(StatusCode::BAD_REQUEST),
+    }
 }
 
 fn perform(memory: &Memory, call: store_http::Call) -> Result<store_http::Reply, store::Error> {
@@ -477,6 +506,29 @@
         assert_eq!(client.get("k").unwrap().unwrap().value, b"1");
     }
 
+    /// Many processes start at once, and each keeps its connection. A call that waits for another
+    /// process's connection to close makes a test fail that has nothing to do with it.
+    #[test]
+    fn calls_that_come_at_once_are_all_answered() {
+        for _ in 0..20 {
+            let memory = Memory::default();
+            let server = serve(&memory, "127.0.0.1:0".parse().unwrap(), 8).unwrap();
+            let addr = server.addr();
+            let start = sync::Barrier::new(40);
+            thread::scope(|scope| {
+                for _ in 0..40 {
+                    scope.spawn(|| {
+                        let client = store_http::Client::new(addr);
+                        start.wait();
+                        let answer = client.get("k").map_err(|err| err.to_string());
+                        start.wait();
+                        assert_eq!(answer, Ok(None));
+                    });
+                }
+            });
+        }
+    }
+
     #[test]
     fn keys_go_with_their_lease() {
         let memory = Memory::default();
