--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -4,16 +4,34 @@
 //! hide what operators need to see most just then, and callers could read what is none of their
 //! business. It only reads: nothing that it answers changes the process.
 
+use std::io;
 use std::net;
 use std::sync;
 use std::thread;
 
+use bytes::Bytes;
+use crossbeam::channel;
+use hyper::{Method, StatusCode, Uri, header};
+
+use super::server;
 use crate::protocol::operators;
 use crate::{error, metrics};
 
-/// Threads that answer operators. One slow reader must not hold up the health check.
+/// Threads that answer operators. A long history must not hold up the health check.
 const THREADS: usize = 3;
 
+/// Questions that wait for one of them. More are turned away.
+const WAITING: usize = 64;
+
+/// Connections at a time.
+const CONNECTIONS: usize = 256;
+
+/// The bytes of a body, which nothing here has a use for.
+const BODY_BYTES: usize = 1024;
+
+/// What the answers are that are no metrics.
+const JSON_TYPE: &str = "application/json";
+
 /// What the text of metrics is, to those who scrape it.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
@@ -34,105 +52,136 @@
 
 /// The listener, until it is dropped.
 pub struct Server {
-    http: sync::Arc<tiny_http::Server>,
-    addr: net::SocketAddr,
+    server: server::Server,
+    /// Dropped last: every connection lives on it.
+    _runtime: tokio::runtime::Runtime,
 }
 
 impl Server {
     /// Where it listens.
     pub fn addr(&self) -> net::SocketAddr {
-        self.addr
+        self.server.addr()
     }
 }
 
-impl Drop for Server {
-    fn drop(&mut self) {
-        for _ in 0..THREADS {
-            self.http.unblock();
+/// Hands requests to the threads that answer.
+#[derive(Clone)]
+struct Sink(channel::Sender<server::Request>);
+
+impl server::Sink for Sink {
+    fn request(&self, req: server::Request) {
+        if let Err(channel::TrySendError::Full(req)) = self.0.try_send(req) {
+            let busy = "too many questions at once; ask again in a second\n";
+            req.reply.send(text(StatusCode::SERVICE_UNAVAILABLE, busy));
         }
     }
+
+    fn gone(&self, _id: u64) {}
+
+    fn fault(&self, _id: u64, _fault: server::Fault) -> server::Answer {
+        let unread = "the request was not understood; send a GET without a body\n";
+        text(StatusCode::BAD_REQUEST, unread)
+    }
 }
 
 /// Answers operators on `addr`.
 pub fn serve<S: Source>(addr: net::SocketAddr, source: S) -> Result<Server, error::Error> {
-    let http = tiny_http::Server::http(addr).map_err(|err| error::Error::Bind {
+    let bind = |err: io::Error| error::Error::Bind {
         addr: addr.to_string(),
         setting: "operators_listen",
         reason: err.to_string(),
-    })?;
-    let addr = http.server_addr().to_ip().unwrap_or(addr);
-    let http = sync::Arc::new(http);
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .thread_name("operators")
+        .enable_all()
+        .build()
+        .map_err(bind)?;
+    let (tx, rx) = channel::bounded(WAITING);
+    let limits = server::Limits {
+        connections: CONNECTIONS,
+        body_bytes: BODY_BYTES,
+        ..server::Limits::default()
+    };
+    let server = server::start(runtime.handle(), addr, limits, Sink(tx)).map_err(bind)?;
     let source = sync::Arc::new(source);
     for _ in 0..THREADS {
-        let (http, source) = (http.clone(), source.clone());
+        let (rx, source) = (rx.clone(), source.clone());
         thread::spawn(move || {
-            while let Ok(req) = http.recv() {
-                let res = answer(&req, &*source);
-                // Whoever asked and went away needs no answer.
-                let _ = req.respond(res);
+            while let Ok(req) = rx.recv() {
+                let told = answer(&req.method, &req.uri, &*source);
+                req.reply.send(told);
             }
         });
     }
-    Ok(Server { http, addr })
+    Ok(Server {
+        server,
+        _runtime: runtime,
+    })
 }
 
-type Answer = tiny_http::Response<std::io::Cursor<Vec<u8>>>;
-
-fn answer<S: Source>(req: &tiny_http::Request, source: &S) -> Answer {
-    if *req.method() != tiny_http::Method::Get {
-        return text(405, "only GET is answered here\n".to_owned());
+fn answer<S: Source>(method: &Method, uri: &Uri, source: &S) -> server::Answer {
+    if *method != Method::GET {
+        let only_get = "only GET is answered here\n";
+        return text(StatusCode::METHOD_NOT_ALLOWED, only_get);
     }
-    let (path, query) = req.url().split_once('?').unwrap_or((req.url(), ""));
-    match path {
-        "/health" => text(200, "ok\n".to_owned()),
+    let query = uri.query().unwrap_or_default();
+    match uri.path() {
+        "/health" => text(StatusCode::OK, "ok\n"),
         "/ready" => ready(&source.status().not_ready),
         "/metrics" => {
             source.refresh();
-            text(200, metrics::exporter().render()).with_header(header(METRICS_TYPE))
+            typed(METRICS_TYPE, metrics::exporter().render())
         }
         "/status" => {
             let status = serde_json::to_string(&source.status());
-            json(status.expect("a status has only values that JSON can hold"))
+            typed(
+                JSON_TYPE,
+                status.expect("a status has only values that JSON can hold"),
+            )
         }
-        "/history" => json(source.history(query)),
+        "/history" => typed(JSON_TYPE, source.history(query)),
         "/explain" => explain(query, source),
         _ => text(
-            404,
-            "ask for /metrics, /health, /ready, /status, /history or /explain?request=ID\n"
-                .to_owned(),
+            StatusCode::NOT_FOUND,
+            "ask for /metrics, /health, /ready, /status, /history or /explain?request=ID\n",
         ),
     }
 }
 
 /// A request is named as in its answer's header, or by its number alone.
-fn explain<S: Source>(query: &str, source: &S) -> Answer {
+fn explain<S: Source>(query: &str, source: &S) -> server::Answer {
     let name = query.strip_prefix("request=").unwrap_or_default();
     match name.rsplit('-').next().unwrap_or_default().parse() {
-        Ok(request) => json(source.explain(request)),
+        Ok(request) => typed(JSON_TYPE, source.explain(request)),
         Err(_) => text(
-            400,
-            "give the request's id: /explain?request=ID\n".to_owned(),
+            StatusCode::BAD_REQUEST,
+            "give the request's id: /explain?request=ID\n",
         ),
     }
 }
 
-fn ready(not_ready: &[String]) -> Answer {
+fn ready(not_ready: &[String]) -> server::Answer {
     if not_ready.is_empty() {
-        return text(200, "ready\n".to_owned());
+        return text(StatusCode::OK, "ready\n");
     }
-    text(503, format!("{}\n", not_ready.join("\n")))
+    let why = format!("{}\n", not_ready.join("\n"));
+    text(StatusCode::SERVICE_UNAVAILABLE, why)
 }
 
-fn json(body: String) -> Answer {
-    text(200, body).with_header(header("application/json"))
-}
-
-fn text(status: u16, body: String) -> Answer {
-    tiny_http::Response::from_string(body).with_status_code(status)
+fn text(status: StatusCode, body: impl Into<Bytes>) -> server::Answer {
+    server::Answer {
+        status,
+        body: body.into(),
+        ..server::Answer::default()
+    }
 }
 
-fn header(value: &str) -> tiny_http::Header {
-    tiny_http::Header::from_bytes("Content-Type", value).expect("our own values are sound")
+fn typed(content_type: &'static str, body: String) -> server::Answer {
+    let mut told = text(StatusCode::OK, body);
+    let value = header::HeaderValue::from_static(content_type);
+    told.headers.insert(header::CONTENT_TYPE, value);
+    told
 }
 
 #[cfg(test)]
@@ -182,6 +231,26 @@
         assert_eq!(get(&server, "/explain?request=none").0, 400);
     }
 
+    /// Several tools keep their connections open and others ask at once. A health check that waits
+    /// for one of those connections to close would have a sound VM replaced.
+    #[test]
+    fn questions_that_come_at_once_are_all_answered() {
+        let server = serve("127.0.0.1:0".parse().unwrap(), Starting).unwrap();
+        let addr = server.addr();
+        let start = sync::Barrier::new(40);
+        thread::scope(|scope| {
+            for _ in 0..40 {
+                scope.spawn(|| {
+                    let agent = ureq::Agent::new_with_defaults();
+                    start.wait();
+                    let asked = agent.get(format!("http://{addr}/health")).call();
+                    start.wait();
+                    assert_eq!(asked.unwrap().status(), 200);
+                });
+            }
+        });
+    }
+
     /// A script posts to the operators' listener. Nothing there may change the process.
     #[test]
     fn nothing_can_be_written() {
