Tell other entry VMs of requests that crash backend servers

Cause: a request that was banned at one entry VM crashed two more backend servers behind each other one that its caller sent it through.

Change: each policy hands out its new bans every 100 ms; they go to all linked VMs as a peer message of at most 64, are taken in for at most the ban's own length, and are counted and logged there.

Figures: without the telling, the other entry VM never refuses the request (test fails); with it the request is refused as not run there, and others are answered.

--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -194,16 +194,6 @@
         &mut self.across
     }
 
-    /// Requests that came to be banned since the last call, to be told to other VMs.
-    pub fn bans(&mut self, now: Moment) -> Vec<quarantine::Entry> {
-        self.quarantine.export(now)
-    }
-
-    /// Another VM tells of a banned request.
-    pub fn ban(&mut self, now: Moment, entry: quarantine::Entry) {
-        self.quarantine.import(&self.cfg.quarantine, now, entry);
-    }
-
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.queue.len() + self.suspects.len()
@@ -548,6 +538,14 @@
         Some(&mut self.across)
     }
 
+    fn bans(&mut self, now: Moment) -> Vec<quarantine::Entry> {
+        self.quarantine.export(now)
+    }
+
+    fn ban(&mut self, now: Moment, entry: quarantine::Entry) {
+        self.quarantine.import(&self.cfg.quarantine, now, entry);
+    }
+
     fn arrive(&mut self, now: Moment, req: policy::Arrival, out: &mut Vec<Action>) {
         if req.origin == Origin::Caller {
             self.across.arrived(now);
--- a/src/decisions/policy.rs
+++ b/src/decisions/policy.rs
@@ -6,7 +6,7 @@
 
 use std::time;
 
-use super::{across, note};
+use super::{across, note, quarantine};
 use crate::id;
 
 /// A point in time: how long the process has run.
@@ -218,6 +218,14 @@
         None
     }
 
+    /// Requests that came to be banned since the last call, to be told to other VMs.
+    fn bans(&mut self, _now: Moment) -> Vec<quarantine::Entry> {
+        Vec::new()
+    }
+
+    /// Another VM tells of a banned request.
+    fn ban(&mut self, _now: Moment, _entry: quarantine::Entry) {}
+
     /// What was decided beside the actions since the last call, for the logs.
     fn notes(&mut self) -> Vec<note::Note> {
         Vec::new()
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -129,6 +129,11 @@
         self.inner.lock().policy.across().map(ask)
     }
 
+    /// Asks the policy something that leads to no action.
+    pub(super) fn with_policy<R>(&self, ask: impl FnOnce(&mut P) -> R) -> R {
+        ask(&mut self.inner.lock().policy)
+    }
+
     /// Requests in hand.
     pub(super) fn pending(&self) -> u32 {
         u32::try_from(self.inner.lock().pending.len()).unwrap_or(u32::MAX)
--- a/src/entry/observe.rs
+++ b/src/entry/observe.rs
@@ -11,7 +11,7 @@
 
 use parking_lot::Mutex;
 
-use crate::decisions::{note, policy};
+use crate::decisions::{note, policy, quarantine};
 use crate::protocol::{headers, outcome};
 use crate::state::{explain, totals};
 use crate::{id, logging, metrics as names, settings};
@@ -241,6 +241,31 @@
                 }
             }
         };
+        self.warn(now, event, service, vm, &detail);
+    }
+
+    /// Another entry VM told of a request that crashes backend servers.
+    pub(super) fn told_of_ban(
+        &self,
+        now: Moment,
+        service: &id::ServiceId,
+        from: &id::VmId,
+        entry: &quarantine::Entry,
+    ) {
+        let label = self.services.label(service.as_str());
+        metrics::counter!(names::QUARANTINES, "service" => label).increment(1);
+        let print = format!("{:016x}", entry.fingerprint.0);
+        self.warn(now, "quarantined_by_peer", service, from, &print);
+    }
+
+    fn warn(
+        &self,
+        now: Moment,
+        event: &'static str,
+        service: &id::ServiceId,
+        vm: &id::VmId,
+        detail: &str,
+    ) {
         let Some(held_back) = self.limiter.admit(event, now) else {
             return metrics::counter!(names::LOG_SUPPRESSED, "event" => event).increment(1);
         };
--- a/src/entry/steer.rs
+++ b/src/entry/steer.rs
@@ -20,6 +20,7 @@
 use crate::state::fleet;
 use crate::transport::server;
 use crate::{id, settings};
+use policy::Policy;
 
 /// How often wishes and loads are looked at.
 pub(super) const EVERY: time::Duration = time::Duration::from_millis(100);
@@ -234,11 +235,44 @@
             }
         }
         peer::Message::Plan(plan) => offer(core, peers, plan, from),
+        peer::Message::Bans(bans) => take_bans(core, now, from, bans),
         _ => return false,
     }
     true
 }
 
+/// A request that crashed backend servers here would crash as many more behind each other entry
+/// VM that it is sent through, so every VM that is linked is told.
+fn tell_bans<P: Policy>(
+    desk: &desk::Desk<P>,
+    now: policy::Moment,
+    peers: &peers::Peers,
+    service: &id::ServiceId,
+) {
+    let entries = desk.with_policy(|policy| policy.bans(now));
+    for entries in entries.chunks(peer::MAX_BANS) {
+        let bans = peer::Bans {
+            service: service.clone(),
+            entries: entries.to_vec(),
+        };
+        peers.to_all(None, &peer::Message::Bans(bans));
+    }
+}
+
+fn take_bans<M: MakePolicy>(
+    core: &Core<M>,
+    now: policy::Moment,
+    from: &id::VmId,
+    bans: &peer::Bans,
+) {
+    let desk = core.desks.load().get(&bans.service).cloned();
+    let Some(desk) = desk else { return };
+    for entry in bans.entries.iter().take(peer::MAX_BANS) {
+        desk.with_policy(|policy| policy.ban(now, *entry));
+        core.observer.told_of_ban(now, &bans.service, from, entry);
+    }
+}
+
 /// Takes a version of the plan in and passes it on if it is new.
 fn offer<M: MakePolicy>(core: &Core<M>, peers: &peers::Peers, plan: &plan::Plan, from: &id::VmId) {
     let news = core
@@ -274,6 +308,9 @@
         let Some(desk) = core.desks.load().get(&service.name).cloned() else {
             continue;
         };
+        if let Some(peers) = peers {
+            tell_bans(&desk, now, peers, &service.name);
+        }
         let routes = routes(core, &settings, service, &drained);
         let cfg = across::Config {
             caps: caps::Config::of(service),
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -10,12 +10,16 @@
 use std::time;
 
 use crate::coordination::store;
-use crate::decisions::{grants, plan};
+use crate::decisions::{grants, plan, quarantine};
 use crate::id;
 
 /// The largest message, in bytes: a store value of 1 MB and what goes around it.
 pub const MAX_BYTES: usize = 1_250_000;
 
+/// Bans that are taken from one message. A service that has more at once has another fault, and a
+/// peer that sends more is not to fill our table.
+pub const MAX_BANS: usize = 64;
+
 /// How deep a message may nest. A peer that nests deeper would cost us our stack.
 const MAX_DEPTH: usize = 24;
 
@@ -65,6 +69,16 @@
         Granted(Granted),
         /// The newest version of the steering plan that the sender knows.
         Plan(plan::Plan),
+        /// Requests that crashed backend servers.
+        Bans(Bans),
+    }
+
+    /// Requests of one service that are refused for a while because they crash backend servers.
+    pub struct Bans {
+        /// The service.
+        pub service: id::ServiceId,
+        /// What is banned, at most [`MAX_BANS`].
+        pub entries: Vec<quarantine::Entry>,
     }
 
     /// What one entry VM has in hand.
--- a/tests/steering_path.rs
+++ b/tests/steering_path.rs
@@ -7,9 +7,11 @@
 use std::time;
 
 use bulrushwind::coordination::store;
+use bulrushwind::decisions::{across, naive, policy, quarantine};
 use bulrushwind::protocol::{headers, outcome};
 use bulrushwind::standin::{backend, caller, operator, store as standin};
-use bulrushwind::{config, entry, logging};
+use bulrushwind::{config, entry, id, logging, settings};
+use policy::{Action, Policy};
 
 /// How long a condition may take. Far more than any machine needs.
 const LIMIT: time::Duration = time::Duration::from_secs(60);
@@ -49,6 +51,34 @@
 typical_ms = 40.0
 "#;
 
+/// Starts an entry VM and puts it on the platform's list.
+fn start_entry<M: entry::MakePolicy>(
+    platform: &standin::Memory,
+    name: &str,
+    az: &str,
+    make: M,
+) -> entry::Entry<M> {
+    let cfg = config::Config {
+        vm: name.into(),
+        az: az.into(),
+        root_keys: vec![operator::root().public()],
+        peer_secrets: vec![SECRET.to_owned().into()],
+        ..config::Config::default()
+    };
+    let log = logging::silent();
+    let entry = entry::Entry::start(cfg, make, platform.clone(), log).unwrap();
+    platform.put_vm(store::Vm {
+        id: name.into(),
+        az: az.into(),
+        addr: entry.addr(),
+        role: store::VmRole::Entry {
+            peers: entry.peers_addr().unwrap(),
+        },
+        state: store::VmState::Live,
+    });
+    entry
+}
+
 struct Fleet {
     platform: standin::Memory,
     entries: Vec<entry::Entry<entry::MakeDispatch>>,
@@ -105,25 +135,7 @@
 
     fn add_entry(&mut self, az: &str) {
         let name = format!("entry-{az}");
-        let cfg = config::Config {
-            vm: name.as_str().into(),
-            az: az.into(),
-            root_keys: vec![operator::root().public()],
-            peer_secrets: vec![SECRET.to_owned().into()],
-            ..config::Config::default()
-        };
-        let log = logging::silent();
-        let entry =
-            entry::Entry::start(cfg, entry::MakeDispatch, self.platform.clone(), log).unwrap();
-        self.platform.put_vm(store::Vm {
-            id: name.as_str().into(),
-            az: az.into(),
-            addr: entry.addr(),
-            role: store::VmRole::Entry {
-                peers: entry.peers_addr().unwrap(),
-            },
-            state: store::VmState::Live,
-        });
+        let entry = start_entry(&self.platform, &name, az, entry::MakeDispatch);
         self.entries.push(entry);
     }
 
@@ -248,3 +260,114 @@
     }
     assert!(fleet.runs().is_empty());
 }
+
+/// Bans the first request that it sees, as if it had crashed two backend servers, and tells of it
+/// again and again, as links may not be up the first time.
+struct Banning {
+    naive: naive::Naive,
+    banned: Option<policy::Fingerprint>,
+}
+
+struct MakeBanning;
+
+impl entry::MakePolicy for MakeBanning {
+    type Policy = Banning;
+
+    fn make(
+        &self,
+        _cfg: &config::Config,
+        _settings: &settings::Settings,
+        _service: &settings::Service,
+    ) -> Banning {
+        Banning {
+            naive: naive::Naive::new(naive::Config::default()),
+            banned: None,
+        }
+    }
+}
+
+impl Policy for Banning {
+    fn arrive(&mut self, now: policy::Moment, req: policy::Arrival, out: &mut Vec<Action>) {
+        self.banned = self.banned.or(Some(req.fingerprint));
+        self.naive.arrive(now, req, out);
+    }
+
+    fn across(&mut self) -> Option<&mut across::Across> {
+        None
+    }
+
+    fn bans(&mut self, _now: policy::Moment) -> Vec<quarantine::Entry> {
+        let left = time::Duration::from_secs(60);
+        let entry = |fingerprint| quarantine::Entry { fingerprint, left };
+        self.banned.map(entry).into_iter().collect()
+    }
+
+    fn ended(
+        &mut self,
+        now: policy::Moment,
+        req: policy::RequestId,
+        at: &policy::Place,
+        how: policy::Ended,
+        report: Option<policy::Report>,
+        out: &mut Vec<Action>,
+    ) {
+        self.naive.ended(now, req, at, how, report, out);
+    }
+
+    fn gone(&mut self, now: policy::Moment, req: policy::RequestId, out: &mut Vec<Action>) {
+        self.naive.gone(now, req, out);
+    }
+
+    fn tick(&mut self, now: policy::Moment, out: &mut Vec<Action>) {
+        self.naive.tick(now, out);
+    }
+
+    fn set_backends(
+        &mut self,
+        now: policy::Moment,
+        backends: &[policy::Backend],
+        out: &mut Vec<Action>,
+    ) {
+        self.naive.set_backends(now, backends, out);
+    }
+
+    fn report(
+        &mut self,
+        now: policy::Moment,
+        from: &id::VmId,
+        report: Option<policy::Report>,
+        out: &mut Vec<Action>,
+    ) {
+        self.naive.report(now, from, report, out);
+    }
+}
+
+/// A request crashes backend servers behind one entry VM, and its caller sends it through another.
+/// If that one did not know, the request would crash two more there, and so on through the fleet.
+#[test]
+fn a_request_that_is_banned_at_one_entry_vm_is_refused_at_another() {
+    let mut fleet = Fleet::start(8);
+    let other = fleet.entries.pop().unwrap();
+    let banning = start_entry(&fleet.platform, "entry-a-2", "a", MakeBanning);
+    let caller = caller::Caller::default();
+    let killer = caller::Ask {
+        path: "/ledger/bays?kills",
+        ..caller::Ask::default()
+    };
+    wait_for("the request was seen where it is banned", || {
+        let told = caller.ask(banning.addr(), &killer);
+        told.is_ok_and(|told| told.status == 200)
+    });
+    wait_for("the other entry VM refuses it as not run", || {
+        let told = caller.ask(other.addr(), &killer).unwrap();
+        let quarantined = told
+            .problem()
+            .is_some_and(|body| body.reason == "quarantined");
+        quarantined && told.outcome == Some(outcome::Outcome::NotRun)
+    });
+    let others = caller::Ask {
+        path: "/ledger/bays?others",
+        ..caller::Ask::default()
+    };
+    assert_eq!(caller.ask(other.addr(), &others).unwrap().status, 200);
+}
