--- a/examples/cost.rs
+++ b/examples/cost.rs
@@ -2,11 +2,7 @@
 //!
 //! Starts a stand-in store, backend servers and entry processes, leaves them idle, then sends
 //! requests at a steady rate, and reads `/proc` before and after each phase. Bytes are those of the
-//! whole loopback device divided by the entry processes, so run it alone in a network namespace:
-//!
-//! ```text
-//! unshare -n sh -c 'ip link set lo up && target/release/examples/cost'
-//! ```
+//! whole loopback device divided by the entry processes, so run it with nothing else on loopback.
 
 use std::fs;
 use std::net;
