Answer operators and the stand-in store through one pool; share altered policies

Cause: the two listeners held the same runtime, channel and threads, and two tests the same wrapper around the naive policy.

Change: transport::pool is the one piece; standin::altered the other. The stand-in store now bounds what waits, and a dropped question has its own answer.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -29,7 +29,7 @@
 use crate::coordination::{driver, store, store_http};
 use crate::decisions::{across, dispatch, naive, policy};
 use crate::state::{directory, fleet, keys, lookup};
-use crate::transport::{client, operators, server};
+use crate::transport::{client, operators, pool, server};
 use crate::{config, error, id, metrics, protocol, settings};
 use policy::Policy;
 
@@ -238,7 +238,7 @@
     core: sync::Arc<Core<M>>,
     server: server::Server,
     driver: Option<driver::Driver>,
-    operators: operators::Server,
+    operators: pool::Pool,
     /// Dropped last: every connection lives on it.
     _runtime: tokio::runtime::Runtime,
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! They exist for the tests, the benchmarks and the example; no product code uses them.
 
+pub mod altered;
 pub mod backend;
 pub mod caller;
 pub mod control;
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -10,13 +10,12 @@
 use std::thread;
 use std::time;
 
-use crossbeam::channel;
 use hyper::StatusCode;
 
 use super::control;
 use crate::coordination::{store, store_http};
 use crate::id;
-use crate::transport::server;
+use crate::transport::{pool, server};
 use store::Store;
 
 /// The largest value, as on the platform.
@@ -25,6 +24,9 @@
 /// The largest call: a value as JSON, a number for each byte.
 const MAX_CALL_BYTES: usize = 5 << 20;
 
+/// Calls that wait for a thread.
+const MAX_WAITING: usize = 4096;
+
 /// How many writes the history keeps before a watch gets a gap.
 const HISTORY: usize = 4096;
 
@@ -329,60 +331,28 @@
     }
 }
 
-/// A store that answers over HTTP until it is dropped.
-pub struct Server {
-    server: server::Server,
-    /// Dropped last: every connection lives on it.
-    _runtime: tokio::runtime::Runtime,
-}
-
-impl Server {
-    /// Where it listens.
-    pub fn addr(&self) -> net::SocketAddr {
-        self.server.addr()
-    }
-}
-
-#[derive(Clone)]
-struct Sink(channel::Sender<server::Request>);
-
-impl server::Sink for Sink {
-    fn request(&self, req: server::Request) {
-        let _ = self.0.send(req);
+impl pool::Handler for Memory {
+    fn handle(&self, req: server::Request) {
+        answer(self, req);
     }
 
-    fn gone(&self, _id: u64) {}
-
-    fn fault(&self, _id: u64, _fault: server::Fault) -> server::Answer {
+    fn fault(&self, _fault: server::Fault) -> server::Answer {
         status(StatusCode::INTERNAL_SERVER_ERROR)
     }
 }
 
 /// Answers the store's wire on `addr`. `threads` calls are answered at a time; a waiting watch
 /// holds one of them.
-pub fn serve(memory: &Memory, addr: net::SocketAddr, threads: usize) -> io::Result<Server> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build()?;
-    let (tx, rx) = channel::unbounded();
-    let limits = server::Limits {
-        body_bytes: MAX_CALL_BYTES,
-        ..server::Limits::default()
+pub fn serve(memory: &Memory, addr: net::SocketAddr, threads: usize) -> io::Result<pool::Pool> {
+    let cfg = pool::Config {
+        threads,
+        waiting: MAX_WAITING,
+        limits: server::Limits {
+            body_bytes: MAX_CALL_BYTES,
+            ..server::Limits::default()
+        },
     };
-    let server = server::start(runtime.handle(), addr, limits, Sink(tx))?;
-    for _ in 0..threads {
-        let (rx, memory) = (rx.clone(), memory.clone());
-        thread::spawn(move || {
-            while let Ok(req) = rx.recv() {
-                answer(&memory, req);
-            }
-        });
-    }
-    Ok(Server {
-        server,
-        _runtime: runtime,
-    })
+    pool::serve(addr, cfg, memory.clone())
 }
 
 fn status(status: StatusCode) -> server::Answer {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,4 +3,5 @@
 pub mod client;
 pub mod operators;
 pub mod peer;
+pub mod pool;
 pub mod server;
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -4,16 +4,12 @@
 //! hide what operators need to see most just then, and callers could read what is none of their
 //! business. It only reads: nothing that it answers changes the process.
 
-use std::io;
 use std::net;
-use std::sync;
-use std::thread;
 
 use bytes::Bytes;
-use crossbeam::channel;
 use hyper::{Method, StatusCode, Uri, header};
 
-use super::server;
+use super::{pool, server};
 use crate::protocol::operators;
 use crate::{error, metrics};
 
@@ -50,73 +46,48 @@
     fn refresh(&self) {}
 }
 
-/// The listener, until it is dropped.
-pub struct Server {
-    server: server::Server,
-    /// Dropped last: every connection lives on it.
-    _runtime: tokio::runtime::Runtime,
-}
+/// Answers from a source.
+struct Operators<S>(S);
 
-impl Server {
-    /// Where it listens.
-    pub fn addr(&self) -> net::SocketAddr {
-        self.server.addr()
+impl<S: Source> pool::Handler for Operators<S> {
+    fn handle(&self, req: server::Request) {
+        let told = answer(&req.method, &req.uri, &self.0);
+        req.reply.send(told);
     }
-}
 
-/// Hands requests to the threads that answer.
-#[derive(Clone)]
-struct Sink(channel::Sender<server::Request>);
-
-impl server::Sink for Sink {
-    fn request(&self, req: server::Request) {
-        if let Err(channel::TrySendError::Full(req)) = self.0.try_send(req) {
-            let busy = "too many questions at once; ask again in a second\n";
-            req.reply.send(text(StatusCode::SERVICE_UNAVAILABLE, busy));
+    fn fault(&self, fault: server::Fault) -> server::Answer {
+        match fault {
+            server::Fault::Busy => {
+                let busy = "too many questions at once; ask again in a second\n";
+                text(StatusCode::SERVICE_UNAVAILABLE, busy)
+            }
+            server::Fault::Dropped => {
+                let failed = "the answer failed; the log says why\n";
+                text(StatusCode::INTERNAL_SERVER_ERROR, failed)
+            }
+            server::Fault::TooLarge(_) | server::Fault::Incomplete => {
+                let unread = "the request was not understood; send a GET without a body\n";
+                text(StatusCode::BAD_REQUEST, unread)
+            }
         }
     }
-
-    fn gone(&self, _id: u64) {}
-
-    fn fault(&self, _id: u64, _fault: server::Fault) -> server::Answer {
-        let unread = "the request was not understood; send a GET without a body\n";
-        text(StatusCode::BAD_REQUEST, unread)
-    }
 }
 
-/// Answers operators on `addr`.
-pub fn serve<S: Source>(addr: net::SocketAddr, source: S) -> Result<Server, error::Error> {
-    let bind = |err: io::Error| error::Error::Bind {
+/// Answers operators on `addr` until the listener is dropped.
+pub fn serve<S: Source>(addr: net::SocketAddr, source: S) -> Result<pool::Pool, error::Error> {
+    let cfg = pool::Config {
+        threads: THREADS,
+        waiting: WAITING,
+        limits: server::Limits {
+            connections: CONNECTIONS,
+            body_bytes: BODY_BYTES,
+            ..server::Limits::default()
+        },
+    };
+    pool::serve(addr, cfg, Operators(source)).map_err(|err| error::Error::Bind {
         addr: addr.to_string(),
         setting: "operators_listen",
         reason: err.to_string(),
-    };
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .thread_name("operators")
-        .enable_all()
-        .build()
-        .map_err(bind)?;
-    let (tx, rx) = channel::bounded(WAITING);
-    let limits = server::Limits {
-        connections: CONNECTIONS,
-        body_bytes: BODY_BYTES,
-        ..server::Limits::default()
-    };
-    let server = server::start(runtime.handle(), addr, limits, Sink(tx)).map_err(bind)?;
-    let source = sync::Arc::new(source);
-    for _ in 0..THREADS {
-        let (rx, source) = (rx.clone(), source.clone());
-        thread::spawn(move || {
-            while let Ok(req) = rx.recv() {
-                let told = answer(&req.method, &req.uri, &*source);
-                req.reply.send(told);
-            }
-        });
-    }
-    Ok(Server {
-        server,
-        _runtime: runtime,
     })
 }
 
@@ -186,6 +157,9 @@
 
 #[cfg(test)]
 mod tests {
+    use std::sync;
+    use std::thread;
+
     use super::*;
 
     struct Starting;
@@ -208,7 +182,7 @@
         }
     }
 
-    fn get(server: &Server, path: &str) -> (u16, String) {
+    fn get(server: &pool::Pool, path: &str) -> (u16, String) {
         let res = attohttpc::get(format!("http://{}{path}", server.addr())).send();
         let res = res.unwrap();
         (res.status().as_u16(), res.text().unwrap())
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -8,7 +8,8 @@
 use bulrushwind::coordination::store;
 use bulrushwind::settings::envelope;
 use bulrushwind::standin;
-use standin::store::{Faults, Memory, Server};
+use bulrushwind::transport::pool;
+use standin::store::{Faults, Memory};
 use store::Store;
 
 const TEAMS: [&str; 3] = ["bays", "places", "records"];
@@ -16,7 +17,7 @@
 /// A deployment: a store, a directory, a root key and one operator's key on every team's ring.
 struct Deployment {
     memory: Memory,
-    _server: Server,
+    _server: pool::Pool,
     dir: tempfile::TempDir,
 }
 
--- a/tests/path/faulty.rs
+++ b/tests/path/faulty.rs
@@ -5,8 +5,7 @@
 
 use bulrushwind::decisions::{naive, policy};
 use bulrushwind::protocol::outcome::Outcome;
-use bulrushwind::standin::caller;
-use bulrushwind::{config, entry, id, settings};
+use bulrushwind::standin::{altered, caller};
 use policy::{Action, Policy};
 
 use super::local;
@@ -19,69 +18,22 @@
 const FAULTS: usize = 80;
 
 /// Never settles bookings, and panics on releases.
-struct Faulty(naive::Naive);
+#[derive(Clone)]
+struct Faulty;
 
-struct MakeFaulty;
-
-impl entry::MakePolicy for MakeFaulty {
-    type Policy = Faulty;
-
-    fn make(
-        &self,
-        _cfg: &config::Config,
-        _settings: &settings::Settings,
-        _service: &settings::Service,
-    ) -> Faulty {
-        Faulty(naive::Naive::new(naive::Config::default()))
-    }
-}
-
-impl Policy for Faulty {
-    fn arrive(&mut self, now: policy::Moment, req: policy::Arrival, out: &mut Vec<Action>) {
-        match req.worth {
-            BOOKING => {}
-            RELEASE => panic!("a fault that this test brings about"),
-            _ => self.0.arrive(now, req, out),
-        }
-    }
-
-    fn ended(
+impl altered::Change for Faulty {
+    fn arrive(
         &mut self,
+        naive: &mut naive::Naive,
         now: policy::Moment,
-        req: policy::RequestId,
-        at: &policy::Place,
-        how: policy::Ended,
-        report: Option<policy::Report>,
+        req: policy::Arrival,
         out: &mut Vec<Action>,
     ) {
-        self.0.ended(now, req, at, how, report, out);
-    }
-
-    fn gone(&mut self, now: policy::Moment, req: policy::RequestId, out: &mut Vec<Action>) {
-        self.0.gone(now, req, out);
-    }
-
-    fn tick(&mut self, now: policy::Moment, out: &mut Vec<Action>) {
-        self.0.tick(now, out);
-    }
-
-    fn set_backends(
-        &mut self,
-        now: policy::Moment,
-        backends: &[policy::Backend],
-        out: &mut Vec<Action>,
-    ) {
-        self.0.set_backends(now, backends, out);
-    }
-
-    fn report(
-        &mut self,
-        now: policy::Moment,
-        from: &id::VmId,
-        report: Option<policy::Report>,
-        out: &mut Vec<Action>,
-    ) {
-        self.0.report(now, from, report, out);
+        match req.worth {
+            BOOKING => {}
+            RELEASE => panic!("a fault that this test brings about"),
+            _ => naive.arrive(now, req, out),
+        }
     }
 }
 
@@ -94,7 +46,7 @@
 #[test]
 fn a_forgotten_request_ends_as_unknown() {
     let raw = raw();
-    let entry = local::entry_with(MakeFaulty, &[raw.addr]);
+    let entry = local::entry_with(altered::Make(Faulty), &[raw.addr]);
     let caller = caller::Caller::default();
     let ticket = caller.look_up(entry.addr(), "ledger").unwrap().ticket;
     let key = format!("{}.1", ticket.unwrap());
@@ -117,7 +69,7 @@
 #[test]
 fn workers_outlive_requests_that_panic() {
     let raw = raw();
-    let entry = local::entry_with(MakeFaulty, &[raw.addr]);
+    let entry = local::entry_with(altered::Make(Faulty), &[raw.addr]);
     let caller = caller::Caller::default();
     let ticket = caller.look_up(entry.addr(), "ledger").unwrap().ticket;
     let ticket = ticket.unwrap();
--- a/tests/steering_path.rs
+++ b/tests/steering_path.rs
@@ -7,10 +7,10 @@
 use std::time;
 
 use bulrushwind::coordination::store;
-use bulrushwind::decisions::{across, naive, policy, quarantine};
+use bulrushwind::decisions::{naive, policy, quarantine};
 use bulrushwind::protocol::{headers, outcome};
-use bulrushwind::standin::{backend, caller, operator, store as standin};
-use bulrushwind::{config, entry, id, logging, settings};
+use bulrushwind::standin::{altered, backend, caller, operator, store as standin};
+use bulrushwind::{config, entry, logging};
 use policy::{Action, Policy};
 
 /// How long a condition may take. Far more than any machine needs.
@@ -263,82 +263,27 @@
 
 /// Bans the first request that it sees, as if it had crashed two backend servers, and tells of it
 /// again and again, as links may not be up the first time.
+#[derive(Clone, Default)]
 struct Banning {
-    naive: naive::Naive,
     banned: Option<policy::Fingerprint>,
 }
 
-struct MakeBanning;
-
-impl entry::MakePolicy for MakeBanning {
-    type Policy = Banning;
-
-    fn make(
-        &self,
-        _cfg: &config::Config,
-        _settings: &settings::Settings,
-        _service: &settings::Service,
-    ) -> Banning {
-        Banning {
-            naive: naive::Naive::new(naive::Config::default()),
-            banned: None,
-        }
-    }
-}
-
-impl Policy for Banning {
-    fn arrive(&mut self, now: policy::Moment, req: policy::Arrival, out: &mut Vec<Action>) {
-        self.banned = self.banned.or(Some(req.fingerprint));
-        self.naive.arrive(now, req, out);
-    }
-
-    fn across(&mut self) -> Option<&mut across::Across> {
-        None
-    }
-
-    fn bans(&mut self, _now: policy::Moment) -> Vec<quarantine::Entry> {
-        let left = time::Duration::from_secs(60);
-        let entry = |fingerprint| quarantine::Entry { fingerprint, left };
-        self.banned.map(entry).into_iter().collect()
-    }
-
-    fn ended(
-        &mut self,
-        now: policy::Moment,
-        req: policy::RequestId,
-        at: &policy::Place,
-        how: policy::Ended,
-        report: Option<policy::Report>,
-        out: &mut Vec<Action>,
-    ) {
-        self.naive.ended(now, req, at, how, report, out);
-    }
-
-    fn gone(&mut self, now: policy::Moment, req: policy::RequestId, out: &mut Vec<Action>) {
-        self.naive.gone(now, req, out);
-    }
-
-    fn tick(&mut self, now: policy::Moment, out: &mut Vec<Action>) {
-        self.naive.tick(now, out);
-    }
-
-    fn set_backends(
+impl altered::Change for Banning {
+    fn arrive(
         &mut self,
+        naive: &mut naive::Naive,
         now: policy::Moment,
-        backends: &[policy::Backend],
+        req: policy::Arrival,
         out: &mut Vec<Action>,
     ) {
-        self.naive.set_backends(now, backends, out);
+        self.banned = self.banned.or(Some(req.fingerprint));
+        naive.arrive(now, req, out);
     }
 
-    fn report(
-        &mut self,
-        now: policy::Moment,
-        from: &id::VmId,
-        report: Option<policy::Report>,
-        out: &mut Vec<Action>,
-    ) {
-        self.naive.report(now, from, report, out);
+    fn bans(&self) -> Vec<quarantine::Entry> {
+        let left = time::Duration::from_secs(60);
+        let entry = |fingerprint| quarantine::Entry { fingerprint, left };
+        self.banned.map(entry).into_iter().collect()
     }
 }
 
@@ -348,7 +293,12 @@
 fn a_request_that_is_banned_at_one_entry_vm_is_refused_at_another() {
     let mut fleet = Fleet::start(8);
     let other = fleet.entries.pop().unwrap();
-    let banning = start_entry(&fleet.platform, "entry-a-2", "a", MakeBanning);
+    let banning = start_entry(
+        &fleet.platform,
+        "entry-a-2",
+        "a",
+        altered::Make(Banning::default()),
+    );
     let caller = caller::Caller::default();
     let killer = caller::Ask {
         path: "/ledger/bays?kills",
