Work out the burn report's rows in one place

Cause: the text and the page of the report each built the cells of windows, regions and drains; a column changed in one would have been wrong in the other.

Change: the page uses the text's rows; the desk asks its policy in one way.

Conclusion: behaviour stays as it was.

--- a/src/burn/html.rs
+++ b/src/burn/html.rs
@@ -99,37 +99,13 @@
         "worth lost",
         "unknown fate",
     ];
-    let rows = service.windows.iter().map(|window| {
-        vec![
-            report::span(window.asked_s),
-            text::reach(window),
-            window.requests.to_string(),
-            text::percent_exact(window.unanswered),
-            format!("{:.1}", window.answered_burn),
-            text::percent_exact(window.late),
-            format!("{:.1}", window.in_time_burn),
-            text::latency(window.p50_s),
-            text::latency(window.p99_s),
-            window.worth_answered.to_string(),
-            window.worth_lost.to_string(),
-            window.unknown.to_string(),
-        ]
-    });
+    let rows = service.windows.iter().map(text::window_row);
     let table = table(&headings, &rows.collect::<Vec<_>>());
     format!("<div class=\"wide\">{table}</div>")
 }
 
 fn regions(service: &report::Service) -> String {
-    let rows = service.regions.iter().map(|region| {
-        vec![
-            region.name.to_string(),
-            region.slots.to_string(),
-            region.in_hand.to_string(),
-            output::percent(region.load()),
-            output::percent(region.max_load),
-            output::percent(region.max_load - region.load()),
-        ]
-    });
+    let rows = service.regions.iter().map(text::region_row);
     let rows: Vec<_> = rows.collect();
     if rows.is_empty() {
         return "<p class=\"note\">No backend server takes work.</p>\n".to_owned();
@@ -141,19 +117,7 @@
 }
 
 fn drains(report: &report::Report) -> String {
-    let rows = report.drains.iter().map(|drain| {
-        let state = if drain.empty {
-            "empty"
-        } else {
-            "still has traffic"
-        };
-        vec![
-            drain.target.clone(),
-            state.to_owned(),
-            output::seconds(drain.took_s * 1000),
-            drain.in_flight.to_string(),
-        ]
-    });
+    let rows = report.drains.iter().map(text::drain_row);
     let rows: Vec<_> = rows.collect();
     if rows.is_empty() {
         return String::new();
--- a/src/burn/text.rs
+++ b/src/burn/text.rs
@@ -70,7 +70,8 @@
     text
 }
 
-fn window_row(window: &report::Window) -> Vec<String> {
+/// The cells of a window.
+pub(super) fn window_row(window: &report::Window) -> Vec<String> {
     vec![
         report::span(window.asked_s),
         reach(window),
@@ -119,7 +120,8 @@
     format!("{text}%")
 }
 
-fn region_row(region: &report::Region) -> Vec<String> {
+/// The cells of a region.
+pub(super) fn region_row(region: &report::Region) -> Vec<String> {
     vec![
         region.name.to_string(),
         region.slots.to_string(),
@@ -130,7 +132,8 @@
     ]
 }
 
-fn drain_row(drain: &report::Drain) -> Vec<String> {
+/// The cells of a drain.
+pub(super) fn drain_row(drain: &report::Drain) -> Vec<String> {
     let state = if drain.empty {
         "empty"
     } else {
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -126,7 +126,7 @@
 impl<P: Policy> Desk<P> {
     /// Asks the policy's sending side something. `None`: it has none.
     pub(super) fn with_across<R>(&self, ask: impl FnOnce(&mut across::Across) -> R) -> Option<R> {
-        self.inner.lock().policy.across().map(ask)
+        self.with_policy(|policy| policy.across().map(ask))
     }
 
     /// Asks the policy something that leads to no action.
