--- /dev/null
+++ b/src/bin/bulrushwind-gateway.rs
@@ -0,0 +1,39 @@
+//! The process on each entry VM of the users' platform.
+
+use std::path;
+use std::process;
+
+use bulrushwind::{error, exit_codes, logging, platform};
+use clap::Parser;
+
+/// Brings callers' requests to backend servers by the routes in the platform's store.
+///
+/// Stops as planned on SIGTERM. Logs are JSON lines on standard output.
+#[derive(Debug, clap::Parser)]
+#[command(name = "bulrushwind-gateway", version, after_help = exit_codes::HELP, max_term_width = 100)]
+struct Args {
+    /// The settings file that the platform writes
+    #[arg(long, value_name = "FILE", env = platform::names::SETTINGS)]
+    settings: path::PathBuf,
+    /// Check the settings file and exit
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> process::ExitCode {
+    let args = Args::parse();
+    match run(&args) {
+        Ok(()) => exit_codes::ExitCode::Success.into(),
+        Err(err) => {
+            eprintln!("bulrushwind-gateway: {err}");
+            err.exit_code().into()
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<(), error::Error> {
+    if args.check {
+        return platform::settings::read(&args.settings).map(drop);
+    }
+    platform::run(&args.settings, logging::buffered("bulrushwind-gateway"))
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod driver;
 pub mod grants;
+pub mod listing;
 pub mod loads;
 pub mod membership;
 pub mod node;
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -8,7 +8,10 @@
 
 pub mod across;
 pub mod admission;
+pub mod affinity;
 pub mod caps;
+pub mod cold;
+pub mod comeback;
 pub mod dispatch;
 pub mod drain;
 pub mod ejection;
@@ -17,6 +20,7 @@
 pub mod links;
 pub mod members;
 pub mod naive;
+pub mod nearby;
 pub mod note;
 pub mod placement;
 pub mod plan;
@@ -26,8 +30,11 @@
 pub mod queue;
 pub mod ramp;
 pub mod range;
+pub mod regions;
+pub mod resend;
 pub mod retry;
 pub mod serve;
+pub mod split;
 pub mod trust;
 pub mod upkeep;
 
--- /dev/null
+++ b/src/gateway/beliefs.rs
@@ -0,0 +1,316 @@
+//! What the process is told about routes, backend servers and entry VMs, and what it concludes
+//! from how sends end. Each change of belief writes one line.
+
+use std::rc;
+use std::time;
+
+use super::{Gateway, attempt};
+use crate::coordination::listing;
+use crate::decisions::{ejection, policy, regions};
+use crate::id;
+use crate::protocol::routes;
+use crate::state::{backends, entries};
+use crate::transport::upstream;
+
+/// How long after an evacuation's end a zone's backend servers count as cold unless the list says
+/// otherwise: the list lags by a heartbeat and its way.
+const UNSURE: time::Duration = time::Duration::from_secs(3);
+
+impl Gateway {
+    /// Takes a version of the routes. An older one than that in force changes nothing.
+    pub fn learn_routes(&self, table: routes::Table) -> bool {
+        let known = self.table().map(|t| t.version);
+        if known.is_some_and(|version| version >= table.version) {
+            slog::info!(self.log, "routes not taken"; "version" => table.version, "in force" => known, "why" => "not later");
+            return false;
+        }
+        slog::info!(self.log, "routes"; "version" => table.version, "before" => known, "routes" => table.len());
+        *self.table.borrow_mut() = Some(rc::Rc::new(table));
+        true
+    }
+
+    /// Takes what the list says of a backend server.
+    pub fn learn_backend(&self, id: &id::VmId, listed: backends::Listed) {
+        self.listing.borrow_mut().found(id);
+        let region = self.cfg.regions.get(&listed.az).cloned();
+        let service = listed.service.clone();
+        let before = self.backends.borrow().get(id).map(|b| b.listed.clone());
+        let leaving = listed.leaving && before.as_ref().is_none_or(|b| !b.leaving);
+        let cold = listed.cold_until > self.now();
+        self.backends.borrow_mut().put(id, listed, region);
+        if before.is_none() {
+            slog::info!(self.log, "backend server listed"; "backend" => %id, "service" => %service, "cold" => cold);
+            self.waiting.borrow_mut().wake(&service);
+        }
+        if leaving {
+            slog::info!(self.log, "backend server leaves"; "backend" => %id, "service" => %service);
+        }
+    }
+
+    /// The list no longer has a backend server.
+    pub fn lose_backend(&self, id: &id::VmId) {
+        if self.listing.borrow_mut().lost(self.now(), id) {
+            self.forget(id, "not listed");
+        } else {
+            slog::info!(self.log, "backend server missing, kept for now"; "backend" => %id, "hold_ms" => listing::HOLD.as_millis() as u64);
+        }
+    }
+
+    fn forget(&self, id: &id::VmId, why: &'static str) {
+        if self.backends.borrow_mut().remove(id).is_some() {
+            self.pool.borrow_mut().drop_all(id);
+            slog::info!(self.log, "backend server gone"; "backend" => %id, "why" => why);
+        }
+    }
+
+    /// All backend servers that the list has; others are missing.
+    pub fn listed_backends(&self, listed: &std::collections::BTreeSet<id::VmId>) {
+        let missing: Vec<id::VmId> = self
+            .backends
+            .borrow()
+            .iter()
+            .filter(|b| !listed.contains(&b.id))
+            .map(|b| b.id.clone())
+            .collect();
+        missing.iter().for_each(|id| self.lose_backend(id));
+    }
+
+    /// The store answered.
+    pub fn heard_store(&self) {
+        let away = self.listing.borrow_mut().heard(self.now());
+        if let Some(away) = away {
+            slog::info!(self.log, "store is back"; "away_ms" => away.as_millis() as u64);
+        }
+    }
+
+    /// A call to the store failed. Returns whether it is the first in a row.
+    pub fn lost_store(&self) -> bool {
+        self.listing.borrow_mut().failed()
+    }
+
+    /// How long ago the store answered last.
+    pub fn store_age(&self) -> Option<time::Duration> {
+        self.listing.borrow().age(self.now())
+    }
+
+    /// Nothing more goes to the backend servers of an availability zone, or it may again.
+    pub fn evacuate(&self, az: &id::AzId, evacuated: bool) {
+        let changed = match evacuated {
+            true => self.evacuated.borrow_mut().insert(az.clone()),
+            false => self.evacuated.borrow_mut().remove(az),
+        };
+        if !changed {
+            return;
+        }
+        slog::info!(self.log, "evacuation"; "az" => %az, "evacuated" => evacuated);
+        if evacuated {
+            return;
+        }
+        let until = self.now() + UNSURE;
+        let mut backends = self.backends.borrow_mut();
+        for backend in backends.iter_mut().filter(|b| b.listed.az == *az) {
+            backend.listed.cold_until = backend.listed.cold_until.max(until);
+        }
+    }
+
+    /// The zones that are evacuated now.
+    pub fn evacuated(&self) -> std::collections::BTreeSet<id::AzId> {
+        self.evacuated.borrow().clone()
+    }
+
+    /// Takes in an entry VM.
+    pub fn learn_entry(&self, vm: &id::VmId, entry: entries::Entry) {
+        slog::info!(self.log, "entry VM listed"; "vm" => %vm, "az" => %entry.az);
+        self.entries.borrow_mut().put(vm.clone(), entry);
+    }
+
+    /// Takes out an entry VM.
+    pub fn lose_entry(&self, vm: &id::VmId) {
+        slog::info!(self.log, "entry VM gone"; "vm" => %vm);
+        self.entries.borrow_mut().remove(vm);
+    }
+
+    /// All entry VMs that are registered; others are gone.
+    pub fn listed_entries(&self, listed: &std::collections::BTreeSet<id::VmId>) {
+        self.entries.borrow_mut().retain(|vm| listed.contains(vm));
+    }
+
+    /// Where a caller of this zone and region connects: the nearest entry VMs.
+    pub fn entries_near(
+        &self,
+        az: Option<&str>,
+        region: Option<&str>,
+    ) -> Vec<std::net::SocketAddr> {
+        use crate::decisions::nearby;
+        let entries = self.entries.borrow();
+        let distance = |of: &id::AzId| {
+            let same_region = || {
+                let known = self.cfg.regions.get(of);
+                region.is_some_and(|r| known.is_some_and(|k| k.as_str() == r))
+            };
+            if az == Some(of.as_str()) {
+                return nearby::Distance::Az;
+            }
+            match same_region() {
+                true => nearby::Distance::Region,
+                false => nearby::Distance::Far,
+            }
+        };
+        let all = entries
+            .iter()
+            .map(|(_, entry)| (distance(&entry.az), entry.front));
+        // This VM answers, so it runs, whatever the store can say of it at the moment.
+        let own = (!self.is_stopping()).then(|| (distance(&self.cfg.az), self.cfg.front));
+        let mut named = nearby::nearest(all.chain(own));
+        named.sort_unstable();
+        named.dedup();
+        named
+    }
+
+    /// Learns from how a send ended.
+    pub(super) fn judge(
+        &self,
+        job: &attempt::Job,
+        id: &id::VmId,
+        begun: policy::Moment,
+        outcome: &attempt::Outcome,
+    ) {
+        let now = self.now();
+        let cfg = &self.cfg.ejection;
+        let mut backends = self.backends.borrow_mut();
+        let members = backends.of(&job.service).count();
+        let out = backends
+            .of(&job.service)
+            .filter(|b| b.health.state() != ejection::State::In)
+            .count();
+        let Some(backend) = backends.get_mut(id) else {
+            return;
+        };
+        let (eject, down) = match outcome {
+            attempt::Outcome::Answer { failed: false, .. } => {
+                backend.health.answered(cfg);
+                backend.limit.answered(&self.cfg.limit);
+                (false, false)
+            }
+            attempt::Outcome::Answer { failed: true, .. } => (backend.health.failed(cfg), false),
+            attempt::Outcome::NotRun(attempt::NotRun::Shed) => {
+                backend.limit.shed(&self.cfg.limit, now);
+                (false, false)
+            }
+            attempt::Outcome::NotRun(attempt::NotRun::NoConnection) => {
+                (backend.health.broke(cfg), true)
+            }
+            attempt::Outcome::NotRun(attempt::NotRun::Misdirected) => (true, true),
+            attempt::Outcome::Unknown(upstream::Failure::CallerGone) => (false, false),
+            attempt::Outcome::Unknown(_) => (backend.health.failed(cfg), false),
+        };
+        let eject = eject && (down || ejection::room(cfg, members, out));
+        if eject {
+            backend.health.eject(cfg, now, down);
+            slog::info!(self.log, "backend server ejected"; "backend" => %id, "down" => down, "why" => outcome.as_str());
+        }
+        drop(backends);
+        if eject && down {
+            self.pool.borrow_mut().drop_all(id);
+        }
+        if let attempt::Outcome::Answer { failed: false, .. } = outcome {
+            let took = now.saturating_sub(begun);
+            self.with_desk(&job.service, |desk| desk.took(took));
+        }
+    }
+
+    /// A backend server has kept a request beyond all measure.
+    pub(super) fn hangs(&self, job: &attempt::Job, id: &id::VmId) {
+        let now = self.now();
+        let cfg = &self.cfg.ejection;
+        let mut backends = self.backends.borrow_mut();
+        let members = backends.of(&job.service).count();
+        let out = backends
+            .of(&job.service)
+            .filter(|b| b.health.state() != ejection::State::In)
+            .count();
+        let Some(backend) = backends.get_mut(id) else {
+            return;
+        };
+        if backend.health.failed(cfg) && ejection::room(cfg, members, out) {
+            backend.health.eject(cfg, now, false);
+            slog::info!(self.log, "backend server ejected"; "backend" => %id, "down" => false, "why" => "hangs");
+        }
+    }
+
+    /// What is due from time to time.
+    pub async fn upkeep(self) {
+        let mut every = tokio::time::interval(self.cfg.share.every);
+        every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            every.tick().await;
+            self.pool.borrow_mut().sweep();
+            let overdue = self.listing.borrow_mut().overdue(self.now());
+            overdue.iter().for_each(|id| self.forget(id, "not listed"));
+            self.step_shares();
+        }
+    }
+
+    /// Lets the share of each service that other regions serve take a step.
+    fn step_shares(&self) {
+        let Some(table) = self.table() else {
+            return;
+        };
+        let now = self.now();
+        let mut services: Vec<id::ServiceId> = table.services.keys().cloned().collect();
+        services.sort_unstable();
+        let views: Vec<regions::View> = services.iter().map(|s| self.view_of(s, now)).collect();
+        let total: f64 = views.iter().map(|v| v.traffic).sum::<f64>().max(1.0);
+        let views: Vec<regions::View> = views
+            .into_iter()
+            .map(|v| regions::View {
+                traffic: v.traffic / total,
+                ..v
+            })
+            .collect();
+        let mut shares: Vec<regions::Share> = services
+            .iter()
+            .map(|s| self.with_desk(s, |desk| desk.share))
+            .collect();
+        regions::step(&self.cfg.share, &views, &mut shares);
+        for (service, share) in services.iter().zip(shares) {
+            self.with_desk(service, |desk| {
+                desk.share = share;
+                desk.traffic *= 0.9;
+            });
+        }
+    }
+
+    fn view_of(&self, service: &id::ServiceId, now: policy::Moment) -> regions::View {
+        let backends = self.backends.borrow();
+        let evacuated = self.evacuated.borrow();
+        let usable = |b: &&backends::Backend| {
+            !b.listed.leaving
+                && !evacuated.contains(&b.listed.az)
+                && !matches!(b.health.state(), ejection::State::Out { down: true, .. })
+        };
+        let (mut own, mut all, mut load) = (0.0, 0.0, 0.0);
+        for backend in backends.of(service).filter(usable) {
+            let slots = f64::from(backend.listed.slots);
+            all += slots;
+            if backend.region == self.region {
+                own += slots;
+                load += backend.load(now);
+            }
+        }
+        let zones = self.cfg.regions.len().max(1) as f64;
+        let in_region = self
+            .cfg
+            .regions
+            .values()
+            .filter(|r| Some(*r) == self.region.as_ref())
+            .count() as f64;
+        regions::View {
+            own_slots: own,
+            all_slots: all,
+            callers: in_region / zones,
+            load: load / f64::max(own, 1.0),
+            traffic: self.with_desk(service, |desk| desk.traffic),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,44 @@
+//! Where callers' requests come in.
+
+use std::io;
+
+use tokio::net::TcpListener;
+use tokio::task;
+
+use super::Gateway;
+use crate::protocol::routes;
+use crate::transport::callers;
+
+impl callers::Handler for Gateway {
+    fn limits(&self) -> routes::Limits {
+        self.table()
+            .map_or_else(routes::Limits::default, |table| table.limits)
+    }
+
+    fn answer(&self, req: callers::Request) -> impl Future<Output = callers::Answer> + 'static {
+        self.clone().handle(req)
+    }
+}
+
+/// Takes connections and serves them until the process ends.
+pub async fn accept<H: callers::Handler>(listener: TcpListener, handler: H, cx: Gateway) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn_local(callers::serve(stream, handler.clone(), cx.stopping()));
+            }
+            Err(err) => {
+                slog::warn!(cx.log, "cannot accept a connection"; "error" => %err);
+                rest(&err).await;
+            }
+        }
+    }
+}
+
+/// Without descriptors, accepting again at once would fail again at once.
+async fn rest(err: &io::Error) {
+    const REST: std::time::Duration = std::time::Duration::from_millis(20);
+    if err.kind() != io::ErrorKind::ConnectionAborted {
+        tokio::time::sleep(REST).await;
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,232 @@
+//! The process on an entry VM that brings requests to backend servers by routes.
+//!
+//! One thread does everything: on a VM with a part of a core, a hand-over between threads costs
+//! more than the work handed over. What is believed (routes, backend servers, entry VMs) is told
+//! to [`Gateway`] by whoever reads the platform; requests come in through [`front`]; decisions are
+//! made in [`crate::decisions`].
+
+pub mod attempt;
+pub mod beliefs;
+pub mod front;
+pub mod place;
+pub mod pool;
+pub mod request;
+pub mod waiting;
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use rand::RngExt;
+use tokio::sync::watch;
+
+use crate::coordination::listing;
+use crate::decisions::{affinity, ejection, limit, policy, regions, resend, split};
+use crate::id;
+use crate::protocol::{names, routes};
+use crate::state::{backends, entries};
+
+/// What a gateway is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The name of this VM.
+    pub vm: id::VmId,
+    /// Its availability zone.
+    pub az: id::AzId,
+    /// The region of each availability zone.
+    pub regions: collections::BTreeMap<id::AzId, id::RegionId>,
+    /// Where callers connect.
+    pub front: net::SocketAddr,
+    /// The names of the fields of requests and answers.
+    pub names: names::Names,
+    /// The bound on second sends over all entry VMs.
+    pub resend: resend::Bound,
+    /// Thresholds of placement by object.
+    pub affinity: affinity::Config,
+    /// Thresholds of the share that other regions serve.
+    pub share: regions::Config,
+    /// Thresholds of ejection.
+    pub ejection: ejection::Config,
+    /// Thresholds of the limit at a backend server.
+    pub limit: limit::Config,
+    /// How long a planned stop may take.
+    pub grace: time::Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            vm: "vm".into(),
+            az: "az".into(),
+            regions: collections::BTreeMap::new(),
+            front: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            names: names::Names::default(),
+            resend: resend::Bound::default(),
+            affinity: affinity::Config::default(),
+            share: regions::Config::default(),
+            ejection: ejection::Config {
+                // Affinity keeps sending an object to one backend server, so a broken one is
+                // noticed by its first two failures and not by its share of the load.
+                in_a_row: 2,
+                broken_in_a_row: 1,
+                share: 0.4,
+                window: 10.0,
+                trial: 2,
+                ..ejection::Config::default()
+            },
+            limit: limit::Config::default(),
+            grace: time::Duration::from_secs(6),
+        }
+    }
+}
+
+/// What is kept for one service.
+#[derive(Debug, Default)]
+pub struct Desk {
+    /// Its requests and second sends.
+    pub resends: resend::Resends,
+    /// The share that other regions serve.
+    pub share: regions::Share,
+    /// Requests since the last step of that share, decaying.
+    pub traffic: f64,
+    /// How long answers take, in seconds.
+    pub work: f64,
+}
+
+impl Desk {
+    /// An answer took so long.
+    pub fn took(&mut self, took: time::Duration) {
+        /// What one answer counts: the mean is over about the last 20.
+        const NEW: f64 = 0.05;
+        let took = took.as_secs_f64();
+        self.work = match self.work {
+            0.0 => took,
+            old => old + (took - old) * NEW,
+        };
+    }
+}
+
+/// What the process shares.
+#[derive(Debug)]
+pub struct Cx {
+    /// What it was told at its start.
+    pub cfg: Config,
+    /// Its own region.
+    pub region: Option<id::RegionId>,
+    /// Where its lines go.
+    pub log: slog::Logger,
+    start: time::Instant,
+    own_hash: u64,
+    table: cell::RefCell<Option<rc::Rc<routes::Table>>>,
+    backends: cell::RefCell<backends::Backends>,
+    evacuated: cell::RefCell<collections::BTreeSet<id::AzId>>,
+    entries: cell::RefCell<entries::Entries>,
+    listing: cell::RefCell<listing::Listing>,
+    desks: cell::RefCell<collections::HashMap<id::ServiceId, Desk>>,
+    splits: cell::RefCell<collections::HashMap<String, split::Split>>,
+    waiting: cell::RefCell<waiting::Waiting>,
+    pool: cell::RefCell<pool::Pool>,
+    stop: watch::Sender<bool>,
+    in_hand: cell::Cell<usize>,
+}
+
+/// A handle on the process's state.
+#[derive(Clone, Debug)]
+pub struct Gateway(rc::Rc<Cx>);
+
+impl std::ops::Deref for Gateway {
+    type Target = Cx;
+
+    fn deref(&self) -> &Cx {
+        &self.0
+    }
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(cfg: Config, log: slog::Logger) -> Self {
+        let region = cfg.regions.get(&cfg.az).cloned();
+        let own_hash = affinity::hash(cfg.vm.as_str().as_bytes());
+        Self(rc::Rc::new(Cx {
+            cfg,
+            region,
+            log,
+            start: time::Instant::now(),
+            own_hash,
+            table: cell::RefCell::default(),
+            backends: cell::RefCell::default(),
+            evacuated: cell::RefCell::default(),
+            entries: cell::RefCell::default(),
+            listing: cell::RefCell::default(),
+            desks: cell::RefCell::default(),
+            splits: cell::RefCell::default(),
+            waiting: cell::RefCell::default(),
+            pool: cell::RefCell::default(),
+            stop: watch::channel(false).0,
+            in_hand: cell::Cell::new(0),
+        }))
+    }
+}
+
+impl Cx {
+    /// The time on this process's clock.
+    pub fn now(&self) -> policy::Moment {
+        self.start.elapsed()
+    }
+
+    /// An instant on this process's clock.
+    pub fn moment(&self, at: time::Instant) -> policy::Moment {
+        at.saturating_duration_since(self.start)
+    }
+
+    /// A moment as an instant to sleep until.
+    fn instant(&self, at: policy::Moment) -> tokio::time::Instant {
+        (self.start + at).into()
+    }
+
+    /// The routes in force.
+    pub fn table(&self) -> Option<rc::Rc<routes::Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stop.borrow()
+    }
+
+    /// Whether callers may come: there are routes and backend servers, and no stop has begun.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.table.borrow().is_some() && !self.backends.borrow().is_empty()
+    }
+
+    /// Begins a planned stop: callers are told to go elsewhere, and what is in hand ends.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Tells when a planned stop begins.
+    pub fn stopping(&self) -> watch::Receiver<bool> {
+        self.stop.subscribe()
+    }
+
+    /// Requests that are worked on.
+    pub fn in_hand(&self) -> usize {
+        self.in_hand.get()
+    }
+
+    /// A number between 0 and 1, to spread what would happen at once.
+    fn jitter(&self) -> f64 {
+        rand::rng().random()
+    }
+
+    /// Uses a service's desk.
+    fn with_desk<T>(&self, service: &id::ServiceId, f: impl FnOnce(&mut Desk) -> T) -> T {
+        let mut desks = self.desks.borrow_mut();
+        if let Some(desk) = desks.get_mut(service) {
+            return f(desk);
+        }
+        f(desks.entry(service.clone()).or_default())
+    }
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,425 @@
+//! A caller's request from its first line to its answer.
+
+use std::rc;
+use std::time;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+
+use super::{Gateway, attempt, place};
+use crate::decisions::{affinity, comeback, policy};
+use crate::id;
+use crate::protocol::{http1, names, routes};
+use crate::transport::{callers, upstream};
+
+/// Which part of its aim a request may wait for a backend server. What then still takes its usual
+/// time comes late and takes the slot of one that would be in time.
+const WAIT: f64 = 0.5;
+
+/// The longest time that a caller who names none is taken to wait.
+const NO_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// How much longer than the caller's time a backend server's own answer is awaited: it stops by
+/// itself at the time that it was given, and its word is better than ours.
+const AFTER: time::Duration = time::Duration::from_millis(120);
+
+/// How many times the usual time a read takes before it is tried elsewhere as well. Work varies
+/// by a sixth and queues by as much again as the work; beyond three times something is wrong.
+const HEDGE: f64 = 3.0;
+
+/// What a request's head and the routes in force say.
+struct Facts {
+    route: rc::Rc<routes::Route>,
+    key: Option<u64>,
+    id: Bytes,
+    received: policy::Moment,
+    /// When the caller, or the route, gives up.
+    deadline: policy::Moment,
+}
+
+/// Counts the requests in hand, however they end.
+struct InHand(Gateway);
+
+impl InHand {
+    fn new(cx: &Gateway) -> Self {
+        cx.in_hand.set(cx.in_hand.get() + 1);
+        Self(cx.clone())
+    }
+}
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.in_hand.set(self.0.in_hand.get() - 1);
+    }
+}
+
+impl Gateway {
+    /// Answers a request.
+    pub(super) async fn handle(self, mut req: callers::Request) -> callers::Answer {
+        let _in_hand = InHand::new(&self);
+        let facts = match self.facts(&req) {
+            Ok(facts) => facts,
+            Err(answer) => return answer,
+        };
+        let service = self.service_for(&facts);
+        let bound = &self.cfg.resend;
+        let now = self.now();
+        let away = self.with_desk(&service, |desk| {
+            desk.resends.request(bound, now);
+            desk.traffic += 1.0;
+            desk.share.moves(facts.key.unwrap_or_else(rand::random))
+        });
+        let job = rc::Rc::new(attempt::Job {
+            head: req.head.clone(),
+            id: facts.id.clone(),
+            service,
+            idempotent: facts.route.idempotent,
+            deadline: facts.deadline,
+        });
+        let payload = std::mem::replace(&mut req.payload, upstream::Payload::Whole(Bytes::new()));
+        let mut run = Run {
+            cx: &self,
+            facts: &facts,
+            job,
+            away,
+            payload: Some(payload),
+            tried: Vec::new(),
+            sends: 0,
+            ran: 0,
+            committed: &req.committed,
+        };
+        run.answer().await
+    }
+
+    fn facts(&self, req: &callers::Request) -> Result<Facts, callers::Answer> {
+        let fields = &req.head.fields;
+        let received = self.moment(req.received);
+        let id = fields.get(self.cfg.names.id).map(Bytes::copy_from_slice);
+        let refuse = |status| Err(self.own_answer(status, id.as_deref()));
+        let (Some(host), Some(id)) = (fields.text("host"), id.clone()) else {
+            return refuse(400);
+        };
+        if !req.head.target().starts_with('/') {
+            return refuse(400);
+        }
+        let Some(table) = self.table() else {
+            let mut answer = self.own_answer(503, Some(&id));
+            put_retry_after(&mut answer.fields, time::Duration::from_millis(300));
+            return Err(answer);
+        };
+        let Some(route) = table.select(host, req.head.path()) else {
+            slog::debug!(self.log, "no route"; "request" => %String::from_utf8_lossy(&id), "host" => host, "path" => req.head.path(), "version" => table.version);
+            return refuse(404);
+        };
+        let stated = fields.text(self.cfg.names.timeout_ms);
+        let patience = match stated.map(str::parse::<f64>) {
+            Some(Ok(ms)) if ms >= 0.0 && ms.is_finite() => {
+                time::Duration::from_secs_f64((ms / 1000.0).min(3600.0))
+            }
+            Some(_) => return refuse(400),
+            None => NO_TIMEOUT,
+        };
+        let object = fields
+            .text("cookie")
+            .and_then(|field| names::cookie(field, self.cfg.names.object_cookie));
+        let key = object.filter(|_| route.sticky).map(|object| {
+            affinity::mix(
+                affinity::hash(object.as_bytes()),
+                affinity::hash(route.name.as_bytes()),
+            )
+        });
+        Ok(Facts {
+            key,
+            id,
+            received,
+            deadline: received + patience.min(route.timeout),
+            route: route.clone(),
+        })
+    }
+
+    fn service_for(&self, facts: &Facts) -> id::ServiceId {
+        let parts = &facts.route.parts;
+        if let [only] = parts.as_slice() {
+            return only.service.clone();
+        }
+        let weights: Vec<f64> = parts.iter().map(|part| part.weight).collect();
+        let mut splits = self.splits.borrow_mut();
+        let split = splits.entry(facts.route.name.clone()).or_default();
+        let point = facts.key.unwrap_or_else(rand::random);
+        parts[split.pick(&weights, point)].service.clone()
+    }
+
+    /// An answer of our own.
+    fn own_answer(&self, status: u16, id: Option<&[u8]>) -> callers::Answer {
+        let mut answer = callers::Answer::bare(status);
+        if let Some(id) = id {
+            http1::put_field(&mut answer.fields, self.cfg.names.id.as_bytes(), id);
+        }
+        answer
+    }
+}
+
+fn put_retry_after(fields: &mut BytesMut, after: time::Duration) {
+    let text = format!("{:.3}", after.as_secs_f64());
+    http1::put_field(fields, b"Retry-After", text.as_bytes());
+}
+
+/// What happens next to a request whose sends are out.
+enum Next {
+    Ended(id::VmId, attempt::Outcome),
+    Hedge,
+    TimeUp,
+}
+
+/// A request on its way.
+struct Run<'a> {
+    cx: &'a Gateway,
+    facts: &'a Facts,
+    job: rc::Rc<attempt::Job>,
+    away: bool,
+    payload: Option<upstream::Payload>,
+    tried: Vec<id::VmId>,
+    /// How often it was sent.
+    sends: u32,
+    /// At how many backend servers it may have run.
+    ran: u32,
+    committed: &'a std::cell::Cell<bool>,
+}
+
+impl Run<'_> {
+    async fn answer(&mut self) -> callers::Answer {
+        let seat = match self.place_first().await {
+            Ok(seat) => seat,
+            Err(why) => return self.refuse(why.as_str()),
+        };
+        let mut out = FuturesUnordered::new();
+        let Some(payload) = self.take_payload() else {
+            return self.refuse("the body is gone");
+        };
+        self.sent();
+        out.push(self.cx.clone().attempt(self.job.clone(), payload, seat));
+        let mut hedge_at = self.hedge_at();
+        let mut last = None;
+        loop {
+            match self.next(&mut out, hedge_at).await {
+                Next::TimeUp => return self.give_up("time is up"),
+                Next::Hedge => {
+                    hedge_at = None;
+                    if let Some(hung) = self.tried.last() {
+                        self.cx.hangs(&self.job, hung);
+                    }
+                    if let Some((payload, seat)) = self.again() {
+                        out.push(self.cx.clone().attempt(self.job.clone(), payload, seat));
+                    }
+                }
+                Next::Ended(id, outcome) => {
+                    match self.settle(&id, outcome) {
+                        Settled::Answer(answer) => return answer,
+                        Settled::Failed(answer) => last = answer.or(last),
+                    }
+                    if !out.is_empty() {
+                        continue;
+                    }
+                    match self.again_or_wait().await {
+                        Some((payload, seat)) => {
+                            out.push(self.cx.clone().attempt(self.job.clone(), payload, seat));
+                            hedge_at = self.hedge_at();
+                        }
+                        None => return last.unwrap_or_else(|| self.ended()),
+                    }
+                }
+            }
+        }
+    }
+
+    async fn next<F>(&self, out: &mut FuturesUnordered<F>, hedge_at: Option<policy::Moment>) -> Next
+    where
+        F: Future<Output = (id::VmId, attempt::Outcome)>,
+    {
+        let end = self.cx.instant(self.facts.deadline + AFTER);
+        let hedge = hedge_at.map_or(end, |at| self.cx.instant(at));
+        tokio::select! {
+            biased;
+            Some((id, outcome)) = out.next() => Next::Ended(id, outcome),
+            () = tokio::time::sleep_until(end) => Next::TimeUp,
+            () = tokio::time::sleep_until(hedge), if hedge_at.is_some() => Next::Hedge,
+        }
+    }
+
+    fn need(&self) -> place::Need<'_> {
+        place::Need {
+            service: &self.job.service,
+            key: self.facts.key,
+            away: self.away,
+            regions: &self.facts.route.regions,
+            idempotent: self.facts.route.idempotent,
+            priority: self.facts.route.priority,
+            tried: &self.tried,
+        }
+    }
+
+    async fn place_first(&mut self) -> Result<place::Seat, place::Nowhere> {
+        let wait = self.facts.route.aim.mul_f64(WAIT);
+        let until = (self.facts.received + wait).min(self.facts.deadline);
+        let seat = self.cx.place(&self.need(), until).await?;
+        self.tried.push(seat.id.clone());
+        Ok(seat)
+    }
+
+    fn sent(&mut self) {
+        self.sends += 1;
+        if !self.facts.route.idempotent {
+            self.committed.set(true);
+        }
+    }
+
+    fn take_payload(&mut self) -> Option<upstream::Payload> {
+        match self.payload.take()? {
+            upstream::Payload::Whole(body) => {
+                self.payload = Some(upstream::Payload::Whole(body.clone()));
+                Some(upstream::Payload::Whole(body))
+            }
+            pieces => Some(pieces),
+        }
+    }
+
+    fn hedge_at(&self) -> Option<policy::Moment> {
+        if !self.facts.route.idempotent {
+            return None;
+        }
+        let usual = self.cx.with_desk(&self.job.service, |desk| desk.work);
+        let usual = time::Duration::from_secs_f64(usual * HEDGE);
+        Some(self.cx.now() + usual.max(self.facts.route.aim.mul_f64(0.75)))
+    }
+
+    /// Whether one more send is allowed, and then takes it from the budget.
+    fn may_send(&self) -> bool {
+        let more = self.ran < self.facts.route.attempts && self.sends <= self.facts.route.attempts;
+        let fresh = self.payload.is_some();
+        if !more || !fresh || self.cx.now() >= self.facts.deadline {
+            return false;
+        }
+        let (now, vms) = (self.cx.now(), self.cx.entries.borrow().len());
+        let bound = &self.cx.cfg.resend;
+        self.cx
+            .with_desk(&self.job.service, |desk| desk.resends.take(bound, now, vms))
+    }
+
+    /// One more send at once, where there is room now.
+    fn again(&mut self) -> Option<(upstream::Payload, place::Seat)> {
+        let running = self.ran + 1;
+        if running >= self.facts.route.attempts {
+            return None;
+        }
+        let seat = self.cx.try_place(&self.need()).ok()?;
+        if !self.may_send() {
+            return None;
+        }
+        self.ran += 1;
+        self.tried.push(seat.id.clone());
+        let payload = self.take_payload()?;
+        self.sent();
+        Some((payload, seat))
+    }
+
+    /// One more send, waiting for room if need be.
+    async fn again_or_wait(&mut self) -> Option<(upstream::Payload, place::Seat)> {
+        if self.ran > 0 && !self.facts.route.idempotent {
+            return None;
+        }
+        if !self.may_send() {
+            return None;
+        }
+        let usual = self.cx.with_desk(&self.job.service, |desk| desk.work);
+        let until = self
+            .facts
+            .deadline
+            .saturating_sub(time::Duration::from_secs_f64(usual));
+        let wait = self.cx.now() + self.facts.route.aim.mul_f64(WAIT);
+        let seat = self.cx.place(&self.need(), until.min(wait)).await.ok()?;
+        self.tried.push(seat.id.clone());
+        let payload = self.take_payload()?;
+        self.sent();
+        Some((payload, seat))
+    }
+
+    fn settle(&mut self, id: &id::VmId, outcome: attempt::Outcome) -> Settled {
+        let name = outcome.as_str();
+        match outcome {
+            attempt::Outcome::Answer {
+                answer,
+                failed: false,
+            } => return Settled::Answer(answer),
+            attempt::Outcome::Answer {
+                answer,
+                failed: true,
+            } => {
+                self.note(id, name);
+                self.ran += 1;
+                if !self.facts.route.idempotent {
+                    return Settled::Answer(answer);
+                }
+                return Settled::Failed(Some(answer));
+            }
+            attempt::Outcome::NotRun(_) => {}
+            attempt::Outcome::Unknown(_) => self.ran += 1,
+        }
+        self.note(id, name);
+        Settled::Failed(None)
+    }
+
+    fn note(&self, id: &id::VmId, what: &str) {
+        slog::info!(self.cx.log, "send failed";
+            "request" => %String::from_utf8_lossy(&self.facts.id),
+            "service" => %self.job.service, "backend" => %id, "outcome" => what,
+            "sends" => self.sends, "left_ms" => self.left().as_millis() as u64);
+    }
+
+    fn left(&self) -> time::Duration {
+        self.facts.deadline.saturating_sub(self.cx.now())
+    }
+
+    /// No answer could be had, and no further send is possible.
+    fn ended(&self) -> callers::Answer {
+        match self.ran {
+            0 => self.refuse("not run anywhere"),
+            _ => self.give_up("no answer"),
+        }
+    }
+
+    /// It has not run and will not.
+    fn refuse(&self, why: &str) -> callers::Answer {
+        let work = self.cx.with_desk(&self.job.service, |desk| desk.work);
+        let backlog = time::Duration::from_secs_f64(work);
+        let after = comeback::after(backlog, self.left(), self.cx.jitter());
+        slog::info!(self.cx.log, "refused";
+            "request" => %String::from_utf8_lossy(&self.facts.id),
+            "route" => &self.facts.route.name, "service" => %self.job.service, "away" => self.away,
+            "why" => why, "sends" => self.sends,
+            "waited_ms" => self.cx.now().saturating_sub(self.facts.received).as_millis() as u64,
+            "left_ms" => self.left().as_millis() as u64);
+        let mut answer = self.cx.own_answer(503, Some(&self.facts.id));
+        put_retry_after(&mut answer.fields, after);
+        answer
+    }
+
+    /// It may have run, and its caller gets no answer of a backend server.
+    fn give_up(&self, why: &str) -> callers::Answer {
+        slog::info!(self.cx.log, "given up";
+            "request" => %String::from_utf8_lossy(&self.facts.id),
+            "route" => &self.facts.route.name, "service" => %self.job.service, "away" => self.away,
+            "why" => why, "sends" => self.sends, "backends" => ?self.tried,
+            "took_ms" => self.cx.now().saturating_sub(self.facts.received).as_millis() as u64);
+        let status = match self.left().is_zero() {
+            true => 504,
+            false => 502,
+        };
+        self.cx.own_answer(status, Some(&self.facts.id))
+    }
+}
+
+enum Settled {
+    Answer(callers::Answer),
+    Failed(Option<callers::Answer>),
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -19,6 +19,82 @@
     slog::Logger::root(drain, slog::o!("process" => process.to_owned()))
 }
 
+/// How many bytes of lines wait for a slow reader. What does not fit is dropped and counted: 256
+/// KB are about a thousand lines, more than a process writes in a second.
+const WAITING: usize = 256 << 10;
+
+/// How long lines are gathered before they are written. One write for many costs the processor
+/// far less than one write each.
+const GATHER: time::Duration = time::Duration::from_millis(200);
+
+#[derive(Debug, Default)]
+struct Lines {
+    text: Vec<u8>,
+    dropped: u64,
+}
+
+/// Takes lines into memory; a thread of its own writes them out.
+#[derive(Clone, Debug, Default)]
+struct Gathered(sync::Arc<(parking_lot::Mutex<Lines>, parking_lot::Condvar)>);
+
+impl io::Write for Gathered {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let (lines, filled) = &*self.0;
+        let mut lines = lines.lock();
+        if lines.text.len() + buf.len() > WAITING {
+            lines.dropped += 1;
+            return Ok(buf.len());
+        }
+        lines.text.extend_from_slice(buf);
+        filled.notify_one();
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Gathered {
+    /// Writes lines out as they come, for good.
+    fn write_out(&self, mut to: impl io::Write) {
+        let (lines, filled) = &*self.0;
+        loop {
+            let taken = {
+                let mut lines = lines.lock();
+                while lines.text.is_empty() {
+                    filled.wait(&mut lines);
+                }
+                std::mem::take(&mut *lines)
+            };
+            // With nobody to read them, lines have no use; the process goes on.
+            let _ = to.write_all(&taken.text);
+            if taken.dropped > 0 {
+                let _ = writeln!(
+                    to,
+                    "{{\"msg\":\"log lines dropped\",\"lines\":{}}}",
+                    taken.dropped
+                );
+            }
+            std::thread::sleep(GATHER);
+        }
+    }
+}
+
+/// Builds the root logger of a process whose lines go to standard output. A reader that stops
+/// holds up nothing but the lines.
+pub fn buffered(process: &str) -> slog::Logger {
+    let gathered = Gathered::default();
+    let writer = gathered.clone();
+    std::thread::spawn(move || writer.write_out(io::stdout()));
+    // Lines are put together whole before they are taken, so that none is dropped in part.
+    let json = slog_json::Json::new(io::LineWriter::with_capacity(8 << 10, gathered))
+        .add_default_keys()
+        .build();
+    let drain = sync::Mutex::new(json).fuse();
+    slog::Logger::root(drain, slog::o!("process" => process.to_owned()))
+}
+
 /// A logger that writes nothing, for tests.
 pub fn silent() -> slog::Logger {
     slog::Logger::root(sync::Arc::new(slog::Discard), slog::o!())
--- /dev/null
+++ b/src/platform/calls.rs
@@ -0,0 +1,110 @@
+//! The platform's and callers' calls that are not requests to a service: readiness, where to
+//! connect, what this VM knows, metrics.
+
+use bytes::Bytes;
+
+use crate::protocol::{http1, routes};
+use crate::transport::callers;
+use crate::{gateway, metrics};
+
+use super::{feed, store};
+
+/// Where an entry VM answers with all that it knows.
+pub const SNAPSHOT: &str = "/snapshot";
+
+/// Answers these calls.
+#[derive(Clone, Debug)]
+pub struct Calls {
+    /// The gateway.
+    pub cx: gateway::Gateway,
+    /// What was read from the store.
+    pub known: feed::Known,
+    /// How long an answer about where to connect may be kept, in seconds.
+    pub ttl_s: f64,
+}
+
+#[derive(serde::Serialize)]
+struct Resolved {
+    addrs: Vec<std::net::SocketAddr>,
+    ttl_s: f64,
+}
+
+impl callers::Handler for Calls {
+    fn limits(&self) -> routes::Limits {
+        routes::Limits::default()
+    }
+
+    fn answer(&self, req: callers::Request) -> impl Future<Output = callers::Answer> + 'static {
+        let answer = self.reply(&req.head);
+        async move { answer }
+    }
+}
+
+impl Calls {
+    fn reply(&self, head: &http1::RequestHead) -> callers::Answer {
+        match head.path() {
+            "/ready" => self.ready(),
+            "/resolve" => self.resolve(head.target()),
+            SNAPSHOT => self.snapshot(),
+            "/metrics" => text(metrics::exporter().render()),
+            _ => callers::Answer::bare(404),
+        }
+    }
+
+    fn ready(&self) -> callers::Answer {
+        callers::Answer::bare(match self.cx.is_ready() {
+            true => 200,
+            false => 503,
+        })
+    }
+
+    fn resolve(&self, target: &str) -> callers::Answer {
+        let az = query(target, "zone");
+        let region = query(target, "region");
+        let addrs = self.cx.entries_near(az, region);
+        if addrs.is_empty() {
+            return callers::Answer::bare(503);
+        }
+        json(&Resolved {
+            addrs,
+            ttl_s: self.ttl_s,
+        })
+    }
+
+    fn snapshot(&self) -> callers::Answer {
+        if self.cx.store_age().is_none() {
+            return callers::Answer::bare(503);
+        }
+        json(&store::Page {
+            items: self.known.borrow().values().cloned().collect(),
+            ..store::Page::default()
+        })
+    }
+}
+
+fn query<'a>(target: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = target.split_once('?')?;
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })
+}
+
+fn json<T: serde::Serialize>(value: &T) -> callers::Answer {
+    match serde_json::to_vec(value) {
+        Ok(body) => with_body("application/json", body.into()),
+        // Our own types always serialize; should one not, the caller asks elsewhere.
+        Err(_) => callers::Answer::bare(500),
+    }
+}
+
+fn text(body: String) -> callers::Answer {
+    with_body("text/plain", body.into())
+}
+
+fn with_body(kind: &str, body: Bytes) -> callers::Answer {
+    let mut answer = callers::Answer::bare(200);
+    http1::put_field(&mut answer.fields, b"Content-Type", kind.as_bytes());
+    answer.body = callers::Body::Whole(body);
+    answer
+}
--- /dev/null
+++ b/src/platform/decode.rs
@@ -0,0 +1,188 @@
+//! What operators and backend servers write to the platform's store, decoded into our own types.
+
+use std::net;
+use std::time;
+
+use crate::decisions::policy;
+use crate::protocol::routes;
+use crate::state::{backends, entries};
+
+/// Why a value cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// It is not the expected JSON.
+    #[error("cannot be read: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The version is not a hexadecimal number.
+    #[error("version `{0}` is not a hexadecimal number")]
+    Version(String),
+    /// A number is negative or no number.
+    #[error("`{0}` is not a time")]
+    Time(f64),
+}
+
+#[derive(serde::Deserialize)]
+struct Config {
+    version: String,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    limits: Option<Limits>,
+}
+
+#[derive(serde::Deserialize)]
+struct Route {
+    #[serde(default)]
+    name: String,
+    host: String,
+    prefix: String,
+    kind: String,
+    timeout_s: f64,
+    target_latency_s: f64,
+    attempts: u32,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    sticky: bool,
+    service: Option<String>,
+    #[serde(default)]
+    split: Vec<Part>,
+    /// Regions, although the name speaks of residence.
+    #[serde(default)]
+    residency: Vec<String>,
+}
+
+#[derive(serde::Deserialize)]
+struct Part {
+    service: String,
+    weight: f64,
+}
+
+#[derive(serde::Deserialize)]
+struct Service {
+    name: String,
+    #[serde(default)]
+    max_conns: u32,
+    #[serde(default)]
+    cold_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
+}
+
+#[derive(serde::Deserialize)]
+struct Limits {
+    header_bytes: usize,
+    body_bytes: u64,
+    header_timeout_s: f64,
+    idle_timeout_s: f64,
+}
+
+/// A backend server's entry.
+#[derive(serde::Deserialize)]
+struct Server {
+    service: String,
+    addr: net::SocketAddr,
+    zone: String,
+    slots: u32,
+    state: String,
+    /// How much longer it is cold, from when it wrote this.
+    #[serde(default)]
+    cold_left_s: f64,
+}
+
+fn seconds(value: f64) -> Result<time::Duration, Error> {
+    time::Duration::try_from_secs_f64(value).map_err(|_| Error::Time(value))
+}
+
+/// The operators' configuration.
+pub fn config(value: &[u8]) -> Result<routes::Table, Error> {
+    let config: Config = serde_json::from_slice(value)?;
+    let version = u64::from_str_radix(&config.version, 16)
+        .map_err(|_| Error::Version(config.version.clone()))?;
+    let routes: Result<Vec<_>, Error> = config.routes.into_iter().map(route).collect();
+    let services: Result<Vec<_>, Error> = config.services.into_iter().map(service).collect();
+    let limits = match config.limits {
+        Some(limits) => routes::Limits {
+            head: limits.header_bytes,
+            body: limits.body_bytes,
+            head_timeout: seconds(limits.header_timeout_s)?,
+            idle_timeout: seconds(limits.idle_timeout_s)?,
+        },
+        None => routes::Limits::default(),
+    };
+    Ok(routes::Table::new(version, routes?, services?, limits))
+}
+
+fn route(route: Route) -> Result<routes::Route, Error> {
+    let whole = route.service.map(|service| Part {
+        service,
+        weight: 1.0,
+    });
+    let parts = route
+        .split
+        .into_iter()
+        .chain(whole)
+        .map(|part| routes::Part {
+            service: part.service.as_str().into(),
+            weight: part.weight,
+        })
+        .collect();
+    Ok(routes::Route {
+        name: route.name,
+        host: route.host.to_ascii_lowercase(),
+        prefix: route.prefix,
+        idempotent: route.kind == "safe",
+        timeout: seconds(route.timeout_s)?,
+        aim: seconds(route.target_latency_s)?,
+        attempts: route.attempts.max(1),
+        priority: route.priority,
+        sticky: route.sticky,
+        parts,
+        regions: route.residency.iter().map(|r| r.as_str().into()).collect(),
+    })
+}
+
+fn service(service: Service) -> Result<routes::Service, Error> {
+    Ok(routes::Service {
+        name: service.name.as_str().into(),
+        max_connections: service.max_conns,
+        cold_for: seconds(service.cold_s)?,
+        cold_rate: service.cold_per_s,
+    })
+}
+
+/// A backend server's entry, read at `now`.
+pub fn backend(value: &[u8], now: policy::Moment) -> Result<backends::Listed, Error> {
+    let server: Server = serde_json::from_slice(value)?;
+    Ok(backends::Listed {
+        service: server.service.as_str().into(),
+        addr: server.addr,
+        az: server.zone.as_str().into(),
+        slots: server.slots,
+        leaving: server.state != "ready",
+        cold_until: now + seconds(server.cold_left_s)?,
+    })
+}
+
+/// How an entry VM registers.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct Registered {
+    front: net::SocketAddr,
+    az: String,
+}
+
+/// An entry VM's registration.
+pub fn entry(value: &[u8]) -> Result<entries::Entry, Error> {
+    let entry: Registered = serde_json::from_slice(value)?;
+    Ok(entries::Entry {
+        front: entry.front,
+        az: entry.az.as_str().into(),
+    })
+}
+
+/// An entry VM's registration as it is written.
+pub fn put_entry(entry: &entries::Entry) -> Result<Vec<u8>, Error> {
+    Ok(serde_json::to_vec(&Registered {
+        front: entry.front,
+        az: entry.az.to_string(),
+    })?)
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,125 @@
+//! Where the product meets the platform: its settings file, store, names and calls, translated
+//! into our own types and back. Nothing here decides; nothing outside knows the platform's names.
+
+pub mod calls;
+pub mod decode;
+pub mod feed;
+pub mod names;
+pub mod settings;
+pub mod store;
+
+use std::net;
+use std::path;
+use std::rc;
+use std::time;
+
+use tokio::signal::unix;
+use tokio::task;
+
+use crate::gateway::front;
+use crate::transport::{callers, socket};
+use crate::{error, gateway};
+
+/// How long a planned stop lasts at least: callers learn within the time that an answer about
+/// where to connect is kept, and until then some still come here.
+const LEAVING: time::Duration = time::Duration::from_millis(2500);
+
+/// How long before the end of the grace time a planned stop ends whatever is in hand.
+const MARGIN: time::Duration = time::Duration::from_millis(250);
+
+/// Runs an entry VM's process on the platform until it is told to stop.
+pub fn run(path: &path::Path, log: slog::Logger) -> Result<(), error::Error> {
+    let settings = rc::Rc::new(settings::read(path)?);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|err| error::Error::Config(format!("cannot start: {err}")))?;
+    let local = task::LocalSet::new();
+    local.block_on(&runtime, serve(settings, log))
+}
+
+async fn serve(
+    settings: rc::Rc<settings::Settings>,
+    log: slog::Logger,
+) -> Result<(), error::Error> {
+    let cx = gateway::Gateway::new(settings.gateway.clone(), log.clone());
+    slog::info!(log, "start"; "vm" => %cx.cfg.vm, "az" => %cx.cfg.az, "front" => %cx.cfg.front);
+    let feed = feed::Feed::new(cx.clone());
+    let calls = calls::Calls {
+        cx: cx.clone(),
+        known: feed.known.clone(),
+        ttl_s: settings.lookup_ttl.as_secs_f64(),
+    };
+    listen(settings.gateway.front, "front", cx.clone(), &cx)?;
+    listen(settings.ready, "ready", calls.clone(), &cx)?;
+    let more = [
+        (settings.directory, "directory"),
+        (settings.peers, "control"),
+        (Some(settings.metrics), "metrics"),
+    ];
+    for (addr, name) in more {
+        if let Some(addr) = addr {
+            listen(addr, name, calls.clone(), &cx)?;
+        }
+    }
+    for prefix in ["op/", names::BACKENDS, names::ENTRIES] {
+        task::spawn_local(feed.clone().follow(settings.store, prefix));
+    }
+    task::spawn_local(feed.clone().learn_from_seeds(settings.seeds.clone()));
+    let registered = task::spawn_local(feed.register(settings.clone()));
+    task::spawn_local(cx.clone().upkeep());
+    until_told(&cx).await?;
+    leave(&cx, registered).await;
+    slog::info!(log, "stop"; "in_hand" => cx.in_hand());
+    Ok(())
+}
+
+fn listen<H: callers::Handler>(
+    addr: net::SocketAddr,
+    setting: &'static str,
+    handler: H,
+    cx: &gateway::Gateway,
+) -> Result<(), error::Error> {
+    let listener = socket::listen(addr).map_err(|err| error::Error::Bind {
+        addr: addr.to_string(),
+        setting,
+        reason: err.to_string(),
+    })?;
+    task::spawn_local(front::accept(listener, handler, cx.clone()));
+    Ok(())
+}
+
+/// Waits for SIGTERM. The settings of a running process do not change where it listens, so a
+/// SIGHUP only leaves a line.
+async fn until_told(cx: &gateway::Gateway) -> Result<(), error::Error> {
+    let signal = |kind| {
+        unix::signal(kind)
+            .map_err(|err| error::Error::Config(format!("cannot take signals: {err}")))
+    };
+    let mut term = signal(unix::SignalKind::terminate())?;
+    let mut hup = signal(unix::SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = hup.recv() => slog::info!(cx.log, "settings file changed"; "why" => "SIGHUP"),
+        }
+    }
+}
+
+/// Takes this VM out of use and ends once what is in hand has ended.
+async fn leave(cx: &gateway::Gateway, registered: task::JoinHandle<()>) {
+    let begun = cx.now();
+    slog::info!(cx.log, "planned stop"; "in_hand" => cx.in_hand());
+    cx.stop();
+    // A panic in it was logged by its own task; the lease then lapses.
+    let _ = registered.await;
+    let end = begun + cx.cfg.grace.saturating_sub(MARGIN);
+    loop {
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+        let now = cx.now();
+        let empty = cx.in_hand() == 0 && now >= begun + LEAVING;
+        if empty || now >= end {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/names.rs
@@ -0,0 +1,29 @@
+//! The names that the platform uses on the wire.
+
+use crate::protocol::names;
+
+/// Fields of requests and answers.
+pub const FIELDS: names::Names = names::Names {
+    id: "Bulrushwind-Try-Id",
+    timeout_ms: "Bulrushwind-Deadline-Ms",
+    instance: "Bulrushwind-Expect-Instance",
+    not_run: "Bulrushwind-Not-Run",
+    proof: "Bulrushwind-Server-Stamp",
+    load: "Bulrushwind-Backend-Load",
+    object_cookie: "Bulrushwind-Affinity-Key",
+};
+
+/// The variable that holds the path of the settings file.
+pub const SETTINGS: &str = "BULRUSHWIND_SETTINGS";
+
+/// The key of the newest configuration.
+pub const CONFIG: &str = "op/config";
+
+/// Under this stand the availability zones that are evacuated.
+pub const EVACUATED: &str = "op/evacuate/";
+
+/// Under this stand the backend servers, each under its incarnation's name.
+pub const BACKENDS: &str = "servers/";
+
+/// Under this our own entry VMs register.
+pub const ENTRIES: &str = "bulrushwind/entry/";
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,271 @@
+//! Calls to the platform's store.
+
+use std::net;
+use std::time;
+
+use bytes::{Bytes, BytesMut};
+use serde::de;
+
+use crate::protocol::http1;
+use crate::transport::{socket, upstream};
+
+/// How long connecting may take.
+const CONNECT: time::Duration = time::Duration::from_millis(700);
+
+/// How long a call may take. The store answers in a few milliseconds, and from the farthest region
+/// after 0.12 s; a slow one takes fifty times as long and still helps.
+const CALL: time::Duration = time::Duration::from_millis(1500);
+
+/// Why a call did not do what was asked.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No answer came; a write may have been done or may be done later.
+    #[error("the store did not answer; check that it runs and that this VM reaches it")]
+    NoAnswer,
+    /// The store refused and did nothing.
+    #[error("the store refused with {0}; it is overloaded or turns this VM away")]
+    Refused(u16),
+    /// A condition did not hold, or what was named does not exist.
+    #[error("the store answered {0}: the condition does not hold or there is no such thing")]
+    Condition(u16),
+    /// The history asked for is gone.
+    #[error("the store no longer has this history; read everything again")]
+    Gap,
+    /// The answer cannot be read.
+    #[error("the store's answer cannot be read: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A value is not base64.
+    #[error("a value is not base64: {0}")]
+    Base64(#[from] data_encoding::DecodeError),
+}
+
+/// A key with its value, or with the mark that it was removed.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value in base64; none where the key was removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
+    /// Whether the key was removed.
+    #[serde(default)]
+    pub tombstone: bool,
+}
+
+impl Item {
+    /// The value.
+    pub fn bytes(&self) -> Result<Option<Vec<u8>>, Error> {
+        if self.tombstone {
+            return Ok(None);
+        }
+        let Some(value) = &self.value else {
+            return Ok(None);
+        };
+        Ok(Some(data_encoding::BASE64.decode(value.as_bytes())?))
+    }
+}
+
+/// A page of items.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct Page {
+    /// The items.
+    pub items: Vec<Item>,
+    /// Whether more follow.
+    #[serde(default)]
+    pub truncated: bool,
+    /// The store's revision.
+    #[serde(default)]
+    pub store_revision: u64,
+}
+
+#[derive(serde::Deserialize)]
+struct Events {
+    events: Vec<Item>,
+    store_revision: u64,
+}
+
+#[derive(serde::Deserialize)]
+struct Lease {
+    lease: u64,
+}
+
+#[derive(serde::Serialize)]
+struct Ttl {
+    /// Seconds, although the name speaks of a time.
+    ttl_s_time: f64,
+}
+
+#[derive(serde::Serialize)]
+struct Put<'a> {
+    key: &'a str,
+    value: String,
+    lease: u64,
+}
+
+#[derive(serde::Serialize)]
+struct Condition<'a> {
+    key: &'a str,
+    rev: u64,
+}
+
+#[derive(Default, serde::Serialize)]
+struct Txn<'a> {
+    precondition: Vec<Condition<'a>>,
+    put_items: Vec<Put<'a>>,
+    remove: Vec<&'a str>,
+}
+
+/// A connection to the store, or to an entry VM that answers like it. One call at a time.
+#[derive(Debug)]
+pub struct Client {
+    addr: net::SocketAddr,
+    wire: Option<socket::Wire>,
+}
+
+impl Client {
+    /// A client that connects with its first call.
+    pub fn new(addr: net::SocketAddr) -> Self {
+        Self { addr, wire: None }
+    }
+
+    /// All items under a prefix, and the revision from which to watch.
+    pub async fn range(&mut self, prefix: &str) -> Result<(Vec<Item>, u64), Error> {
+        let mut items: Vec<Item> = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = match items.last() {
+                Some(last) => format!("&after={}", last.key),
+                None => String::new(),
+            };
+            let target = format!("/kv-range?prefix={prefix}{after}");
+            let page: Page = self.read(&target, CALL).await?;
+            // Pages are not a snapshot: what changes between them shows in a watch from the
+            // first one's revision.
+            let from = *revision.get_or_insert(page.store_revision);
+            let more = page.truncated && !page.items.is_empty();
+            items.extend(page.items);
+            if !more {
+                return Ok((items, from));
+            }
+        }
+    }
+
+    /// What changed under a prefix after a revision, waiting at most so long for it.
+    pub async fn watch(
+        &mut self,
+        prefix: &str,
+        after: u64,
+        wait: time::Duration,
+    ) -> Result<(Vec<Item>, u64), Error> {
+        let ms = wait.as_millis();
+        let target = format!("/kv-watch?prefix={prefix}&after={after}&wait_ms={ms}");
+        let events: Events = self.read(&target, wait + CALL).await?;
+        Ok((events.events, events.store_revision))
+    }
+
+    /// Takes a lease.
+    pub async fn lease(&mut self, ttl: time::Duration) -> Result<u64, Error> {
+        let body = serde_json::to_vec(&Ttl {
+            ttl_s_time: ttl.as_secs_f64(),
+        })?;
+        let answer = self.call("POST", "/kv-lease", &body, CALL).await?;
+        let lease: Lease = serde_json::from_slice(&answer)?;
+        Ok(lease.lease)
+    }
+
+    /// Renews a lease.
+    pub async fn renew(&mut self, lease: u64) -> Result<(), Error> {
+        let target = format!("/kv-keep/{lease}");
+        self.call("POST", &target, b"", CALL).await.map(drop)
+    }
+
+    /// Ends a lease and removes its keys.
+    pub async fn end_lease(&mut self, lease: u64) -> Result<(), Error> {
+        let target = format!("/kv-lease-end/{lease}");
+        self.call("DELETE", &target, b"", CALL).await.map(drop)
+    }
+
+    /// Writes a key that goes with a lease.
+    pub async fn put(&mut self, key: &str, value: &[u8], lease: u64) -> Result<(), Error> {
+        let txn = Txn {
+            put_items: vec![Put {
+                key,
+                value: data_encoding::BASE64.encode(value),
+                lease,
+            }],
+            ..Txn::default()
+        };
+        let body = serde_json::to_vec(&txn)?;
+        self.call("POST", "/kv-txn", &body, CALL).await.map(drop)
+    }
+
+    /// All that another entry VM knows.
+    pub async fn snapshot(&mut self) -> Result<Page, Error> {
+        self.read(super::calls::SNAPSHOT, CALL).await
+    }
+
+    async fn read<T: de::DeserializeOwned>(
+        &mut self,
+        target: &str,
+        limit: time::Duration,
+    ) -> Result<T, Error> {
+        let answer = self.call("GET", target, b"", limit).await?;
+        Ok(serde_json::from_slice(&answer)?)
+    }
+
+    async fn call(
+        &mut self,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        limit: time::Duration,
+    ) -> Result<Bytes, Error> {
+        let call = self.exchange(method, target, body);
+        let (status, answer) = match tokio::time::timeout(limit, call).await {
+            Ok(Some(answered)) => answered,
+            // A connection on which an answer is missing brings nothing further.
+            Ok(None) | Err(_) => {
+                self.wire = None;
+                return Err(Error::NoAnswer);
+            }
+        };
+        match status {
+            200..300 => Ok(answer),
+            410 => Err(Error::Gap),
+            404 | 412 => Err(Error::Condition(status)),
+            _ => Err(Error::Refused(status)),
+        }
+    }
+
+    /// One call; `None` where no answer came.
+    async fn exchange(&mut self, method: &str, target: &str, body: &[u8]) -> Option<(u16, Bytes)> {
+        let resting = self.wire.take().and_then(socket::Wire::resting);
+        let mut wire = match resting {
+            Some(wire) => wire,
+            None => socket::Wire::connect(self.addr, CONNECT).await.ok()?,
+        };
+        let head = format!(
+            "{method} {target} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            self.addr,
+            body.len()
+        );
+        let mut payload = upstream::Payload::Whole(Bytes::copy_from_slice(body));
+        let tag = upstream::Tag {
+            field: super::names::FIELDS.id,
+            id: b"",
+            to_head: false,
+        };
+        let received = upstream::exchange(&mut wire, head.as_bytes(), &mut payload, tag)
+            .await
+            .ok()?;
+        let mut reader = http1::BodyReader::new(received.head.framing);
+        let mut answer = BytesMut::new();
+        while let Some(piece) = upstream::next_piece(&mut wire, &mut reader).await.ok()? {
+            answer.extend_from_slice(&piece);
+        }
+        if received.reusable {
+            self.wire = Some(wire);
+        }
+        Some((received.head.status, answer.freeze()))
+    }
+}
--- /dev/null
+++ b/src/state/backends.rs
@@ -0,0 +1,172 @@
+//! The backend servers that the platform lists, and what this VM knows of each.
+//!
+//! One thread owns the table. What the list says is replaced with each update; what was seen here
+//! (requests in flight, load that answers carried, failures) stays with the incarnation.
+
+use std::collections;
+use std::net;
+
+use crate::decisions::{affinity, cold, ejection, limit, policy};
+use crate::id;
+
+/// What the platform's list says of a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// The service that it runs.
+    pub service: id::ServiceId,
+    /// Where it takes requests.
+    pub addr: net::SocketAddr,
+    /// Its availability zone.
+    pub az: id::AzId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to go and takes no new work.
+    pub leaving: bool,
+    /// Until when it is cold, on this process's clock.
+    pub cold_until: policy::Moment,
+}
+
+/// The load that an answer carried.
+#[derive(Clone, Copy, Debug, Default)]
+struct Report {
+    /// What runs or waits there for other VMs.
+    others: f64,
+    at: policy::Moment,
+}
+
+/// For how long a reported load counts in full. Warm work takes 0.15 to 0.6 s, so after half a
+/// second about half of what ran then has ended.
+const FRESH: f64 = 0.5;
+
+/// After how long a reported load no longer counts, in seconds.
+const STALE: f64 = 1.5;
+
+/// A backend server.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Its incarnation's name.
+    pub id: id::VmId,
+    /// The hash of that name.
+    pub hash: u64,
+    /// What the list says.
+    pub listed: Listed,
+    /// Its region, where known.
+    pub region: Option<id::RegionId>,
+    /// Requests of this VM that it has.
+    pub in_flight: u32,
+    /// Its failures.
+    pub health: ejection::Health,
+    /// How many requests of this VM it may have.
+    pub limit: limit::Limit,
+    /// How it is paced while cold.
+    pub pace: cold::Pace,
+    report: Report,
+}
+
+impl Backend {
+    /// Requests that run or wait there, as far as known.
+    pub fn load(&self, now: policy::Moment) -> f64 {
+        let age = now.saturating_sub(self.report.at).as_secs_f64();
+        let fresh = ((STALE - age) / (STALE - FRESH)).clamp(0.0, 1.0);
+        f64::from(self.in_flight) + self.report.others * fresh
+    }
+
+    /// An answer said how many requests run and wait there, those of this VM included.
+    pub fn reported(&mut self, now: policy::Moment, running: u32, waiting: u32) {
+        let others = f64::from(running + waiting) - f64::from(self.in_flight.saturating_sub(1));
+        self.report = Report {
+            others: others.max(0.0),
+            at: now,
+        };
+    }
+
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: policy::Moment) -> bool {
+        now < self.listed.cold_until
+    }
+}
+
+/// All backend servers by name and by service.
+#[derive(Debug, Default)]
+pub struct Backends {
+    by_id: collections::HashMap<id::VmId, Backend>,
+    by_service: collections::HashMap<id::ServiceId, Vec<id::VmId>>,
+}
+
+impl Backends {
+    /// Takes what the list says. Returns whether the backend server is new.
+    pub fn put(&mut self, name: &id::VmId, listed: Listed, region: Option<id::RegionId>) -> bool {
+        if let Some(known) = self.by_id.get_mut(name)
+            && known.listed.service == listed.service
+        {
+            known.listed = listed;
+            return false;
+        }
+        self.remove(name);
+        self.by_service
+            .entry(listed.service.clone())
+            .or_default()
+            .push(name.clone());
+        let backend = Backend {
+            id: name.clone(),
+            hash: affinity::hash(name.as_str().as_bytes()),
+            limit: limit::Limit::new(listed.slots),
+            listed,
+            region,
+            in_flight: 0,
+            health: ejection::Health::default(),
+            pace: cold::Pace::default(),
+            report: Report::default(),
+        };
+        self.by_id.insert(name.clone(), backend);
+        true
+    }
+
+    /// Takes one out.
+    pub fn remove(&mut self, name: &id::VmId) -> Option<Backend> {
+        let gone = self.by_id.remove(name)?;
+        if let Some(names) = self.by_service.get_mut(&gone.listed.service) {
+            names.retain(|n| n != name);
+        }
+        Some(gone)
+    }
+
+    /// One of them.
+    pub fn get(&self, name: &id::VmId) -> Option<&Backend> {
+        self.by_id.get(name)
+    }
+
+    /// One of them, to change.
+    pub fn get_mut(&mut self, name: &id::VmId) -> Option<&mut Backend> {
+        self.by_id.get_mut(name)
+    }
+
+    /// Those of a service.
+    pub fn of<'a>(&'a self, service: &id::ServiceId) -> impl Iterator<Item = &'a Backend> {
+        self.by_service
+            .get(service)
+            .into_iter()
+            .flatten()
+            .filter_map(|name| self.by_id.get(name))
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.by_id.values()
+    }
+
+    /// All of them, to change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Backend> {
+        self.by_id.values_mut()
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,7 +4,9 @@
 //! A thread that holds the second never takes the first. Everything else that is shared is
 //! replaced whole through an `ArcSwap` and needs no lock.
 
+pub mod backends;
 pub mod directory;
+pub mod entries;
 pub mod explain;
 pub mod fleet;
 pub mod keys;
