Take no request late in a planned stop; keep an object at its backend server

From 2.5 s on, requests get 503 and go to another VM.

An overloaded place handled each object at several backend servers, so that none was warm.

--- a/src/decisions/affinity.rs
+++ b/src/decisions/affinity.rs
@@ -36,9 +36,9 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            second: 0.8,
-            further: 0.4,
-            most: 1.7,
+            second: 2.0,
+            further: 1.0,
+            most: 2.5,
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,10 @@
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
 
+/// How long a planned stop goes on taking requests: callers learn within the time that an answer
+/// about where to connect is kept, and until then some still come here.
+const LEAVING: time::Duration = time::Duration::from_millis(2500);
+
 /// What a gateway is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -129,6 +133,8 @@
     waiting: cell::RefCell<waiting::Waiting>,
     pool: cell::RefCell<pool::Pool>,
     stop: watch::Sender<bool>,
+    /// From when on a planned stop takes no further request.
+    closed: cell::Cell<Option<policy::Moment>>,
     in_hand: cell::Cell<usize>,
 }
 
@@ -165,6 +171,7 @@
             waiting: cell::RefCell::default(),
             pool: cell::RefCell::default(),
             stop: watch::channel(false).0,
+            closed: cell::Cell::new(None),
             in_hand: cell::Cell::new(0),
         }))
     }
@@ -203,9 +210,21 @@
 
     /// Begins a planned stop: callers are told to go elsewhere, and what is in hand ends.
     pub fn stop(&self) {
+        self.closed.set(Some(self.now() + LEAVING));
         self.stop.send_replace(true);
     }
 
+    /// Whether a planned stop takes no further request. Taken later, one could still be worked on
+    /// when the grace time ends, and would be cut.
+    pub fn is_closed(&self) -> bool {
+        self.closed.get().is_some_and(|at| self.now() >= at)
+    }
+
+    /// Whether a planned stop is done: callers know, and nothing is in hand.
+    pub fn is_done(&self) -> bool {
+        self.is_closed() && self.in_hand.get() == 0
+    }
+
     /// Tells when a planned stop begins.
     pub fn stopping(&self) -> watch::Receiver<bool> {
         self.stop.subscribe()
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -28,6 +28,13 @@
 /// by a sixth and queues by as much again as the work; beyond three times something is wrong.
 const HEDGE: f64 = 3.0;
 
+/// When a caller may come back whom this VM no longer takes: at once, to another.
+const ELSEWHERE: time::Duration = time::Duration::from_millis(20);
+
+/// When a caller may come back to a VM that knows no routes yet: it asks for them every quarter
+/// of a second.
+const UNREADY: time::Duration = time::Duration::from_millis(300);
+
 /// What a request's head and the routes in force say.
 struct Facts {
     route: rc::Rc<routes::Route>,
@@ -103,10 +110,11 @@
         if !req.head.target().starts_with('/') {
             return refuse(400);
         }
+        if self.is_closed() {
+            return Err(self.not_here(&id, ELSEWHERE, "planned stop"));
+        }
         let Some(table) = self.table() else {
-            let mut answer = self.own_answer(503, Some(&id));
-            put_retry_after(&mut answer.fields, time::Duration::from_millis(300));
-            return Err(answer);
+            return Err(self.not_here(&id, UNREADY, "no routes yet"));
         };
         let Some(route) = table.select(host, req.head.path()) else {
             slog::debug!(self.log, "no route"; "request" => %String::from_utf8_lossy(&id), "host" => host, "path" => req.head.path(), "version" => table.version);
@@ -150,6 +158,15 @@
         parts[split.pick(&weights, point)].service.clone()
     }
 
+    /// This VM cannot take the request just now; another may.
+    fn not_here(&self, id: &[u8], after: time::Duration, why: &str) -> callers::Answer {
+        slog::info!(self.log, "refused"; "request" => %String::from_utf8_lossy(id), "why" => why);
+        let mut answer = self.own_answer(503, Some(id));
+        answer.close = true;
+        put_retry_after(&mut answer.fields, after);
+        answer
+    }
+
     /// An answer of our own.
     fn own_answer(&self, status: u16, id: Option<&[u8]>) -> callers::Answer {
         let mut answer = callers::Answer::bare(status);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,10 +20,6 @@
 use crate::transport::{callers, socket};
 use crate::{error, gateway};
 
-/// How long a planned stop lasts at least: callers learn within the time that an answer about
-/// where to connect is kept, and until then some still come here.
-const LEAVING: time::Duration = time::Duration::from_millis(2500);
-
 /// How long before the end of the grace time a planned stop ends whatever is in hand.
 const MARGIN: time::Duration = time::Duration::from_millis(250);
 
@@ -116,9 +112,7 @@
     let end = begun + cx.cfg.grace.saturating_sub(MARGIN);
     loop {
         tokio::time::sleep(time::Duration::from_millis(50)).await;
-        let now = cx.now();
-        let empty = cx.in_hand() == 0 && now >= begun + LEAVING;
-        if empty || now >= end {
+        if cx.is_done() || cx.now() >= end {
             return;
         }
     }
