Let one entry VM a region read the store for the others

Now the first of the registered VMs of a region reads, others follow it over a WebSocket and get only what is news; who finds nobody to follow reads by itself. Nothing is agreed on.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod listing;
 pub mod loads;
 pub mod membership;
+pub mod mirror;
 pub mod node;
 pub mod peers;
 pub mod plan_writer;
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -29,14 +29,22 @@
         true
     }
 
-    /// Takes what the list says of a backend server.
-    pub fn learn_backend(&self, id: &id::VmId, listed: backends::Listed) {
+    /// Takes what the list says of a backend server. Returns whether it is more than a heartbeat.
+    pub fn learn_backend(&self, id: &id::VmId, listed: backends::Listed) -> bool {
         self.listing.borrow_mut().found(id);
         let region = self.cfg.regions.get(&listed.az).cloned();
         let service = listed.service.clone();
         let before = self.backends.borrow().get(id).map(|b| b.listed.clone());
         let leaving = listed.leaving && before.as_ref().is_none_or(|b| !b.leaving);
-        let cold = listed.cold_until > self.now();
+        let now = self.now();
+        let cold = listed.cold_until > now;
+        let news = before.as_ref().is_none_or(|b| {
+            let same = backends::Listed {
+                cold_until: b.cold_until,
+                ..listed.clone()
+            };
+            cold || b.cold_until > now || same != *b
+        });
         self.backends.borrow_mut().put(id, listed, region);
         if before.is_none() {
             slog::info!(self.log, "backend server listed"; "backend" => %id, "service" => %service, "cold" => cold);
@@ -45,6 +53,7 @@
         if leaving {
             slog::info!(self.log, "backend server leaves"; "backend" => %id, "service" => %service);
         }
+        news
     }
 
     /// The list no longer has a backend server.
@@ -63,18 +72,6 @@
         }
     }
 
-    /// All backend servers that the list has; others are missing.
-    pub fn listed_backends(&self, listed: &std::collections::BTreeSet<id::VmId>) {
-        let missing: Vec<id::VmId> = self
-            .backends
-            .borrow()
-            .iter()
-            .filter(|b| !listed.contains(&b.id))
-            .map(|b| b.id.clone())
-            .collect();
-        missing.iter().for_each(|id| self.lose_backend(id));
-    }
-
     /// The store answered.
     pub fn heard_store(&self) {
         let away = self.listing.borrow_mut().heard(self.now());
@@ -94,45 +91,43 @@
     }
 
     /// Nothing more goes to the backend servers of an availability zone, or it may again.
-    pub fn evacuate(&self, az: &id::AzId, evacuated: bool) {
+    pub fn evacuate(&self, az: &id::AzId, evacuated: bool) -> bool {
         let changed = match evacuated {
             true => self.evacuated.borrow_mut().insert(az.clone()),
             false => self.evacuated.borrow_mut().remove(az),
         };
         if !changed {
-            return;
+            return false;
         }
         slog::info!(self.log, "evacuation"; "az" => %az, "evacuated" => evacuated);
         if evacuated {
-            return;
+            return true;
         }
         let until = self.now() + UNSURE;
         let mut backends = self.backends.borrow_mut();
         for backend in backends.iter_mut().filter(|b| b.listed.az == *az) {
             backend.listed.cold_until = backend.listed.cold_until.max(until);
         }
+        true
     }
 
-    /// The zones that are evacuated now.
-    pub fn evacuated(&self) -> std::collections::BTreeSet<id::AzId> {
-        self.evacuated.borrow().clone()
-    }
-
-    /// Takes in an entry VM.
-    pub fn learn_entry(&self, vm: &id::VmId, entry: entries::Entry) {
-        slog::info!(self.log, "entry VM listed"; "vm" => %vm, "az" => %entry.az);
-        self.entries.borrow_mut().put(vm.clone(), entry);
-    }
-
-    /// Takes out an entry VM.
-    pub fn lose_entry(&self, vm: &id::VmId) {
-        slog::info!(self.log, "entry VM gone"; "vm" => %vm);
-        self.entries.borrow_mut().remove(vm);
+    /// Takes in an entry VM. Returns whether that is news.
+    pub fn learn_entry(&self, vm: &id::VmId, entry: entries::Entry) -> bool {
+        let az = entry.az.clone();
+        let news = self.entries.borrow_mut().put(vm.clone(), entry);
+        if news {
+            slog::info!(self.log, "entry VM listed"; "vm" => %vm, "az" => %az);
+        }
+        news
     }
 
-    /// All entry VMs that are registered; others are gone.
-    pub fn listed_entries(&self, listed: &std::collections::BTreeSet<id::VmId>) {
-        self.entries.borrow_mut().retain(|vm| listed.contains(vm));
+    /// Takes out an entry VM. Returns whether it was known.
+    pub fn lose_entry(&self, vm: &id::VmId) -> bool {
+        let news = self.entries.borrow_mut().remove(vm);
+        if news {
+            slog::info!(self.log, "entry VM gone"; "vm" => %vm);
+        }
+        news
     }
 
     /// Where a caller of this zone and region connects: the nearest entry VMs.
--- /dev/null
+++ b/src/gateway/mirror.rs
@@ -0,0 +1,355 @@
+//! Reading the platform's store, or following another entry VM that reads it.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use tokio::net::TcpListener;
+use tokio::sync::broadcast;
+use tokio::task;
+
+use super::Gateway;
+use crate::coordination::mirror as order;
+use crate::decisions::affinity;
+use crate::id;
+use crate::protocol::mirror;
+use crate::transport;
+
+/// How long a watch waits for a change. Each answer is also the sign to the followers that this
+/// VM reads, so it must come well within [`order::SILENCE`].
+const WAIT: time::Duration = time::Duration::from_millis(700);
+
+/// The pause after changes came. Heartbeats of backend servers come all the time, and taken one
+/// by one each would cost a call; a backend server that leaves bears work for two seconds more.
+const PACE: time::Duration = time::Duration::from_millis(400);
+
+/// The pause after a call that failed, and up to which it grows while calls go on failing: a store
+/// that is overloaded is not helped by being asked more often.
+const RETRY: time::Duration = time::Duration::from_millis(250);
+const LONGEST_RETRY: time::Duration = time::Duration::from_millis(800);
+
+/// Messages that may wait for a slow follower before it is cut off and begins anew.
+const BEHIND: usize = 64;
+
+/// Why the store could not be read.
+#[derive(Debug)]
+pub enum ReadError<E> {
+    /// The history asked for is gone.
+    Gap,
+    /// The call failed.
+    Failed(E),
+}
+
+/// Where records come from, and what they mean.
+pub trait Source {
+    /// Why a call fails.
+    type Error: std::fmt::Display;
+
+    /// All records, and the revision from which to watch.
+    fn read(&mut self) -> impl Future<Output = Result<(Vec<mirror::Record>, u64), Self::Error>>;
+
+    /// What changed after a revision, waiting so long for it.
+    fn watch(
+        &mut self,
+        after: u64,
+        wait: time::Duration,
+    ) -> impl Future<Output = Result<(Vec<mirror::Record>, u64), ReadError<Self::Error>>>;
+
+    /// Tells the gateway what a record says. Returns whether that was news.
+    fn apply(&self, record: &mirror::Record) -> bool;
+}
+
+/// What is known of the store, shared by the tasks of one process.
+#[derive(Clone, Debug)]
+pub struct Mirror {
+    cx: Gateway,
+    records: rc::Rc<cell::RefCell<order::Records>>,
+    news: broadcast::Sender<rc::Rc<Vec<u8>>>,
+    reading: rc::Rc<cell::Cell<bool>>,
+}
+
+impl Mirror {
+    /// Knows nothing yet.
+    pub fn new(cx: Gateway) -> Self {
+        Self {
+            cx,
+            records: rc::Rc::default(),
+            news: broadcast::channel(BEHIND).0,
+            reading: rc::Rc::default(),
+        }
+    }
+
+    /// Whether a key is in the store.
+    pub fn has(&self, key: &str) -> bool {
+        self.records.borrow().has(key)
+    }
+
+    /// Keeps up with the store for good.
+    pub async fn run<S: Source>(self, mut source: S, seeds: Vec<net::SocketAddr>) {
+        let mut order = order::Order::default();
+        if let Err(err) = self.read_all(&mut source).await {
+            slog::warn!(self.cx.log, "store does not serve"; "error" => %err);
+            self.cx.lost_store();
+            self.learn_from_any(&source, &seeds).await;
+        }
+        loop {
+            if !self.follow_any(&source, &mut order).await {
+                self.read(&mut source, &mut order).await;
+            }
+        }
+    }
+
+    /// Follows the first that can be followed, for as long as it goes. Returns whether one could.
+    async fn follow_any<S: Source>(&self, source: &S, order: &mut order::Order) -> bool {
+        for vm in order.ask(self.cx.now(), &self.cx.cfg.vm, &self.near()) {
+            let Some(addr) = self.addr_of(&vm) else {
+                continue;
+            };
+            let followed = self.follow(source, &vm, addr).await;
+            order.avoid(self.cx.now(), &vm);
+            if followed {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The registered entry VMs of the own region.
+    fn near(&self) -> Vec<(u64, id::VmId)> {
+        let entries = self.cx.entries.borrow();
+        let near = entries
+            .iter()
+            .filter(|(_, entry)| self.cx.cfg.regions.get(&entry.az) == self.cx.region.as_ref())
+            .map(|(vm, _)| (affinity::hash(vm.as_str().as_bytes()), vm.clone()));
+        near.collect()
+    }
+
+    fn addr_of(&self, vm: &id::VmId) -> Option<net::SocketAddr> {
+        self.cx.entries.borrow().get(vm)?.peers
+    }
+
+    /// Follows one entry VM until it falls silent. Returns whether it had told anything.
+    async fn follow<S: Source>(&self, source: &S, vm: &id::VmId, addr: net::SocketAddr) -> bool {
+        let mut told = false;
+        let why = match self.follow_link(source, vm, addr, &mut told).await {
+            Ok(()) => "it does not read the store".to_owned(),
+            Err(err) => err.to_string(),
+        };
+        slog::info!(self.cx.log, "not following"; "vm" => %vm, "why" => why, "followed" => told);
+        told
+    }
+
+    async fn follow_link<S: Source>(
+        &self,
+        source: &S,
+        vm: &id::VmId,
+        addr: net::SocketAddr,
+        told: &mut bool,
+    ) -> Result<(), transport::mirror::Error> {
+        let mut link = transport::mirror::Link::open(addr).await?;
+        link.send(&mirror::encode(&mirror::Ask { fresh: true })?)
+            .await?;
+        loop {
+            match link.receive(order::SILENCE).await? {
+                mirror::Message::NotReading => return Ok(()),
+                mirror::Message::Whole { records, revision } => {
+                    slog::info!(self.cx.log, "following"; "vm" => %vm, "revision" => revision);
+                    self.replace(source, &records, revision);
+                }
+                mirror::Message::Changes { records, revision } => {
+                    self.take(source, &records, revision);
+                }
+            }
+            *told = true;
+            self.cx.heard_store();
+        }
+    }
+
+    /// Reads the store until there may be somebody to follow.
+    async fn read<S: Source>(&self, source: &mut S, order: &mut order::Order) {
+        let until = self.cx.now() + order::RECHECK;
+        let mut retry = RETRY;
+        slog::debug!(self.cx.log, "reading the store"; "revision" => self.records.borrow().revision());
+        loop {
+            let may_follow = !order
+                .ask(self.cx.now(), &self.cx.cfg.vm, &self.near())
+                .is_empty();
+            if may_follow && self.cx.now() >= until {
+                self.reading.set(false);
+                return;
+            }
+            match self.read_once(source).await {
+                Ok(pause) => {
+                    retry = RETRY;
+                    tokio::time::sleep(pause).await;
+                }
+                Err(err) => {
+                    self.reading.set(false);
+                    if self.cx.lost_store() {
+                        slog::warn!(self.cx.log, "store does not serve"; "error" => %err);
+                    }
+                    tokio::time::sleep(retry).await;
+                    retry = (retry * 2).min(LONGEST_RETRY);
+                }
+            }
+        }
+    }
+
+    /// One call to the store. Returns the pause before the next.
+    async fn read_once<S: Source>(&self, source: &mut S) -> Result<time::Duration, S::Error> {
+        let revision = self.records.borrow().revision();
+        if revision == 0 {
+            self.read_all(source).await?;
+            return Ok(time::Duration::ZERO);
+        }
+        match source.watch(revision, WAIT).await {
+            Ok((records, revision)) => {
+                let pause = match records.is_empty() {
+                    true => time::Duration::ZERO,
+                    false => PACE,
+                };
+                self.cx.heard_store();
+                self.reading.set(true);
+                let news = self.take(source, &records, revision);
+                self.tell(news, revision);
+                Ok(pause)
+            }
+            Err(ReadError::Gap) => {
+                slog::info!(self.cx.log, "history of the store is gone"; "revision" => revision);
+                self.read_all(source).await?;
+                Ok(time::Duration::ZERO)
+            }
+            Err(ReadError::Failed(err)) => Err(err),
+        }
+    }
+
+    async fn read_all<S: Source>(&self, source: &mut S) -> Result<(), S::Error> {
+        let (records, revision) = source.read().await?;
+        self.cx.heard_store();
+        let news = self.replace(source, &records, revision);
+        self.tell(news, revision);
+        Ok(())
+    }
+
+    /// Takes records. Returns those that said something new.
+    fn take<S: Source>(
+        &self,
+        source: &S,
+        records: &[mirror::Record],
+        revision: u64,
+    ) -> Vec<mirror::Record> {
+        let mut news = Vec::new();
+        for record in records {
+            if source.apply(record) {
+                news.push(record.clone());
+            }
+            self.records.borrow_mut().put(record);
+        }
+        self.records.borrow_mut().reached(revision);
+        news
+    }
+
+    /// Takes all records; what is not among them is gone.
+    fn replace<S: Source>(
+        &self,
+        source: &S,
+        records: &[mirror::Record],
+        revision: u64,
+    ) -> Vec<mirror::Record> {
+        let gone = self.records.borrow().missing(records);
+        let mut news = self.take(source, records, revision);
+        news.extend(self.take(source, &gone, revision));
+        news
+    }
+
+    fn tell(&self, records: Vec<mirror::Record>, revision: u64) {
+        match mirror::encode(&mirror::Message::Changes { records, revision }) {
+            // Without followers there is nobody to tell.
+            Ok(message) => drop(self.news.send(rc::Rc::new(message))),
+            Err(err) => slog::error!(self.cx.log, "followers not told"; "error" => %err),
+        }
+    }
+
+    /// Takes what any of the given entry VMs knows, however old, while the store is away.
+    async fn learn_from_any<S: Source>(&self, source: &S, seeds: &[net::SocketAddr]) {
+        for seed in seeds {
+            match self.learn_from(source, *seed).await {
+                Ok(0) => {}
+                Ok(known) => {
+                    slog::info!(self.cx.log, "learnt from an entry VM"; "addr" => %seed, "records" => known);
+                    return;
+                }
+                Err(err) => {
+                    slog::info!(self.cx.log, "nothing learnt"; "addr" => %seed, "why" => %err);
+                }
+            }
+        }
+    }
+
+    async fn learn_from<S: Source>(
+        &self,
+        source: &S,
+        addr: net::SocketAddr,
+    ) -> Result<usize, transport::mirror::Error> {
+        let mut link = transport::mirror::Link::open(addr).await?;
+        link.send(&mirror::encode(&mirror::Ask { fresh: false })?)
+            .await?;
+        match link.receive(order::SILENCE).await? {
+            mirror::Message::Whole { records, revision } => {
+                self.replace(source, &records, revision);
+                Ok(records.len())
+            }
+            mirror::Message::Changes { .. } | mirror::Message::NotReading => Ok(0),
+        }
+    }
+
+    /// Tells others what is known, until the process ends.
+    pub async fn serve(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let mirror = self.clone();
+                    task::spawn_local(async move {
+                        // A follower that leaves or is too slow dials again, or another VM.
+                        if let Err(err) = mirror.tell_one(stream).await {
+                            slog::debug!(mirror.cx.log, "follower lost"; "why" => %err);
+                        }
+                    });
+                }
+                Err(err) => {
+                    slog::warn!(self.cx.log, "cannot accept a connection"; "error" => %err);
+                    tokio::time::sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    async fn tell_one(
+        &self,
+        stream: tokio::net::TcpStream,
+    ) -> Result<(), transport::mirror::Error> {
+        let mut link = transport::mirror::Link::accept(stream).await?;
+        let ask: mirror::Ask = link.receive(order::SILENCE).await?;
+        let mut news = self.news.subscribe();
+        let whole = match self.reading.get() || !ask.fresh {
+            true => self.records.borrow().whole(),
+            false => mirror::Message::NotReading,
+        };
+        link.send(&mirror::encode(&whole)?).await?;
+        if !ask.fresh || whole == mirror::Message::NotReading {
+            link.closed().await;
+            return Ok(());
+        }
+        loop {
+            let message = tokio::select! {
+                message = news.recv() => message,
+                () = link.closed() => return Ok(()),
+            };
+            let Ok(message) = message else {
+                return Err(transport::mirror::Error::Timeout);
+            };
+            link.send(&message).await?;
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod beliefs;
 pub mod front;
+pub mod mirror;
 pub mod place;
 pub mod pool;
 pub mod request;
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -1,5 +1,5 @@
 //! The platform's and callers' calls that are not requests to a service: readiness, where to
-//! connect, what this VM knows, metrics.
+//! connect, metrics.
 
 use bytes::Bytes;
 
@@ -7,18 +7,11 @@
 use crate::transport::callers;
 use crate::{gateway, metrics};
 
-use super::{feed, store};
-
-/// Where an entry VM answers with all that it knows.
-pub const SNAPSHOT: &str = "/snapshot";
-
 /// Answers these calls.
 #[derive(Clone, Debug)]
 pub struct Calls {
     /// The gateway.
     pub cx: gateway::Gateway,
-    /// What was read from the store.
-    pub known: feed::Known,
     /// How long an answer about where to connect may be kept, in seconds.
     pub ttl_s: f64,
 }
@@ -45,7 +38,6 @@
         match head.path() {
             "/ready" => self.ready(),
             "/resolve" => self.resolve(head.target()),
-            SNAPSHOT => self.snapshot(),
             "/metrics" => text(metrics::exporter().render()),
             _ => callers::Answer::bare(404),
         }
@@ -70,16 +62,6 @@
             ttl_s: self.ttl_s,
         })
     }
-
-    fn snapshot(&self) -> callers::Answer {
-        if self.cx.store_age().is_none() {
-            return callers::Answer::bare(503);
-        }
-        json(&store::Page {
-            items: self.known.borrow().values().cloned().collect(),
-            ..store::Page::default()
-        })
-    }
 }
 
 fn query<'a>(target: &'a str, name: &str) -> Option<&'a str> {
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -167,6 +167,7 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Registered {
     front: net::SocketAddr,
+    peers: Option<net::SocketAddr>,
     az: String,
 }
 
@@ -175,6 +176,7 @@
     let entry: Registered = serde_json::from_slice(value)?;
     Ok(entries::Entry {
         front: entry.front,
+        peers: entry.peers,
         az: entry.az.as_str().into(),
     })
 }
@@ -183,6 +185,7 @@
 pub fn put_entry(entry: &entries::Entry) -> Result<Vec<u8>, Error> {
     Ok(serde_json::to_vec(&Registered {
         front: entry.front,
+        peers: entry.peers,
         az: entry.az.to_string(),
     })?)
 }
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -1,195 +1,139 @@
-//! Reads the platform's store and tells the gateway what it says.
+//! What stands in the platform's store, told to the gateway, and this VM's registration there.
 
-use std::cell;
-use std::collections;
 use std::rc;
 use std::time;
 
+use crate::gateway::mirror as following;
+use crate::protocol::mirror;
 use crate::state::entries;
 use crate::{gateway, id};
 
 use super::{decode, names, settings, store};
 
-/// How long a watch waits for a change. A connection that went silent is noticed after this and
-/// a call's time, together within the time in which a configuration must be in force.
-const WAIT: time::Duration = time::Duration::from_millis(2000);
-
-/// The pause after changes came. Heartbeats of backend servers come all the time; taken one by
-/// one each would cost a call. What leaves must have no new work after two seconds or more.
-const PACE: time::Duration = time::Duration::from_millis(300);
-
-/// The pause after a call that failed.
-const RETRY: time::Duration = time::Duration::from_millis(250);
-
 /// How long a registration lasts unless renewed.
 const LEASE: time::Duration = time::Duration::from_secs(3);
 
 /// How often it is renewed: two renewals may fail before it ends.
 const RENEW: time::Duration = time::Duration::from_secs(1);
 
-/// The raw items, as another entry VM may ask for them.
-pub type Known = rc::Rc<cell::RefCell<collections::BTreeMap<String, store::Item>>>;
+/// The pause after a call that failed.
+const RETRY: time::Duration = time::Duration::from_millis(300);
+
+/// Everything in the store concerns entry VMs, so one watch serves for all.
+const EVERYTHING: &str = "";
 
-/// Reads the store and applies what it says.
-#[derive(Clone, Debug)]
+/// The store as a source of records.
+#[derive(Debug)]
 pub struct Feed {
     cx: gateway::Gateway,
-    /// What was read.
-    pub known: Known,
+    client: store::Client,
 }
 
 impl Feed {
-    /// A feed of this gateway.
-    pub fn new(cx: gateway::Gateway) -> Self {
+    /// The store at this address.
+    pub fn new(cx: gateway::Gateway, addr: std::net::SocketAddr) -> Self {
         Self {
             cx,
-            known: Known::default(),
+            client: store::Client::new(addr),
         }
     }
 
-    /// Follows one part of the store.
-    pub async fn follow(self, addr: std::net::SocketAddr, prefix: &'static str) {
-        let mut client = store::Client::new(addr);
-        loop {
-            match client.range(prefix).await {
-                Ok((items, revision)) => {
-                    self.cx.heard_store();
-                    self.replace(prefix, items);
-                    self.follow_from(&mut client, prefix, revision).await;
-                }
-                Err(err) => self.failed(prefix, &err).await,
-            }
+    fn checked(&self, record: &mirror::Record) -> Result<bool, decode::Error> {
+        let key = record.key.as_str();
+        let value = record.value.as_deref();
+        if let Some(name) = key.strip_prefix(names::BACKENDS) {
+            return self.backend(&name.into(), value);
         }
-    }
-
-    /// Watches until history is missing.
-    async fn follow_from(&self, client: &mut store::Client, prefix: &str, mut revision: u64) {
-        loop {
-            match client.watch(prefix, revision, WAIT).await {
-                Ok((events, now)) => {
-                    self.cx.heard_store();
-                    revision = now.max(revision);
-                    let quiet = events.is_empty();
-                    events.into_iter().for_each(|item| self.apply(item));
-                    if !quiet {
-                        tokio::time::sleep(PACE).await;
-                    }
-                }
-                Err(store::Error::Gap) => {
-                    slog::info!(self.cx.log, "history of the store is gone"; "prefix" => prefix, "revision" => revision);
-                    return;
-                }
-                Err(err) => self.failed(prefix, &err).await,
-            }
+        if let Some(az) = key.strip_prefix(names::EVACUATED) {
+            return Ok(self.cx.evacuate(&az.into(), value.is_some()));
         }
-    }
-
-    async fn failed(&self, prefix: &str, err: &store::Error) {
-        if self.cx.lost_store() {
-            slog::warn!(self.cx.log, "store does not serve"; "prefix" => prefix, "error" => %err);
+        if let Some(vm) = key.strip_prefix(names::ENTRIES) {
+            return self.entry(&vm.into(), value);
         }
-        tokio::time::sleep(RETRY).await;
-    }
-
-    /// Takes all items under a prefix; what is not among them is gone.
-    fn replace(&self, prefix: &str, items: Vec<store::Item>) {
-        let listed: collections::BTreeSet<String> = items.iter().map(|i| i.key.clone()).collect();
-        let gone: Vec<String> = self
-            .known
-            .borrow()
-            .keys()
-            .filter(|key| key.starts_with(prefix) && !listed.contains(*key))
-            .cloned()
-            .collect();
-        items.into_iter().for_each(|item| self.apply(item));
-        for key in gone {
-            self.apply(store::Item {
-                key,
-                value: None,
-                tombstone: true,
-            });
+        match value {
+            Some(value) if key == names::CONFIG => Ok(self.cx.learn_routes(decode::config(value)?)),
+            _ => Ok(false),
         }
     }
 
-    fn apply(&self, item: store::Item) {
-        if let Err(err) = self.apply_checked(&item) {
-            slog::warn!(self.cx.log, "value not taken, what was known stays"; "key" => &item.key, "error" => %err);
-            return;
-        }
-        let mut known = self.known.borrow_mut();
-        match item.tombstone {
-            true => known.remove(&item.key),
-            false => known.insert(item.key.clone(), item),
+    fn backend(&self, name: &id::VmId, value: Option<&[u8]>) -> Result<bool, decode::Error> {
+        let Some(value) = value else {
+            self.cx.lose_backend(name);
+            return Ok(true);
         };
+        let listed = decode::backend(value, self.cx.now())?;
+        Ok(self.cx.learn_backend(name, listed))
     }
 
-    fn apply_checked(&self, item: &store::Item) -> Result<(), Unusable> {
-        let value = item.bytes()?;
-        let key = item.key.as_str();
-        if let Some(name) = key.strip_prefix(names::BACKENDS) {
-            self.apply_backend(&name.into(), value.as_deref())?;
-        } else if let Some(az) = key.strip_prefix(names::EVACUATED) {
-            self.cx.evacuate(&az.into(), value.is_some());
-        } else if let Some(vm) = key.strip_prefix(names::ENTRIES) {
-            self.apply_entry(&vm.into(), value.as_deref())?;
-        } else if key == names::CONFIG
-            && let Some(value) = value
-        {
-            self.cx.learn_routes(decode::config(&value)?);
+    fn entry(&self, vm: &id::VmId, value: Option<&[u8]>) -> Result<bool, decode::Error> {
+        match value {
+            Some(value) => Ok(self.cx.learn_entry(vm, decode::entry(value)?)),
+            None => Ok(self.cx.lose_entry(vm)),
         }
-        Ok(())
     }
+}
 
-    fn apply_backend(&self, name: &id::VmId, value: Option<&[u8]>) -> Result<(), Unusable> {
-        match value {
-            Some(value) => {
-                let listed = decode::backend(value, self.cx.now())?;
-                self.cx.learn_backend(name, listed);
-            }
-            None => self.cx.lose_backend(name),
-        }
-        Ok(())
+impl following::Source for Feed {
+    type Error = store::Error;
+
+    async fn read(&mut self) -> Result<(Vec<mirror::Record>, u64), store::Error> {
+        self.client.range(EVERYTHING).await
     }
 
-    fn apply_entry(&self, vm: &id::VmId, value: Option<&[u8]>) -> Result<(), Unusable> {
-        match value {
-            Some(value) => self.cx.learn_entry(vm, decode::entry(value)?),
-            None => self.cx.lose_entry(vm),
-        }
-        Ok(())
+    async fn watch(
+        &mut self,
+        after: u64,
+        wait: time::Duration,
+    ) -> Result<(Vec<mirror::Record>, u64), following::ReadError<store::Error>> {
+        self.client
+            .watch(EVERYTHING, after, wait)
+            .await
+            .map_err(|err| match err {
+                store::Error::Gap => following::ReadError::Gap,
+                err => following::ReadError::Failed(err),
+            })
     }
 
-    /// Asks other entry VMs while the store has said nothing yet.
-    pub async fn learn_from_seeds(self, seeds: Vec<std::net::SocketAddr>) {
-        for seed in seeds.iter().cycle() {
-            tokio::time::sleep(RETRY).await;
-            if self.cx.store_age().is_some() || self.cx.is_ready() {
-                return;
-            }
-            let Ok(page) = store::Client::new(*seed).snapshot().await else {
-                // The next one is asked; seeds may be down.
-                continue;
-            };
-            // The store may have answered meanwhile, and then knows better.
-            if self.cx.store_age().is_none() {
-                slog::info!(self.cx.log, "learnt from an entry VM"; "addr" => %seed, "items" => page.items.len());
-                page.items.into_iter().for_each(|item| self.apply(item));
-            }
-        }
+    fn apply(&self, record: &mirror::Record) -> bool {
+        self.checked(record).unwrap_or_else(|err| {
+            slog::warn!(self.cx.log, "value not taken, what was known stays"; "key" => &record.key, "error" => %err);
+            false
+        })
     }
+}
+
+/// This VM's registration.
+#[derive(Debug)]
+pub struct Registration {
+    /// The gateway.
+    pub cx: gateway::Gateway,
+    /// What is known of the store.
+    pub mirror: following::Mirror,
+    /// The process's settings.
+    pub settings: rc::Rc<settings::Settings>,
+}
+
+/// A registration in force.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    lease: u64,
+    /// Renewals in a row at which the key was not seen in the store.
+    unseen: u32,
+}
 
+/// Renewals without the key in sight until it is written anew: the view of the store lags by
+/// less than two.
+const UNSEEN: u32 = 2;
+
+impl Registration {
     /// Keeps this VM registered while it is ready, until a planned stop.
-    pub async fn register(self, settings: rc::Rc<settings::Settings>) {
-        let mut client = store::Client::new(settings.store);
+    pub async fn keep(self) {
+        let mut client = store::Client::new(self.settings.store);
         let mut stop = self.cx.stopping();
-        let mut lease = None;
+        let mut held = None;
         while !self.cx.is_stopping() {
-            let before = lease;
-            lease = self.renew(&mut client, &settings, lease).await;
-            if lease.is_some() && before.is_none() {
-                slog::info!(self.cx.log, "registered"; "vm" => %self.cx.cfg.vm);
-            }
-            let pause = match lease {
+            held = self.round(&mut client, held).await;
+            let pause = match held {
                 Some(_) => RENEW,
                 None => RETRY,
             };
@@ -198,58 +142,59 @@
                 _ = stop.changed() => {}
             }
         }
-        if let Some(lease) = lease
-            && let Err(err) = client.end_lease(lease).await
+        if let Some(held) = held
+            && let Err(err) = client.end_lease(held.lease).await
         {
             slog::warn!(self.cx.log, "registration not taken back, it lapses by itself"; "error" => %err);
         }
     }
 
-    /// One round of registration. Returns the lease that holds.
-    async fn renew(
-        &self,
-        client: &mut store::Client,
-        settings: &settings::Settings,
-        lease: Option<u64>,
-    ) -> Option<u64> {
+    async fn round(&self, client: &mut store::Client, held: Option<Held>) -> Option<Held> {
         if !self.cx.is_ready() {
-            return lease;
+            return held;
         }
-        let key = format!("{}{}", names::ENTRIES, self.cx.cfg.vm);
-        // A store that took the key away does not say so when the lease is renewed.
-        let listed = self.known.borrow().contains_key(&key);
-        let held = match lease {
-            Some(lease) => match client.renew(lease).await {
-                Ok(()) if listed => return Some(lease),
-                Ok(()) => Some(lease),
-                Err(store::Error::Condition(_)) => None,
-                Err(_) => return Some(lease),
-            },
-            None => None,
+        let Some(held) = held else {
+            return self.register(client).await;
         };
-        let held = match held {
-            Some(held) => held,
-            None => client.lease(LEASE).await.ok()?,
+        let seen = self.mirror.has(&self.key());
+        let unseen = match seen {
+            true => 0,
+            false => held.unseen + 1,
         };
-        let value = decode::put_entry(&entries::Entry {
-            front: settings.gateway.front,
-            az: settings.gateway.az.clone(),
-        });
-        match client.put(&key, &value.ok()?, held).await {
-            Ok(()) => Some(held),
+        match client.renew(held.lease).await {
+            // A store that took the key away does not say so when the lease is renewed.
+            Ok(()) if unseen > UNSEEN => self.register(client).await,
+            Ok(()) => Some(Held { unseen, ..held }),
+            Err(store::Error::Condition(_)) => self.register(client).await,
+            Err(_) => Some(held),
+        }
+    }
+
+    fn key(&self) -> String {
+        format!("{}{}", names::ENTRIES, self.cx.cfg.vm)
+    }
+
+    async fn register(&self, client: &mut store::Client) -> Option<Held> {
+        match self.write(client).await {
+            Ok(lease) => {
+                slog::info!(self.cx.log, "registered"; "vm" => %self.cx.cfg.vm, "lease" => lease);
+                Some(Held { lease, unseen: 0 })
+            }
             Err(err) => {
-                slog::warn!(self.cx.log, "not registered"; "error" => %err);
+                slog::info!(self.cx.log, "not registered"; "error" => %err);
                 None
             }
         }
     }
-}
 
-/// Why an item changes nothing.
-#[derive(Debug, thiserror::Error)]
-enum Unusable {
-    #[error(transparent)]
-    Store(#[from] store::Error),
-    #[error(transparent)]
-    Value(#[from] decode::Error),
+    async fn write(&self, client: &mut store::Client) -> Result<u64, store::Error> {
+        let value = decode::put_entry(&entries::Entry {
+            front: self.settings.gateway.front,
+            peers: self.settings.peers,
+            az: self.settings.gateway.az.clone(),
+        })?;
+        let lease = client.lease(LEASE).await?;
+        client.put(&self.key(), &value, lease).await?;
+        Ok(lease)
+    }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,10 +13,11 @@
 use std::rc;
 use std::time;
 
+use tokio::net::TcpListener;
 use tokio::signal::unix;
 use tokio::task;
 
-use crate::gateway::front;
+use crate::gateway::{front, mirror};
 use crate::transport::{callers, socket};
 use crate::{error, gateway};
 
@@ -40,17 +41,15 @@
 ) -> Result<(), error::Error> {
     let cx = gateway::Gateway::new(settings.gateway.clone(), log.clone());
     slog::info!(log, "start"; "vm" => %cx.cfg.vm, "az" => %cx.cfg.az, "front" => %cx.cfg.front);
-    let feed = feed::Feed::new(cx.clone());
+    let mirror = mirror::Mirror::new(cx.clone());
     let calls = calls::Calls {
         cx: cx.clone(),
-        known: feed.known.clone(),
         ttl_s: settings.lookup_ttl.as_secs_f64(),
     };
     listen(settings.gateway.front, "front", cx.clone(), &cx)?;
     listen(settings.ready, "ready", calls.clone(), &cx)?;
     let more = [
         (settings.directory, "directory"),
-        (settings.peers, "control"),
         (Some(settings.metrics), "metrics"),
     ];
     for (addr, name) in more {
@@ -58,11 +57,17 @@
             listen(addr, name, calls.clone(), &cx)?;
         }
     }
-    for prefix in ["op/", names::BACKENDS, names::ENTRIES] {
-        task::spawn_local(feed.clone().follow(settings.store, prefix));
+    if let Some(addr) = settings.peers {
+        task::spawn_local(mirror.clone().serve(bind(addr, "control")?));
     }
-    task::spawn_local(feed.clone().learn_from_seeds(settings.seeds.clone()));
-    let registered = task::spawn_local(feed.register(settings.clone()));
+    let feed = feed::Feed::new(cx.clone(), settings.store);
+    task::spawn_local(mirror.clone().run(feed, settings.seeds.clone()));
+    let registration = feed::Registration {
+        cx: cx.clone(),
+        mirror,
+        settings: settings.clone(),
+    };
+    let registered = task::spawn_local(registration.keep());
     task::spawn_local(cx.clone().upkeep());
     until_told(&cx).await?;
     leave(&cx, registered).await;
@@ -76,13 +81,16 @@
     handler: H,
     cx: &gateway::Gateway,
 ) -> Result<(), error::Error> {
-    let listener = socket::listen(addr).map_err(|err| error::Error::Bind {
+    task::spawn_local(front::accept(bind(addr, setting)?, handler, cx.clone()));
+    Ok(())
+}
+
+fn bind(addr: net::SocketAddr, setting: &'static str) -> Result<TcpListener, error::Error> {
+    socket::listen(addr).map_err(|err| error::Error::Bind {
         addr: addr.to_string(),
         setting,
         reason: err.to_string(),
-    })?;
-    task::spawn_local(front::accept(listener, handler, cx.clone()));
-    Ok(())
+    })
 }
 
 /// Waits for SIGTERM. The settings of a running process do not change where it listens, so a
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::de;
 
-use crate::protocol::http1;
+use crate::protocol::{http1, mirror};
 use crate::transport::{socket, upstream};
 
 /// How long connecting may take.
@@ -34,48 +34,46 @@
     /// The answer cannot be read.
     #[error("the store's answer cannot be read: {0}")]
     Json(#[from] serde_json::Error),
+    /// A value of our own cannot be written.
+    #[error(transparent)]
+    Value(#[from] super::decode::Error),
     /// A value is not base64.
     #[error("a value is not base64: {0}")]
     Base64(#[from] data_encoding::DecodeError),
 }
 
 /// A key with its value, or with the mark that it was removed.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
-pub struct Item {
-    /// The key.
-    pub key: String,
-    /// The value in base64; none where the key was removed.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub value: Option<String>,
-    /// Whether the key was removed.
+#[derive(serde::Deserialize)]
+struct Item {
+    key: String,
+    /// In base64.
+    value: Option<String>,
     #[serde(default)]
-    pub tombstone: bool,
+    tombstone: bool,
 }
 
 impl Item {
-    /// The value.
-    pub fn bytes(&self) -> Result<Option<Vec<u8>>, Error> {
-        if self.tombstone {
-            return Ok(None);
-        }
-        let Some(value) = &self.value else {
-            return Ok(None);
+    fn record(self) -> Result<mirror::Record, Error> {
+        let value = match self.value {
+            Some(value) if !self.tombstone => {
+                Some(data_encoding::BASE64.decode(value.as_bytes())?.into())
+            }
+            _ => None,
         };
-        Ok(Some(data_encoding::BASE64.decode(value.as_bytes())?))
+        Ok(mirror::Record {
+            key: self.key,
+            value,
+        })
     }
 }
 
-/// A page of items.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
-pub struct Page {
-    /// The items.
-    pub items: Vec<Item>,
-    /// Whether more follow.
+#[derive(serde::Deserialize)]
+struct Page {
+    items: Vec<Item>,
     #[serde(default)]
-    pub truncated: bool,
-    /// The store's revision.
+    truncated: bool,
     #[serde(default)]
-    pub store_revision: u64,
+    store_revision: u64,
 }
 
 #[derive(serde::Deserialize)]
@@ -115,7 +113,7 @@
     remove: Vec<&'a str>,
 }
 
-/// A connection to the store, or to an entry VM that answers like it. One call at a time.
+/// A connection to the store. One call at a time.
 #[derive(Debug)]
 pub struct Client {
     addr: net::SocketAddr,
@@ -129,11 +127,11 @@
     }
 
     /// All items under a prefix, and the revision from which to watch.
-    pub async fn range(&mut self, prefix: &str) -> Result<(Vec<Item>, u64), Error> {
-        let mut items: Vec<Item> = Vec::new();
+    pub async fn range(&mut self, prefix: &str) -> Result<(Vec<mirror::Record>, u64), Error> {
+        let mut records: Vec<mirror::Record> = Vec::new();
         let mut revision = None;
         loop {
-            let after = match items.last() {
+            let after = match records.last() {
                 Some(last) => format!("&after={}", last.key),
                 None => String::new(),
             };
@@ -143,9 +141,11 @@
             // first one's revision.
             let from = *revision.get_or_insert(page.store_revision);
             let more = page.truncated && !page.items.is_empty();
-            items.extend(page.items);
+            for item in page.items {
+                records.push(item.record()?);
+            }
             if !more {
-                return Ok((items, from));
+                return Ok((records, from));
             }
         }
     }
@@ -156,11 +156,12 @@
         prefix: &str,
         after: u64,
         wait: time::Duration,
-    ) -> Result<(Vec<Item>, u64), Error> {
+    ) -> Result<(Vec<mirror::Record>, u64), Error> {
         let ms = wait.as_millis();
         let target = format!("/kv-watch?prefix={prefix}&after={after}&wait_ms={ms}");
         let events: Events = self.read(&target, wait + CALL).await?;
-        Ok((events.events, events.store_revision))
+        let records: Result<Vec<_>, Error> = events.events.into_iter().map(Item::record).collect();
+        Ok((records?, events.store_revision))
     }
 
     /// Takes a lease.
@@ -199,11 +200,6 @@
         self.call("POST", "/kv-txn", &body, CALL).await.map(drop)
     }
 
-    /// All that another entry VM knows.
-    pub async fn snapshot(&mut self) -> Result<Page, Error> {
-        self.read(super::calls::SNAPSHOT, CALL).await
-    }
-
     async fn read<T: de::DeserializeOwned>(
         &mut self,
         target: &str,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -7,6 +7,7 @@
 pub mod history;
 pub mod http1;
 pub mod lookup;
+pub mod mirror;
 pub mod names;
 pub mod operators;
 pub mod outcome;
--- a/src/state/entries.rs
+++ b/src/state/entries.rs
@@ -11,6 +11,8 @@
 pub struct Entry {
     /// Where it takes callers' requests.
     pub front: net::SocketAddr,
+    /// Where other entry VMs ask it, if it can be asked.
+    pub peers: Option<net::SocketAddr>,
     /// Its availability zone.
     pub az: id::AzId,
 }
@@ -22,19 +24,19 @@
 }
 
 impl Entries {
-    /// Takes one in.
-    pub fn put(&mut self, vm: id::VmId, entry: Entry) {
-        self.by_vm.insert(vm, entry);
+    /// Takes one in. Returns whether that changed anything.
+    pub fn put(&mut self, vm: id::VmId, entry: Entry) -> bool {
+        self.by_vm.insert(vm, entry.clone()) != Some(entry)
     }
 
-    /// Takes one out.
-    pub fn remove(&mut self, vm: &id::VmId) {
-        self.by_vm.remove(vm);
+    /// Takes one out. Returns whether it was there.
+    pub fn remove(&mut self, vm: &id::VmId) -> bool {
+        self.by_vm.remove(vm).is_some()
     }
 
-    /// Keeps those that `keep` wants.
-    pub fn retain(&mut self, keep: impl Fn(&id::VmId) -> bool) {
-        self.by_vm.retain(|vm, _| keep(vm));
+    /// One of them.
+    pub fn get(&self, vm: &id::VmId) -> Option<&Entry> {
+        self.by_vm.get(vm)
     }
 
     /// All of them.
