Keep each region's share steady; take small losses at their word after a return

Shares of a region that other regions serve followed each queue (load above 0.95 a slot, 0.02 of the requests a step); the objects that moved were cold where they arrived, and the place that lost them warmed no faster. Now a queue of as much as runs moves 0.005 a step. With it a shorter wait here (0.5 -> 0.3 of the aim) and a longer queue there (2.5 -> 3.5 requests a slot).

Leases that end by the store's absence end for nearly all; few missing are gone.

--- a/src/coordination/listing.rs
+++ b/src/coordination/listing.rs
@@ -4,6 +4,11 @@
 //! servers may have ended meanwhile; the list comes back empty or nearly so, and fills again
 //! within about two seconds. Taken at its word it leaves nothing to send to, which one notices as
 //! refusals right after the store's return. So for [`HOLD`] after a return, what is missing stays.
+//!
+//! Where only this VM had been cut off, the store went on, and what is missing has left. Kept
+//! then, a backend server that is about to end would get requests which its end cuts. The two are
+//! told apart by how much is missing: leases that ended while the store was away ended for nearly
+//! all, and a few that have left are few.
 
 use std::collections;
 use std::time;
@@ -15,6 +20,14 @@
 /// again within two seconds.
 pub const HOLD: time::Duration = time::Duration::from_millis(2200);
 
+/// How long after the store's return what is missing is counted. The first answers after a return
+/// come within this.
+const COUNT: time::Duration = time::Duration::from_millis(300);
+
+/// The part of the list that must be missing for the leases to have ended by the store's absence.
+/// A release or a lost availability zone takes a sixth or so.
+const MASS: f64 = 0.4;
+
 /// How long the store must have been silent for its return to count as one. A shorter gap ends
 /// no lease.
 const AWAY: time::Duration = time::Duration::from_millis(900);
@@ -64,9 +77,14 @@
         self.missing.remove(name);
     }
 
-    /// Those that are gone by now.
-    pub fn overdue(&mut self, now: policy::Moment) -> Vec<id::VmId> {
-        if self.back.is_some_and(|back| now < back + HOLD) {
+    /// Those that are gone by now, of `known` backend servers in all.
+    pub fn overdue(&mut self, now: policy::Moment, known: usize) -> Vec<id::VmId> {
+        let mass = self.missing.len() as f64 >= known as f64 * MASS;
+        let wait = match mass {
+            true => HOLD,
+            false => COUNT,
+        };
+        if self.back.is_some_and(|back| now < back + wait) {
             return Vec::new();
         }
         std::mem::take(&mut self.missing).into_iter().collect()
--- a/src/coordination/mirror.rs
+++ b/src/coordination/mirror.rs
@@ -1,12 +1,15 @@
 //! Who reads the platform's store, and what is known of it.
 //!
-//! Each call to the store is paid for, and the list of backend servers changes with each of their
-//! heartbeats. If each entry VM read it, calls would grow with the VMs: at 85 VMs they cost more
-//! than all processors. So in each region the first of the registered entry VMs reads, in an order
-//! that all work out alike, and the others follow it. Nothing is agreed on: one that finds nobody
-//! to follow reads by itself, and two readers cost calls and nothing else.
+//! Each call to the store is paid for, and each entry VM needs what stands there. If each read it,
+//! calls would grow with the VMs: at 85 VMs they cost more than all processors. So in each region
+//! the first of the registered entry VMs reads, in an order that all work out alike. The first of
+//! each other availability zone follows it and passes on what it hears to those of its zone, so
+//! that a list crosses to a zone once. One that finds nobody to follow reads by itself; two readers
+//! cost calls and nothing else, so nothing has to be agreed on. Each follows only one that stands
+//! before it in the order, so that no two follow one another and hear nothing.
 
 use std::collections;
+use std::net;
 use std::time;
 
 use bytes::Bytes;
@@ -15,8 +18,8 @@
 use crate::id;
 use crate::protocol::mirror;
 
-/// How many of the order are asked before one reads by itself. Two: a VM that dies is still
-/// registered for some seconds, and the second then reads.
+/// How many of its availability zone a VM asks before it looks farther. Two: a VM that dies is
+/// still registered for some seconds.
 pub const ASKED: usize = 2;
 
 /// For how long one that could not be followed is left alone.
@@ -25,10 +28,15 @@
 /// How long one reads by itself before it looks for somebody to follow again.
 pub const RECHECK: time::Duration = time::Duration::from_secs(2);
 
-/// How long a reader may be silent. It speaks with each answer of the store, twice a second;
-/// together with a turn to the store this stays within the two and a half seconds in which a
-/// change must be in force.
-pub const SILENCE: time::Duration = time::Duration::from_millis(1500);
+/// How long a reader may be silent. It speaks with each answer of the store, which come every
+/// second at least; together with a turn to the store this stays within the two and a half seconds
+/// in which a change must be in force.
+pub const SILENCE: time::Duration = time::Duration::from_millis(1400);
+
+/// How much longer one may be silent that passes on what it hears. When its own reader falls
+/// silent it takes this long to turn to the store; were it left at the same moment, all of its
+/// zone would turn to the store too.
+pub const TURN: time::Duration = time::Duration::from_millis(300);
 
 /// What is known of the store.
 #[derive(Clone, Debug, Default)]
@@ -100,23 +108,34 @@
     }
 
     /// Those to ask, the first first; none where this VM is to read by itself. `near` are the
-    /// registered entry VMs of the region with the hashes of their names.
-    pub fn ask(
-        &mut self,
-        now: policy::Moment,
-        own: &id::VmId,
-        near: &[(u64, id::VmId)],
-    ) -> Vec<id::VmId> {
+    /// registered entry VMs of the region.
+    pub fn ask(&mut self, now: policy::Moment, own: &Place, near: &[Place]) -> Vec<Place> {
         self.avoided.retain(|_, until| *until > now);
-        let mut order: Vec<&(u64, id::VmId)> = near.iter().collect();
-        order.sort();
-        order
-            .into_iter()
-            .map(|(_, vm)| vm)
-            .take_while(|vm| *vm != own)
-            .filter(|vm| !self.avoided.contains_key(*vm))
+        let mut before: Vec<&Place> = near
+            .iter()
+            .filter(|vm| (vm.hash, &vm.vm) < (own.hash, &own.vm))
+            .filter(|vm| !self.avoided.contains_key(&vm.vm))
+            .collect();
+        before.sort_by(|a, b| (a.hash, &a.vm).cmp(&(b.hash, &b.vm)));
+        let (zone, beyond): (Vec<&Place>, Vec<&Place>) =
+            before.into_iter().partition(|vm| vm.az == own.az);
+        zone.into_iter()
             .take(ASKED)
+            .chain(beyond.into_iter().take(1))
             .cloned()
             .collect()
     }
 }
+
+/// An entry VM's place in the order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// The hash of its name.
+    pub hash: u64,
+    /// Its name.
+    pub vm: id::VmId,
+    /// Its availability zone.
+    pub az: id::AzId,
+    /// Where it can be asked.
+    pub peers: Option<net::SocketAddr>,
+}
--- a/src/decisions/affinity.rs
+++ b/src/decisions/affinity.rs
@@ -22,14 +22,14 @@
 pub struct Config {
     /// What the second of the order costs more than the first, in requests per slot of load. Work
     /// on a cold object takes about three times the warm time, so it is worth waiting behind up
-    /// to one full set of slots instead.
+    /// to two full sets of slots instead.
     pub second: f64,
     /// What each further one costs more: it holds the object in no case, so only a clearly
     /// shorter queue speaks for it.
     pub further: f64,
     /// The load beyond which nothing is sent, in requests per slot. A queue at a backend server
-    /// is first come first served; beyond one request a slot it is better kept here, where the
-    /// more urgent goes first.
+    /// is first come first served, and beyond two requests a slot it is better kept here, where
+    /// the more urgent goes first.
     pub most: f64,
 }
 
@@ -38,7 +38,7 @@
         Self {
             second: 2.0,
             further: 1.0,
-            most: 2.5,
+            most: 3.5,
         }
     }
 }
--- a/src/decisions/regions.rs
+++ b/src/decisions/regions.rs
@@ -21,11 +21,14 @@
     /// How many times its callers' share of the slots a region must have to serve them all by
     /// itself. Below it some go elsewhere from the start. Two thirds use leaves room for waves.
     pub spare: f64,
-    /// The load per slot above which more goes elsewhere: waiting begins.
+    /// The load per slot above which more goes elsewhere: as much waits as runs. Objects that move
+    /// are cold where they arrive, so a queue that comes and goes is no reason; at 0.95 shares
+    /// moved with each wave, and a sixth less was answered in time.
     pub high: f64,
     /// The load per slot below which less goes elsewhere.
     pub low: f64,
-    /// The part of the region's requests that may move in one step, over all services.
+    /// The part of the region's requests that may move in one step, over all services. At 0.02 a
+    /// second moved more objects than their new places could warm.
     pub step: f64,
     /// The length of a step.
     pub every: time::Duration,
@@ -35,9 +38,9 @@
     fn default() -> Self {
         Self {
             spare: 0.65,
-            high: 0.95,
+            high: 2.0,
             low: 0.45,
-            step: 0.02,
+            step: 0.005,
             every: time::Duration::from_millis(500),
         }
     }
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -20,8 +20,11 @@
     /// Takes a version of the routes. An older one than that in force changes nothing.
     pub fn learn_routes(&self, table: routes::Table) -> bool {
         let known = self.table().map(|t| t.version);
-        if known.is_some_and(|version| version >= table.version) {
-            slog::info!(self.log, "routes not taken"; "version" => table.version, "in force" => known, "why" => "not later");
+        if known == Some(table.version) {
+            return false;
+        }
+        if known.is_some_and(|version| version > table.version) {
+            slog::warn!(self.log, "routes not taken"; "version" => table.version, "in force" => known, "why" => "older than those in force");
             return false;
         }
         slog::info!(self.log, "routes"; "version" => table.version, "before" => known, "routes" => table.len());
@@ -240,7 +243,8 @@
         loop {
             every.tick().await;
             self.pool.borrow_mut().sweep();
-            let overdue = self.listing.borrow_mut().overdue(self.now());
+            let known = self.backends.borrow().len();
+            let overdue = self.listing.borrow_mut().overdue(self.now(), known);
             overdue.iter().for_each(|id| self.forget(id, "not listed"));
             self.step_shares();
         }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -18,16 +18,16 @@
 
 /// How long a watch waits for a change. Each answer is also the sign to the followers that this
 /// VM reads, so it must come well within [`order::SILENCE`].
-const WAIT: time::Duration = time::Duration::from_millis(700);
+const WAIT: time::Duration = time::Duration::from_millis(900);
 
-/// The pause after changes came. Heartbeats of backend servers come all the time, and taken one
-/// by one each would cost a call; a backend server that leaves bears work for two seconds more.
+/// The pause after changes came. When many come in a row, as in a release, taken one by one each
+/// would cost a call; a backend server that leaves bears work for two seconds more.
 const PACE: time::Duration = time::Duration::from_millis(400);
 
 /// The pause after a call that failed, and up to which it grows while calls go on failing: a store
 /// that is overloaded is not helped by being asked more often.
 const RETRY: time::Duration = time::Duration::from_millis(250);
-const LONGEST_RETRY: time::Duration = time::Duration::from_millis(800);
+const LONGEST_RETRY: time::Duration = time::Duration::from_millis(500);
 
 /// Messages that may wait for a slow follower before it is cut off and begins anew.
 const BEHIND: usize = 64;
@@ -46,8 +46,11 @@
     /// Why a call fails.
     type Error: std::fmt::Display;
 
-    /// All records, and the revision from which to watch.
-    fn read(&mut self) -> impl Future<Output = Result<(Vec<mirror::Record>, u64), Self::Error>>;
+    /// All records, and the revision from which to watch. An old view will do where `stale`.
+    fn read(
+        &mut self,
+        stale: bool,
+    ) -> impl Future<Output = Result<(Vec<mirror::Record>, u64), Self::Error>>;
 
     /// What changed after a revision, waiting so long for it.
     fn watch(
@@ -66,7 +69,8 @@
     cx: Gateway,
     records: rc::Rc<cell::RefCell<order::Records>>,
     news: broadcast::Sender<rc::Rc<Vec<u8>>>,
-    reading: rc::Rc<cell::Cell<bool>>,
+    /// Whether what is known comes from the store, by itself or by one that is followed.
+    current: rc::Rc<cell::Cell<bool>>,
 }
 
 impl Mirror {
@@ -76,7 +80,7 @@
             cx,
             records: rc::Rc::default(),
             news: broadcast::channel(BEHIND).0,
-            reading: rc::Rc::default(),
+            current: rc::Rc::default(),
         }
     }
 
@@ -88,7 +92,7 @@
     /// Keeps up with the store for good.
     pub async fn run<S: Source>(self, mut source: S, seeds: Vec<net::SocketAddr>) {
         let mut order = order::Order::default();
-        if let Err(err) = self.read_all(&mut source).await {
+        if let Err(err) = self.read_all(&mut source, true).await {
             slog::warn!(self.cx.log, "store does not serve"; "error" => %err);
             self.cx.lost_store();
             self.learn_from_any(&source, &seeds).await;
@@ -102,12 +106,17 @@
 
     /// Follows the first that can be followed, for as long as it goes. Returns whether one could.
     async fn follow_any<S: Source>(&self, source: &S, order: &mut order::Order) -> bool {
-        for vm in order.ask(self.cx.now(), &self.cx.cfg.vm, &self.near()) {
-            let Some(addr) = self.addr_of(&vm) else {
+        for first in order.ask(self.cx.now(), &self.own(), &self.near()) {
+            let Some(addr) = first.peers else {
                 continue;
             };
-            let followed = self.follow(source, &vm, addr).await;
-            order.avoid(self.cx.now(), &vm);
+            let silence = match first.az == self.cx.cfg.az {
+                true => order::SILENCE + order::TURN,
+                false => order::SILENCE,
+            };
+            let followed = self.follow(source, &first.vm, addr, silence).await;
+            self.current.set(false);
+            order.avoid(self.cx.now(), &first.vm);
             if followed {
                 return true;
             }
@@ -115,24 +124,40 @@
         false
     }
 
+    fn own(&self) -> order::Place {
+        order::Place {
+            hash: self.cx.own_hash,
+            vm: self.cx.cfg.vm.clone(),
+            az: self.cx.cfg.az.clone(),
+            peers: None,
+        }
+    }
+
     /// The registered entry VMs of the own region.
-    fn near(&self) -> Vec<(u64, id::VmId)> {
+    fn near(&self) -> Vec<order::Place> {
         let entries = self.cx.entries.borrow();
         let near = entries
             .iter()
             .filter(|(_, entry)| self.cx.cfg.regions.get(&entry.az) == self.cx.region.as_ref())
-            .map(|(vm, _)| (affinity::hash(vm.as_str().as_bytes()), vm.clone()));
+            .map(|(vm, entry)| order::Place {
+                hash: affinity::hash(vm.as_str().as_bytes()),
+                vm: vm.clone(),
+                az: entry.az.clone(),
+                peers: entry.peers,
+            });
         near.collect()
     }
 
-    fn addr_of(&self, vm: &id::VmId) -> Option<net::SocketAddr> {
-        self.cx.entries.borrow().get(vm)?.peers
-    }
-
     /// Follows one entry VM until it falls silent. Returns whether it had told anything.
-    async fn follow<S: Source>(&self, source: &S, vm: &id::VmId, addr: net::SocketAddr) -> bool {
+    async fn follow<S: Source>(
+        &self,
+        source: &S,
+        vm: &id::VmId,
+        addr: net::SocketAddr,
+        silence: time::Duration,
+    ) -> bool {
         let mut told = false;
-        let why = match self.follow_link(source, vm, addr, &mut told).await {
+        let why = match self.follow_link(source, vm, addr, silence, &mut told).await {
             Ok(()) => "it does not read the store".to_owned(),
             Err(err) => err.to_string(),
         };
@@ -145,24 +170,27 @@
         source: &S,
         vm: &id::VmId,
         addr: net::SocketAddr,
+        silence: time::Duration,
         told: &mut bool,
     ) -> Result<(), transport::mirror::Error> {
         let mut link = transport::mirror::Link::open(addr).await?;
         link.send(&mirror::encode(&mirror::Ask { fresh: true })?)
             .await?;
         loop {
-            match link.receive(order::SILENCE).await? {
+            let (news, revision) = match link.receive(silence).await? {
                 mirror::Message::NotReading => return Ok(()),
                 mirror::Message::Whole { records, revision } => {
                     slog::info!(self.cx.log, "following"; "vm" => %vm, "revision" => revision);
-                    self.replace(source, &records, revision);
+                    (self.replace(source, &records, revision), revision)
                 }
                 mirror::Message::Changes { records, revision } => {
-                    self.take(source, &records, revision);
+                    (self.take(source, &records, revision), revision)
                 }
-            }
+            };
             *told = true;
+            self.current.set(true);
             self.cx.heard_store();
+            self.tell(news, revision);
         }
     }
 
@@ -170,22 +198,25 @@
     async fn read<S: Source>(&self, source: &mut S, order: &mut order::Order) {
         let until = self.cx.now() + order::RECHECK;
         let mut retry = RETRY;
+        let mut pause = time::Duration::ZERO;
         slog::debug!(self.cx.log, "reading the store"; "revision" => self.records.borrow().revision());
         loop {
             let may_follow = !order
-                .ask(self.cx.now(), &self.cx.cfg.vm, &self.near())
+                .ask(self.cx.now(), &self.own(), &self.near())
                 .is_empty();
             if may_follow && self.cx.now() >= until {
-                self.reading.set(false);
+                self.current.set(false);
                 return;
             }
-            match self.read_once(source).await {
-                Ok(pause) => {
+            // What was paused is not waited again, so that answers come at a steady pace.
+            match self.read_once(source, WAIT - pause).await {
+                Ok(next) => {
+                    pause = next;
                     retry = RETRY;
                     tokio::time::sleep(pause).await;
                 }
                 Err(err) => {
-                    self.reading.set(false);
+                    self.current.set(false);
                     if self.cx.lost_store() {
                         slog::warn!(self.cx.log, "store does not serve"; "error" => %err);
                     }
@@ -197,35 +228,39 @@
     }
 
     /// One call to the store. Returns the pause before the next.
-    async fn read_once<S: Source>(&self, source: &mut S) -> Result<time::Duration, S::Error> {
+    async fn read_once<S: Source>(
+        &self,
+        source: &mut S,
+        wait: time::Duration,
+    ) -> Result<time::Duration, S::Error> {
         let revision = self.records.borrow().revision();
         if revision == 0 {
-            self.read_all(source).await?;
+            self.read_all(source, true).await?;
             return Ok(time::Duration::ZERO);
         }
-        match source.watch(revision, WAIT).await {
+        match source.watch(revision, wait).await {
             Ok((records, revision)) => {
                 let pause = match records.is_empty() {
                     true => time::Duration::ZERO,
                     false => PACE,
                 };
                 self.cx.heard_store();
-                self.reading.set(true);
+                self.current.set(true);
                 let news = self.take(source, &records, revision);
                 self.tell(news, revision);
                 Ok(pause)
             }
             Err(ReadError::Gap) => {
                 slog::info!(self.cx.log, "history of the store is gone"; "revision" => revision);
-                self.read_all(source).await?;
+                self.read_all(source, false).await?;
                 Ok(time::Duration::ZERO)
             }
             Err(ReadError::Failed(err)) => Err(err),
         }
     }
 
-    async fn read_all<S: Source>(&self, source: &mut S) -> Result<(), S::Error> {
-        let (records, revision) = source.read().await?;
+    async fn read_all<S: Source>(&self, source: &mut S, stale: bool) -> Result<(), S::Error> {
+        let (records, revision) = source.read(stale).await?;
         self.cx.heard_store();
         let news = self.replace(source, &records, revision);
         self.tell(news, revision);
@@ -332,7 +367,7 @@
         let mut link = transport::mirror::Link::accept(stream).await?;
         let ask: mirror::Ask = link.receive(order::SILENCE).await?;
         let mut news = self.news.subscribe();
-        let whole = match self.reading.get() || !ask.fresh {
+        let whole = match self.current.get() || !ask.fresh {
             true => self.records.borrow().whole(),
             false => mirror::Message::NotReading,
         };
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,7 +15,7 @@
 
 /// Which part of its aim a request may wait for a backend server. What then still takes its usual
 /// time comes late and takes the slot of one that would be in time.
-const WAIT: f64 = 0.5;
+const WAIT: f64 = 0.3;
 
 /// The longest time that a caller who names none is taken to wait.
 const NO_TIMEOUT: time::Duration = time::Duration::from_secs(30);
@@ -25,8 +25,8 @@
 const AFTER: time::Duration = time::Duration::from_millis(120);
 
 /// How many times the usual time a read takes before it is tried elsewhere as well. Work varies
-/// by a sixth and queues by as much again as the work; beyond three times something is wrong.
-const HEDGE: f64 = 3.0;
+/// by a sixth and queues by two or three times the work; beyond four times something is wrong.
+const HEDGE: f64 = 4.0;
 
 /// When a caller may come back whom this VM no longer takes: at once, to another.
 const ELSEWHERE: time::Duration = time::Duration::from_millis(20);
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -76,8 +76,8 @@
 impl following::Source for Feed {
     type Error = store::Error;
 
-    async fn read(&mut self) -> Result<(Vec<mirror::Record>, u64), store::Error> {
-        self.client.range(EVERYTHING).await
+    async fn read(&mut self, stale: bool) -> Result<(Vec<mirror::Record>, u64), store::Error> {
+        self.client.range(EVERYTHING, stale).await
     }
 
     async fn watch(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,11 +10,11 @@
 use crate::transport::{socket, upstream};
 
 /// How long connecting may take.
-const CONNECT: time::Duration = time::Duration::from_millis(700);
+const CONNECT: time::Duration = time::Duration::from_millis(500);
 
 /// How long a call may take. The store answers in a few milliseconds, and from the farthest region
 /// after 0.12 s; a slow one takes fifty times as long and still helps.
-const CALL: time::Duration = time::Duration::from_millis(1500);
+const CALL: time::Duration = time::Duration::from_millis(1000);
 
 /// Why a call did not do what was asked.
 #[derive(Debug, thiserror::Error)]
@@ -126,8 +126,17 @@
         Self { addr, wire: None }
     }
 
-    /// All items under a prefix, and the revision from which to watch.
-    pub async fn range(&mut self, prefix: &str) -> Result<(Vec<mirror::Record>, u64), Error> {
+    /// All items under a prefix, and the revision from which to watch. A view that may be some
+    /// seconds old costs a tenth; its revision is as old, so a watch from it brings the rest.
+    pub async fn range(
+        &mut self,
+        prefix: &str,
+        stale: bool,
+    ) -> Result<(Vec<mirror::Record>, u64), Error> {
+        let stale = match stale {
+            true => "&stale_ok=1",
+            false => "",
+        };
         let mut records: Vec<mirror::Record> = Vec::new();
         let mut revision = None;
         loop {
@@ -135,7 +144,7 @@
                 Some(last) => format!("&after={}", last.key),
                 None => String::new(),
             };
-            let target = format!("/kv-range?prefix={prefix}{after}");
+            let target = format!("/kv-range?prefix={prefix}{after}{stale}");
             let page: Page = self.read(&target, CALL).await?;
             // Pages are not a snapshot: what changes between them shows in a watch from the
             // first one's revision.
