--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -72,13 +72,13 @@
             affinity: affinity::Config::default(),
             share: regions::Config::default(),
             ejection: ejection::Config {
-                // Affinity keeps sending an object to one backend server, so a broken one is
-                // noticed by its first two failures and not by its share of the load.
-                in_a_row: 2,
+                // An object stays with its backend server, so a broken one is noticed by its own
+                // failures and not by its share of the load: ten answers and no more.
+                in_a_row: 3,
                 broken_in_a_row: 1,
                 share: 0.4,
                 window: 10.0,
-                trial: 2,
+                trial: 3,
                 ..ejection::Config::default()
             },
             limit: limit::Config::default(),
--- a/src/protocol/http1.rs
+++ b/src/protocol/http1.rs
@@ -70,7 +70,7 @@
 }
 
 impl Fields {
-    fn new(base: usize, headers: &[httparse::Header<'_>]) -> Vec<(Span, Span)> {
+    fn spans(base: usize, headers: &[httparse::Header<'_>]) -> Vec<(Span, Span)> {
         headers
             .iter()
             .map(|h| (Span::of(base, h.name.as_bytes()), Span::of(base, h.value)))
@@ -202,7 +202,7 @@
         let method = Span::of(base, parsed.method.unwrap_or_default().as_bytes());
         let target = Span::of(base, parsed.path.unwrap_or_default().as_bytes());
         let minor = parsed.version.unwrap_or(1);
-        let spans = Fields::new(base, parsed.headers);
+        let spans = Fields::spans(base, parsed.headers);
         let bytes = buf.split_to(len).freeze();
         let fields = Fields { bytes, spans };
         let framing = fields.framing()?.unwrap_or(Framing::Length(0));
@@ -277,7 +277,7 @@
         };
         let status = parsed.code.unwrap_or_default();
         let minor = parsed.version.unwrap_or(1);
-        let spans = Fields::new(base, parsed.headers);
+        let spans = Fields::spans(base, parsed.headers);
         let bytes = buf.split_to(len).freeze();
         let fields = Fields { bytes, spans };
         let bodyless = to_head || status < 200 || status == 204 || status == 304;
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -116,9 +116,8 @@
                     0 => Err(io::ErrorKind::UnexpectedEof.into()),
                     _ => Ok(true),
                 },
-                n = tx.write_buf(out) => match n? {
-                    0 => return Err(io::ErrorKind::WriteZero.into()),
-                    _ => {}
+                n = tx.write_buf(out) => if n? == 0 {
+                    return Err(io::ErrorKind::WriteZero.into());
                 },
             }
         }
