--- /dev/null
+++ b/examples/soak/faults.rs
@@ -0,0 +1,155 @@
+//! Faults in series that overlap, drawn from the seed.
+
+use std::rc;
+use std::time;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use tokio::task;
+
+use super::scene::Scene;
+use super::support::{backend, proxy, store};
+
+fn ms(n: u64) -> time::Duration {
+    time::Duration::from_millis(n)
+}
+
+/// Injects faults until the time is over, then waits until each has ended.
+pub(crate) async fn play(scene: &rc::Rc<Scene>, rng: &mut ChaCha8Rng) {
+    let begun = time::Instant::now();
+    let mut running: Vec<task::JoinHandle<()>> = Vec::new();
+    let mut next_backend = scene.cfg.backends;
+    while begun.elapsed() < scene.cfg.faults {
+        tokio::time::sleep(ms(rng.random_range(50..700))).await;
+        scene.counts.borrow_mut().faults += 1;
+        let vm = rng.random_range(0..scene.vms.len());
+        let length = ms(rng.random_range(200..2500));
+        let scene = scene.clone();
+        running.push(match rng.random_range(0..12) {
+            0 => task::spawn_local(kill(scene, vm, length)),
+            1 | 2 => task::spawn_local(stop(scene, vm)),
+            3 => task::spawn_local(pause(scene, vm, length)),
+            4 => task::spawn_local(store_mode(scene, store::Mode::Silent, length)),
+            5 => task::spawn_local(store_mode(scene, store::Mode::Busy, length)),
+            6 => task::spawn_local(store_mode(scene, store::Mode::LosesAnswers, length)),
+            7 => {
+                let harm = [
+                    proxy::Harm::Delay(ms(150)),
+                    proxy::Harm::DropsRequests,
+                    proxy::Harm::DropsAnswers,
+                    proxy::Harm::Resets,
+                ][rng.random_range(0..4)];
+                task::spawn_local(harm_link(scene, vm, harm, length))
+            }
+            8 => task::spawn_local(leave(scene)),
+            9 => {
+                next_backend += 1;
+                let n = next_backend;
+                task::spawn_local(async move { scene.add_backend(n) })
+            }
+            10 => task::spawn_local(lose_answers(scene, length)),
+            _ => task::spawn_local(async move {
+                scene.configure();
+                scene.store.forget_history();
+            }),
+        });
+    }
+    for one in running {
+        if let Err(err) = one.await {
+            scene.breaks(format!("a fault could not be played: {err}"));
+        }
+    }
+}
+
+/// A process dies and is started again.
+async fn kill(scene: rc::Rc<Scene>, n: usize, length: time::Duration) {
+    let vm = &scene.vms[n];
+    let Some(gateway) = vm.gateway.borrow_mut().take() else {
+        return;
+    };
+    vm.rough.set(Some(time::Instant::now()));
+    drop(gateway);
+    tokio::time::sleep(length).await;
+    vm.rough.set(Some(time::Instant::now()));
+    vm.spawn();
+}
+
+/// A process is stopped as planned and started again once it has ended.
+async fn stop(scene: rc::Rc<Scene>, n: usize) {
+    /// The grace time of the settings.
+    const GRACE: time::Duration = time::Duration::from_secs(6);
+    let vm = &scene.vms[n];
+    let Some(mut gateway) = vm.gateway.borrow_mut().take() else {
+        return;
+    };
+    let begun = time::Instant::now();
+    gateway.signal(Signal::TERM);
+    while !gateway.has_ended() {
+        if begun.elapsed() > GRACE {
+            scene.breaks(format!(
+                "{} did not end within its grace time",
+                vm.start.node
+            ));
+            vm.rough.set(Some(time::Instant::now()));
+            break;
+        }
+        tokio::time::sleep(ms(20)).await;
+    }
+    drop(gateway);
+    vm.spawn();
+}
+
+/// A process stands still for a while.
+async fn pause(scene: rc::Rc<Scene>, n: usize, length: time::Duration) {
+    let vm = &scene.vms[n];
+    let signal = |signal| {
+        if let Some(gateway) = &*vm.gateway.borrow() {
+            gateway.signal(signal);
+        }
+    };
+    vm.rough.set(Some(time::Instant::now()));
+    signal(Signal::STOP);
+    tokio::time::sleep(length).await;
+    signal(Signal::CONT);
+    vm.rough.set(Some(time::Instant::now()));
+}
+
+async fn store_mode(scene: rc::Rc<Scene>, mode: store::Mode, length: time::Duration) {
+    scene.store.set_mode(mode);
+    tokio::time::sleep(length).await;
+    scene.store.set_mode(store::Mode::Up);
+}
+
+async fn harm_link(scene: rc::Rc<Scene>, n: usize, harm: proxy::Harm, length: time::Duration) {
+    scene.vms[n].to_store.set(harm);
+    tokio::time::sleep(length).await;
+    scene.vms[n].to_store.set(proxy::Harm::None);
+}
+
+/// A backend server leaves: it says so, serves on for a while, and ends.
+async fn leave(scene: rc::Rc<Scene>) {
+    /// So many stay at least.
+    const LEAST: usize = 4;
+    if scene.backends.borrow().len() <= LEAST {
+        return;
+    }
+    let gone = scene.backends.borrow_mut().remove(0);
+    gone.register(&scene.store, "draining");
+    tokio::time::sleep(backend::DRAIN + ms(500)).await;
+    scene.store.remove(&format!("servers/{}", gone.id));
+    scene.backend_fault.set(Some(time::Instant::now()));
+    gone.close();
+}
+
+/// A backend server runs what it gets and its answers are lost.
+async fn lose_answers(scene: rc::Rc<Scene>, length: time::Duration) {
+    let Some(backend) = scene.backends.borrow().last().cloned() else {
+        return;
+    };
+    scene.backend_fault.set(Some(time::Instant::now()));
+    backend.loses.set(true);
+    tokio::time::sleep(length).await;
+    backend.loses.set(false);
+    scene.backend_fault.set(Some(time::Instant::now()));
+}
--- /dev/null
+++ b/examples/soak/main.rs
@@ -0,0 +1,91 @@
+//! A randomized soak: gateways as processes of their own, with a store, backend servers and callers
+//! in this process, and faults from outside. It checks, from what callers and backend servers see,
+//! that nothing that must run once runs twice, that answers are whole and their callers' own, that
+//! "not run" is true, that a planned stop cuts nothing, that a configuration never goes back, and
+//! that all recovers.
+//!
+//! ```text
+//! cargo run --release --example soak -- --seeds 10
+//! cargo run --release --example soak -- --first 17 --seeds 1 --keep-logs logs
+//! ```
+
+mod callers;
+mod faults;
+mod scene;
+
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+use std::path;
+use std::process;
+use std::time;
+
+use clap::Parser;
+use tokio::task;
+
+/// Plays faults on gateway processes and checks what callers get.
+#[derive(Debug, clap::Parser)]
+struct Args {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// How many seeds to play
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    /// Go on with further seeds for so many minutes
+    #[arg(long)]
+    minutes: Option<f64>,
+    /// Entry VMs
+    #[arg(long, default_value_t = 6)]
+    vms: usize,
+    /// Seconds of faults for each seed
+    #[arg(long, default_value_t = 8.0)]
+    faults: f64,
+    /// Keep the processes' logs in this directory
+    #[arg(long, value_name = "DIR")]
+    keep_logs: Option<path::PathBuf>,
+}
+
+fn main() -> process::ExitCode {
+    let args = Args::parse();
+    let begun = time::Instant::now();
+    let mut seed = args.first;
+    let (mut passed, mut failed) = (0, 0);
+    loop {
+        let more = args
+            .minutes
+            .is_some_and(|minutes| begun.elapsed().as_secs_f64() < minutes * 60.0);
+        if seed >= args.first + args.seeds && !more {
+            break;
+        }
+        let report = play(&args, seed);
+        println!("{report}");
+        match report.broken.is_empty() {
+            true => passed += 1,
+            false => {
+                failed += 1;
+                println!(
+                    "again: cargo run --release --example soak -- --first {seed} --seeds 1 --keep-logs logs"
+                );
+            }
+        }
+        seed += 1;
+    }
+    println!("soak: {passed} passed, {failed} failed");
+    process::ExitCode::from(u8::from(failed > 0))
+}
+
+fn play(args: &Args, seed: u64) -> scene::Report {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    let cfg = scene::Config {
+        seed,
+        vms: args.vms,
+        faults: time::Duration::from_secs_f64(args.faults),
+        logs: args.keep_logs.clone(),
+        ..scene::Config::default()
+    };
+    task::LocalSet::new().block_on(&runtime, scene::play(cfg))
+}
--- /dev/null
+++ b/examples/soak/scene.rs
@@ -0,0 +1,293 @@
+//! One seed: what stands around the gateways, the calm phases, and the verdict.
+
+use std::cell;
+use std::fmt;
+use std::fs;
+use std::net;
+use std::path;
+use std::rc;
+use std::time;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::task;
+
+use super::support::{backend, process, proxy, store};
+use super::{callers, faults};
+
+/// How a seed is played.
+#[derive(Clone, Debug)]
+pub(crate) struct Config {
+    pub(crate) seed: u64,
+    pub(crate) vms: usize,
+    pub(crate) backends: usize,
+    pub(crate) callers: usize,
+    pub(crate) faults: time::Duration,
+    pub(crate) logs: Option<path::PathBuf>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            vms: 6,
+            backends: 9,
+            callers: 24,
+            faults: time::Duration::from_secs(8),
+            logs: None,
+        }
+    }
+}
+
+/// How long all may take to serve again once the faults are over.
+const RECOVERY: time::Duration = time::Duration::from_secs(20);
+
+pub(crate) const ZONES: [&str; 3] = ["az-a", "az-b", "az-c"];
+
+/// An entry VM and what is done to it.
+pub(crate) struct Vm {
+    pub(crate) start: process::Start,
+    pub(crate) gateway: cell::RefCell<Option<process::Gateway>>,
+    pub(crate) to_store: proxy::Proxy,
+    /// When it was last killed or paused, or came back from it.
+    pub(crate) rough: cell::Cell<Option<time::Instant>>,
+    /// Counts its starts.
+    pub(crate) epoch: cell::Cell<u64>,
+}
+
+impl Vm {
+    pub(crate) fn spawn(&self) {
+        self.epoch.set(self.epoch.get() + 1);
+        match self.start.spawn() {
+            Ok(gateway) => *self.gateway.borrow_mut() = Some(gateway),
+            Err(err) => eprintln!("{} does not start: {err}", self.start.node),
+        }
+    }
+
+    pub(crate) fn is_rough_since(&self, since: time::Instant) -> bool {
+        self.rough.get().is_some_and(|at| at >= since)
+    }
+}
+
+/// What all tasks of a seed share.
+pub(crate) struct Scene {
+    pub(crate) cfg: Config,
+    pub(crate) store: store::Store,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) backends: cell::RefCell<Vec<backend::Backend>>,
+    pub(crate) log: rc::Rc<cell::RefCell<backend::Log>>,
+    pub(crate) version: cell::Cell<u64>,
+    pub(crate) broken: cell::RefCell<Vec<String>>,
+    pub(crate) counts: cell::RefCell<Counts>,
+    /// Backend servers have lost answers or ended since.
+    pub(crate) backend_fault: cell::Cell<Option<time::Instant>>,
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) sent: u64,
+    pub(crate) answered: u64,
+    pub(crate) refused: u64,
+    pub(crate) unknown: u64,
+    pub(crate) faults: u64,
+    /// Calls to the store.
+    pub(crate) calls: usize,
+}
+
+/// A seed's verdict.
+#[derive(Debug)]
+pub(crate) struct Report {
+    seed: u64,
+    counts: Counts,
+    pub(crate) broken: Vec<String>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let c = &self.counts;
+        write!(
+            f,
+            "seed {}: {} faults, sent {} answered {} refused {} unknown {}, store calls {}",
+            self.seed, c.faults, c.sent, c.answered, c.refused, c.unknown, c.calls
+        )?;
+        for line in &self.broken {
+            write!(f, "\n  BROKEN {line}")?;
+        }
+        Ok(())
+    }
+}
+
+/// The configuration of a version: two routes that stay and one that only this version has.
+pub(crate) fn config(version: u64) -> Value {
+    let route = |prefix: String, kind: &str| {
+        json!({"name": prefix, "host": "example.test", "prefix": prefix, "kind": kind,
+            "timeout_s": 3.0, "target_latency_s": 0.5, "priority": 1, "service": "svc",
+            "attempts": 2, "sticky": true})
+    };
+    json!({
+        "version": format!("{version:08x}"),
+        "routes": [route("/read/".into(), "safe"), route("/book/".into(), "unsafe"),
+            route(format!("/v{version}/"), "safe")],
+        "services": [{"name": "svc", "health_path": "/health", "max_conns": 330, "cold_s": 1.0, "cold_per_s": 5.0}],
+        "limits": {"header_bytes": 16384, "body_bytes": 1048576, "header_timeout_s": 3, "idle_timeout_s": 15},
+    })
+}
+
+impl Scene {
+    fn new(cfg: Config, dir: &path::Path) -> Self {
+        let store = store::Store::start();
+        store.write("op/config", &config(1));
+        let program = program();
+        let ports: Vec<process::Ports> = (0..cfg.vms).map(|_| process::Ports::free()).collect();
+        let seeds: Vec<net::SocketAddr> = ports.iter().take(3).map(|p| p.control).collect();
+        let vms = ports
+            .into_iter()
+            .enumerate()
+            .map(|(n, ports)| {
+                let to_store = proxy::Proxy::start(store.addr);
+                Vm {
+                    start: process::Start {
+                        program: program.clone(),
+                        dir: dir.to_owned(),
+                        node: format!("vm-{n}"),
+                        zone: ZONES[n % ZONES.len()],
+                        ports,
+                        store: to_store.addr,
+                        seeds: seeds.clone(),
+                    },
+                    gateway: cell::RefCell::default(),
+                    to_store,
+                    rough: cell::Cell::default(),
+                    epoch: cell::Cell::default(),
+                }
+            })
+            .collect();
+        Self {
+            store,
+            vms,
+            backends: cell::RefCell::default(),
+            log: rc::Rc::default(),
+            version: cell::Cell::new(1),
+            broken: cell::RefCell::default(),
+            counts: cell::RefCell::default(),
+            backend_fault: cell::Cell::default(),
+            cfg,
+        }
+    }
+
+    pub(crate) fn add_backend(&self, n: usize) {
+        let work = time::Duration::from_millis(20);
+        let zone = ZONES[n % ZONES.len()];
+        let id = format!("i-{n}");
+        let added = backend::Backend::start(&id, "svc", zone, work, self.log.clone());
+        added.register(&self.store, "ready");
+        self.backends.borrow_mut().push(added);
+    }
+
+    pub(crate) fn breaks(&self, what: String) {
+        /// More tell nothing new.
+        const MOST: usize = 8;
+        let mut broken = self.broken.borrow_mut();
+        if broken.len() < MOST {
+            broken.push(what);
+        }
+    }
+
+    pub(crate) fn configure(&self) {
+        self.version.set(self.version.get() + 1);
+        self.store.write("op/config", &config(self.version.get()));
+    }
+
+    /// All entry VMs serve again.
+    async fn all_serve(&self) {
+        let begun = time::Instant::now();
+        for vm in &self.vms {
+            let path = format!("/v{}/x", self.version.get());
+            while callers::status(vm.start.ports.front, &path, "recovery").await != Some(200) {
+                if begun.elapsed() > RECOVERY {
+                    self.breaks(format!(
+                        "{} does not serve version {} again",
+                        vm.start.node,
+                        self.version.get()
+                    ));
+                    break;
+                }
+                tokio::time::sleep(time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// A backend server leaves while all is calm.
+    async fn calm_leaving(&self) {
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        let Some(leaving) = self.backends.borrow().first().cloned() else {
+            return;
+        };
+        leaving.register(&self.store, "draining");
+        tokio::time::sleep(backend::DRAIN + time::Duration::from_secs(1)).await;
+        for id in &self.log.borrow().late {
+            self.breaks(format!(
+                "request {id} reached a backend server that had left"
+            ));
+        }
+    }
+}
+
+/// The gateway's program, built beside this one.
+fn program() -> path::PathBuf {
+    let own = std::env::current_exe().expect("this program has a path");
+    let beside = own
+        .parent()
+        .and_then(path::Path::parent)
+        .expect("it lies in examples/");
+    beside.join("bulrushwind-gateway")
+}
+
+/// Plays one seed.
+pub(crate) async fn play(cfg: Config) -> Report {
+    let kept = cfg.logs.clone();
+    let temporary = tempfile::tempdir().expect("a directory for the logs");
+    let dir = kept.as_deref().unwrap_or(temporary.path());
+    fs::create_dir_all(dir).expect("a directory for the logs");
+    let seed = cfg.seed;
+    let scene = rc::Rc::new(Scene::new(cfg, dir));
+    (0..scene.cfg.backends).for_each(|n| scene.add_backend(n));
+    scene.vms.iter().for_each(Vm::spawn);
+    scene.all_serve().await;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let tasks: Vec<task::JoinHandle<()>> = (0..scene.cfg.callers)
+        .map(|n| task::spawn_local(callers::call(scene.clone(), seed * 1000 + n as u64)))
+        .chain(
+            (0..scene.vms.len())
+                .map(|n| task::spawn_local(callers::watch_versions(scene.clone(), n))),
+        )
+        .collect();
+    faults::play(&scene, &mut rng).await;
+    scene.all_serve().await;
+    scene.log.borrow_mut().late.clear();
+    scene.calm_leaving().await;
+    tasks.iter().for_each(task::JoinHandle::abort);
+    let registered = scene.store.keys("bulrushwind/entry/").len();
+    if registered != scene.vms.len() {
+        scene.breaks(format!(
+            "{registered} entry VMs are registered, not {}",
+            scene.vms.len()
+        ));
+    }
+    scene.counts.borrow_mut().calls = scene.store.calls();
+    let counts = *scene.counts.borrow();
+    if counts.answered < counts.sent / 4 {
+        scene.breaks(format!(
+            "only {} of {} requests were answered",
+            counts.answered, counts.sent
+        ));
+    }
+    let broken = scene.broken.take();
+    Report {
+        seed,
+        counts,
+        broken,
+    }
+}
--- /dev/null
+++ b/tests/platform/decoding.rs
@@ -0,0 +1,123 @@
+//! Settings and records as the platform writes them.
+
+use std::time;
+
+use bulrushwind::platform::{decode, names, settings};
+
+const SETTINGS: &str = r#"
+node = "vm-1"
+zone = "az-a"
+region = "north"
+port_range = [7200,7215]
+seeds = ["10.0.0.1:8382"]
+unknown = "left alone"
+bounds = ["grace_s=7","budget_ratio=0.3","budget_extra=40","ttl_max_s=1","closed=false"]
+[zones]
+az-a = "north"
+az-b = "south"
+[listen]
+front = "10.0.0.2:8381"
+ready = "10.0.0.2:8388"
+[platform]
+addr = "10.200.1.7:8384"
+"#;
+
+#[test]
+fn settings_become_our_own() {
+    let settings = settings::parse(SETTINGS).unwrap();
+    assert_eq!(settings.gateway.vm.as_str(), "vm-1");
+    assert_eq!(settings.gateway.regions.len(), 2);
+    assert_eq!(settings.gateway.resend.share, 0.3);
+    assert_eq!(settings.gateway.resend.extra, 40.0);
+    assert_eq!(settings.gateway.grace, time::Duration::from_secs(7));
+    assert_eq!(settings.lookup_ttl, time::Duration::from_secs(1));
+    assert_eq!(settings.metrics.to_string(), "10.0.0.2:7200");
+    assert!(settings.directory.is_none());
+}
+
+/// The file is read while the platform writes it, or lacks a field. An operator who reads only
+/// "invalid file" has to guess.
+#[test]
+fn settings_that_are_not_whole_say_what_is_missing() {
+    let without = |line: &str| SETTINGS.replace(line, "");
+    let err = settings::parse(&without("zone = \"az-a\"\n")).unwrap_err();
+    assert!(err.contains("zone"), "{err}");
+    let err = settings::parse(&without("front = \"10.0.0.2:8381\"\n")).unwrap_err();
+    assert!(err.contains("front"), "{err}");
+    let err = settings::parse(&SETTINGS.replace("budget_ratio=0.3", "budget_ratio")).unwrap_err();
+    assert!(err.contains("budget_ratio"), "{err}");
+    assert!(settings::parse(&SETTINGS[..SETTINGS.len() / 2]).is_err());
+}
+
+const CONFIG: &str = r#"{"version":"0000001c","routes":[
+{"name":"r1","host":"A.example","prefix":"/x/y/","kind":"unsafe","timeout_s":2,"target_latency_s":0.5,"priority":1,"service":"s1","attempts":2,"sticky":true,"residency":["north"]},
+{"name":"r2","host":"a.example","prefix":"/x/","kind":"safe","timeout_s":2.5,"target_latency_s":0.4,"priority":2,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":3}],
+"services":[{"name":"s1","health_path":"/h","max_conns":330,"proto":"h1","tls":false,"cold_s":3.0,"cold_per_s":2.9}],
+"limits":{"header_bytes":16384,"body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}"#;
+
+#[test]
+fn a_configuration_becomes_a_table_of_routes() {
+    let table = decode::config(CONFIG.as_bytes()).unwrap();
+    assert_eq!(table.version, 0x1c);
+    let long = table.select("a.example:80", "/x/y/z").unwrap();
+    assert_eq!((long.name.as_str(), long.idempotent), ("r1", false));
+    assert_eq!(long.regions, ["north".into()]);
+    let short = table.select("A.EXAMPLE", "/x/q").unwrap();
+    assert_eq!((short.parts.len(), short.attempts), (2, 3));
+    assert!(table.select("a.example", "/xy").is_none());
+    assert!(table.select("b.example", "/x/").is_none());
+    assert_eq!(table.limits.head, 16384);
+}
+
+/// An operator's configuration cannot be read. Taken in part, routes would be missing and callers
+/// told that their service does not exist.
+#[test]
+fn a_configuration_that_cannot_be_read_is_refused_whole() {
+    let bad = [
+        CONFIG.replace("0000001c", "vier"),
+        CONFIG.replace("\"timeout_s\":2,", "\"timeout_s\":-2,"),
+        CONFIG.replace("\"attempts\":2,", ""),
+        CONFIG[..CONFIG.len() - 20].to_owned(),
+    ];
+    for text in bad {
+        assert!(decode::config(text.as_bytes()).is_err(), "{text:.60}");
+    }
+}
+
+#[test]
+fn a_backend_server_that_is_not_ready_takes_no_new_work() {
+    let entry = r#"{"service":"s1","addr":"10.1.1.1:80","zone":"az-a","version":"v1","slots":3,"state":"draining","cold_left_s":1.5,"seq":9}"#;
+    let now = time::Duration::from_secs(10);
+    let listed = decode::backend(entry.as_bytes(), now).unwrap();
+    assert!(listed.leaving);
+    assert_eq!(listed.cold_until, now + time::Duration::from_millis(1500));
+    let ready = entry.replace("draining", "ready");
+    assert!(!decode::backend(ready.as_bytes(), now).unwrap().leaving);
+}
+
+/// Whatever bytes stand in the store, reading them must not end the process.
+#[test]
+fn no_bytes_end_a_decoder() {
+    use rand::{RngExt, SeedableRng};
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(11);
+    let entry = r#"{"service":"s1","addr":"10.1.1.1:80","zone":"z","slots":3,"state":"ready"}"#;
+    for _ in 0..5000 {
+        let mut bytes = match rng.random_bool(0.5) {
+            true => CONFIG.as_bytes().to_vec(),
+            false => entry.as_bytes().to_vec(),
+        };
+        for _ in 0..rng.random_range(1..8) {
+            let at = rng.random_range(0..bytes.len());
+            bytes[at] = rng.random();
+        }
+        let _ = decode::config(&bytes);
+        let _ = decode::backend(&bytes, time::Duration::ZERO);
+        let _ = decode::entry(&bytes);
+    }
+}
+
+#[test]
+fn the_platforms_names_are_those_of_its_pages() {
+    assert_eq!(names::FIELDS.id, "Bulrushwind-Try-Id");
+    assert_eq!(names::SETTINGS, "BULRUSHWIND_SETTINGS");
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,7 @@
+//! The platform's adapter: its settings, its store's records, and processes that live on it.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod decoding;
+mod processes;
--- /dev/null
+++ b/tests/platform/processes.rs
@@ -0,0 +1,303 @@
+//! Gateway processes with a stand-in store and backend servers.
+
+use std::cell;
+use std::net;
+use std::path;
+use std::rc;
+use std::time;
+
+use bulrushwind::platform::names::FIELDS;
+use bulrushwind::protocol::http1;
+use bulrushwind::transport::{socket, upstream};
+use bytes::BytesMut;
+use serde_json::{Value, json};
+use tokio::task;
+
+use super::support::{backend, process, proxy, store};
+
+const LONG: time::Duration = time::Duration::from_secs(30);
+
+fn play<F: Future<Output = ()>>(scene: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    task::LocalSet::new().block_on(&runtime, async {
+        tokio::time::timeout(LONG * 2, scene())
+            .await
+            .expect("the scene ends");
+    });
+}
+
+pub(crate) fn config(version: u64, prefixes: &[&str]) -> Value {
+    let routes: Vec<Value> = prefixes
+        .iter()
+        .map(|prefix| {
+            json!({
+                "name": prefix, "host": "example.test", "prefix": prefix,
+                "kind": if prefix.contains("book") { "unsafe" } else { "safe" },
+                "timeout_s": 5.0, "target_latency_s": 1.0, "priority": 1, "service": "svc",
+                "attempts": 2, "sticky": true,
+            })
+        })
+        .collect();
+    json!({
+        "version": format!("{version:08x}"), "routes": routes,
+        "services": [{"name": "svc", "health_path": "/health", "max_conns": 330, "cold_s": 1.0, "cold_per_s": 3.0}],
+        "limits": {"header_bytes": 16384, "body_bytes": 1048576, "header_timeout_s": 3, "idle_timeout_s": 15},
+    })
+}
+
+struct Scene {
+    store: store::Store,
+    backends: Vec<backend::Backend>,
+    dir: tempfile::TempDir,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let store = store::Store::start();
+        store.write("op/config", &config(1, &["/read/", "/book/"]));
+        let log: rc::Rc<cell::RefCell<backend::Log>> = rc::Rc::default();
+        let backends: Vec<backend::Backend> = ["az-a", "az-b", "az-c"]
+            .into_iter()
+            .enumerate()
+            .map(|(n, zone)| {
+                let work = time::Duration::from_millis(10);
+                backend::Backend::start(&format!("i-{n}"), "svc", zone, work, log.clone())
+            })
+            .collect();
+        backends.iter().for_each(|b| b.register(&store, "ready"));
+        Self {
+            store,
+            backends,
+            dir: tempfile::tempdir().unwrap(),
+        }
+    }
+
+    fn start(
+        &self,
+        node: &str,
+        store: net::SocketAddr,
+        seeds: &[net::SocketAddr],
+    ) -> (process::Ports, process::Gateway) {
+        let start = process::Start {
+            program: path::PathBuf::from(env!("CARGO_BIN_EXE_bulrushwind-gateway")),
+            dir: self.dir.path().to_owned(),
+            node: node.to_owned(),
+            zone: "az-a",
+            ports: process::Ports::free(),
+            store,
+            seeds: seeds.to_vec(),
+        };
+        (start.ports, start.spawn().unwrap())
+    }
+}
+
+/// The status and body that a request gets, `None` where nothing answers.
+async fn ask(addr: net::SocketAddr, target: &str, id: &str) -> Option<(u16, String)> {
+    let text = format!(
+        "GET {target} HTTP/1.1\r\nHost: example.test\r\n{}: {id}\r\n{}: 4000\r\n\r\n",
+        FIELDS.id, FIELDS.timeout_ms
+    );
+    let mut wire = socket::Wire::connect(addr, LONG).await.ok()?;
+    let mut payload = upstream::Payload::Whole(bytes::Bytes::new());
+    let tag = upstream::Tag {
+        field: FIELDS.id,
+        id: id.as_bytes(),
+        to_head: false,
+    };
+    let received = upstream::exchange(&mut wire, text.as_bytes(), &mut payload, tag)
+        .await
+        .ok()?;
+    let mut reader = http1::BodyReader::new(received.head.framing);
+    let mut body = BytesMut::new();
+    while let Some(piece) = upstream::next_piece(&mut wire, &mut reader).await.ok()? {
+        body.extend_from_slice(&piece);
+    }
+    Some((
+        received.head.status,
+        String::from_utf8_lossy(&body).into_owned(),
+    ))
+}
+
+async fn until_status(addr: net::SocketAddr, target: &str, status: u16) {
+    let begun = time::Instant::now();
+    while ask(addr, target, "r").await.map(|(s, _)| s) != Some(status) {
+        assert!(begun.elapsed() < LONG, "{target} never answers {status}");
+        tokio::time::sleep(time::Duration::from_millis(30)).await;
+    }
+}
+
+#[test]
+fn a_process_registers_serves_follows_the_configuration_and_leaves() {
+    play(|| async {
+        let scene = Scene::new();
+        let (ports, mut gateway) = scene.start("vm-1", scene.store.addr, &[]);
+        until_status(ports.ready, "/ready", 200).await;
+        let (status, body) = ask(ports.front, "/read/a", "r1").await.unwrap();
+        assert_eq!((status, body.as_str()), (200, "answer to r1"));
+        assert_eq!(ask(ports.front, "/new/a", "r2").await.unwrap().0, 404);
+        scene
+            .store
+            .write("op/config", &config(2, &["/read/", "/new/"]));
+        until_status(ports.front, "/new/a", 200).await;
+        assert_eq!(ask(ports.front, "/book/a", "r3").await.unwrap().0, 404);
+        let (status, body) = ask(
+            ports.directory,
+            "/resolve?name=x&region=north&zone=az-a",
+            "d",
+        )
+        .await
+        .unwrap();
+        assert_eq!(status, 200);
+        assert!(body.contains(&ports.front.to_string()), "{body}");
+        let begun = time::Instant::now();
+        while scene.store.keys("bulrushwind/entry/").is_empty() {
+            assert!(begun.elapsed() < LONG, "never registered");
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        gateway.signal(rustix::process::Signal::TERM);
+        until_status(ports.ready, "/ready", 503).await;
+        while !scene.store.keys("bulrushwind/entry/").is_empty() || !gateway.has_ended() {
+            assert!(begun.elapsed() < LONG, "never left");
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// The store is away, or refuses, or forgets its history. Callers must not notice the first two,
+/// and what changed meanwhile must be in force afterwards.
+#[test]
+fn a_process_outlives_its_store_and_catches_up() {
+    for mode in [store::Mode::Silent, store::Mode::Busy] {
+        play(|| async {
+            let scene = Scene::new();
+            let (ports, _gateway) = scene.start("vm-1", scene.store.addr, &[]);
+            until_status(ports.ready, "/ready", 200).await;
+            scene.store.set_mode(mode);
+            scene.store.write("op/config", &config(2, &["/new/"]));
+            scene.store.forget_history();
+            for n in 0..20 {
+                let (status, _) = ask(ports.front, "/read/a", &format!("r{n}")).await.unwrap();
+                assert_eq!(status, 200);
+            }
+            scene.store.set_mode(store::Mode::Up);
+            until_status(ports.front, "/new/a", 200).await;
+        });
+    }
+}
+
+/// An entry VM starts while the store is away. Another one knows what it needs.
+#[test]
+fn a_process_that_starts_without_the_store_learns_from_another() {
+    play(|| async {
+        let scene = Scene::new();
+        let (first, _gateway) = scene.start("vm-1", scene.store.addr, &[]);
+        until_status(first.ready, "/ready", 200).await;
+        let cut = proxy::Proxy::start(scene.store.addr);
+        cut.set(proxy::Harm::Resets);
+        let (second, _other) = scene.start("vm-2", cut.addr, &[first.control]);
+        until_status(second.front, "/read/a", 200).await;
+        cut.set(proxy::Harm::None);
+        scene.store.write("op/config", &config(2, &["/new/"]));
+        until_status(second.front, "/new/a", 200).await;
+    });
+}
+
+/// Two entry VMs of one region: the second follows the first, so that both together ask the store
+/// little more than one. When the first is killed, the second reads by itself.
+#[test]
+fn one_follows_the_other_and_turns_to_the_store_when_that_dies() {
+    play(|| async {
+        let scene = Scene::new();
+        let (first, gateway) = scene.start("vm-1", scene.store.addr, &[]);
+        let (second, other) = scene.start("vm-2", scene.store.addr, &[]);
+        until_status(first.ready, "/ready", 200).await;
+        until_status(second.ready, "/ready", 200).await;
+        let follows = |node: &str| {
+            let log = std::fs::read_to_string(scene.dir.path().join(format!("{node}.log")))
+                .unwrap_or_default();
+            log.contains("\"following\"")
+        };
+        let begun = time::Instant::now();
+        while !follows("vm-1") && !follows("vm-2") {
+            assert!(begun.elapsed() < LONG, "neither follows the other");
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        let (left, follower) = match follows("vm-1") {
+            true => (other, first),
+            false => (gateway, second),
+        };
+        scene.store.write("op/config", &config(2, &["/two/"]));
+        until_status(follower.front, "/two/a", 200).await;
+        drop(left);
+        scene.store.write("op/config", &config(3, &["/three/"]));
+        until_status(follower.front, "/three/a", 200).await;
+        assert!(scene.store.calls() > 0);
+    });
+}
+
+/// A backend server's entry is removed while the store is slow, and the backend server ends a
+/// little later. A caller must notice neither.
+#[test]
+fn a_backend_server_that_leaves_while_the_store_is_slow_is_left_in_time() {
+    play(|| async {
+        let scene = Scene::new();
+        let slow = proxy::Proxy::start(scene.store.addr);
+        slow.set(proxy::Harm::Delay(time::Duration::from_millis(100)));
+        let (ports, _gateway) = scene.start("vm-1", slow.addr, &[]);
+        until_status(ports.front, "/read/a", 200).await;
+        let gone = &scene.backends[0];
+        scene.store.remove(&format!("servers/{}", gone.id));
+        let log = || std::fs::read_to_string(scene.dir.path().join("vm-1.log")).unwrap_or_default();
+        let begun = time::Instant::now();
+        while !log().contains("\"backend server gone\"") {
+            assert!(begun.elapsed() < LONG, "the backend server is still in use");
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        gone.close();
+        for n in 0..20 {
+            let (status, _) = ask(ports.front, "/read/a", &format!("r{n}")).await.unwrap();
+            assert_eq!(status, 200);
+        }
+    });
+}
+
+/// A write's answer is lost, so nobody knows whether the registration stands. The VM must not stay
+/// out of use for it, nor register twice.
+#[test]
+fn a_registration_whose_answer_is_lost_is_made_good() {
+    play(|| async {
+        let scene = Scene::new();
+        scene.store.set_mode(store::Mode::LosesAnswers);
+        let (ports, _gateway) = scene.start("vm-1", scene.store.addr, &[]);
+        until_status(ports.front, "/read/a", 200).await;
+        scene.store.set_mode(store::Mode::Up);
+        let begun = time::Instant::now();
+        while scene.store.keys("bulrushwind/entry/") != ["bulrushwind/entry/vm-1"] {
+            assert!(begun.elapsed() < LONG, "never registered");
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        assert!(scene.backends.iter().all(|b| !b.loses.get()));
+    });
+}
+
+#[test]
+fn a_settings_file_that_cannot_be_read_ends_the_process_with_a_usage_error() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("local.toml");
+    std::fs::write(&file, "node = \"vm-1\"\n").unwrap();
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_bulrushwind-gateway"))
+        .arg("--check")
+        .arg("--settings")
+        .arg(&file)
+        .output()
+        .unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&out.stderr);
+    assert!(
+        text.contains("zone") && text.contains("local.toml"),
+        "{text}"
+    );
+}
--- /dev/null
+++ b/tests/support/backend.rs
@@ -0,0 +1,169 @@
+//! Backend servers that keep the platform's promises and remember what they ran.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use bulrushwind::platform::names::FIELDS;
+use bulrushwind::protocol::{http1, routes};
+use bulrushwind::transport::{callers, socket};
+use bytes::Bytes;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::task;
+
+use super::store;
+
+/// What all backend servers have seen.
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    /// How often each request ran, by its id.
+    pub(crate) runs: collections::BTreeMap<String, u32>,
+    /// Requests that arrived at a backend server that had said long before that it leaves.
+    pub(crate) late: Vec<String>,
+}
+
+/// A backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Backend {
+    pub(crate) id: String,
+    pub(crate) service: &'static str,
+    pub(crate) zone: &'static str,
+    pub(crate) addr: net::SocketAddr,
+    work: time::Duration,
+    running: rc::Rc<cell::Cell<u32>>,
+    log: rc::Rc<cell::RefCell<Log>>,
+    /// From when on requests count as late.
+    left: rc::Rc<cell::Cell<Option<time::Instant>>>,
+    /// Whether answers are lost.
+    pub(crate) loses: rc::Rc<cell::Cell<bool>>,
+    accepting: rc::Rc<cell::RefCell<Option<task::JoinHandle<()>>>>,
+}
+
+/// Requests that one works on at once, and that wait.
+const SLOTS: u32 = 3;
+const QUEUE: u32 = 9;
+
+/// How long after its leaving was written a backend server may still get requests.
+pub(crate) const DRAIN: time::Duration = time::Duration::from_millis(2500);
+
+impl Backend {
+    pub(crate) fn start(
+        id: &str,
+        service: &'static str,
+        zone: &'static str,
+        work: time::Duration,
+        log: rc::Rc<cell::RefCell<Log>>,
+    ) -> Self {
+        let listener = socket::listen(net::SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let backend = Self {
+            id: id.to_owned(),
+            service,
+            zone,
+            addr: listener.local_addr().unwrap(),
+            work,
+            running: rc::Rc::default(),
+            log,
+            left: rc::Rc::default(),
+            loses: rc::Rc::default(),
+            accepting: rc::Rc::default(),
+        };
+        let served = backend.clone();
+        let accepting = task::spawn_local(async move {
+            let (_stop, stop) = watch::channel(false);
+            while let Ok((stream, _)) = listener.accept().await {
+                task::spawn_local(callers::serve(stream, served.clone(), stop.clone()));
+            }
+        });
+        *backend.accepting.borrow_mut() = Some(accepting);
+        backend
+    }
+
+    /// Writes its entry.
+    pub(crate) fn register(&self, store: &store::Store, state: &str) {
+        let entry = json!({
+            "service": self.service, "addr": self.addr, "zone": self.zone, "version": "v1",
+            "slots": SLOTS, "state": state, "cold_left_s": 0.0, "seq": 1,
+        });
+        store.write(&format!("servers/{}", self.id), &entry);
+        if state != "ready" {
+            self.left.set(Some(time::Instant::now()));
+        }
+    }
+
+    /// Takes no further connections.
+    pub(crate) fn close(&self) {
+        if let Some(accepting) = self.accepting.borrow_mut().take() {
+            accepting.abort();
+        }
+    }
+
+    async fn reply(self, req: callers::Request) -> callers::Answer {
+        let fields = &req.head.fields;
+        let id = fields.text(FIELDS.id).unwrap_or_default().to_owned();
+        if fields.text(FIELDS.instance).is_some_and(|i| i != self.id) {
+            return self.not_run(421, &id);
+        }
+        if self.running.get() >= SLOTS + QUEUE {
+            return self.not_run(503, &id);
+        }
+        if self.left.get().is_some_and(|at| at.elapsed() > DRAIN) {
+            self.log.borrow_mut().late.push(id.clone());
+        }
+        *self.log.borrow_mut().runs.entry(id.clone()).or_default() += 1;
+        let _running = Running::new(&self.running);
+        tokio::time::sleep(self.work).await;
+        if self.loses.get() {
+            return std::future::pending().await;
+        }
+        let mut answer = callers::Answer::bare(200);
+        self.mark(&mut answer, &id);
+        http1::put_field(
+            &mut answer.fields,
+            FIELDS.proof.as_bytes(),
+            self.id.as_bytes(),
+        );
+        answer.body = callers::Body::Whole(Bytes::from(format!("answer to {id}")));
+        answer
+    }
+
+    fn not_run(&self, status: u16, id: &str) -> callers::Answer {
+        let mut answer = callers::Answer::bare(status);
+        self.mark(&mut answer, id);
+        http1::put_field(&mut answer.fields, FIELDS.not_run.as_bytes(), b"1");
+        answer
+    }
+
+    fn mark(&self, answer: &mut callers::Answer, id: &str) {
+        http1::put_field(&mut answer.fields, FIELDS.id.as_bytes(), id.as_bytes());
+        let load = format!("{},0,{SLOTS}", self.running.get());
+        http1::put_field(&mut answer.fields, FIELDS.load.as_bytes(), load.as_bytes());
+    }
+}
+
+impl callers::Handler for Backend {
+    fn limits(&self) -> routes::Limits {
+        routes::Limits::default()
+    }
+
+    fn answer(&self, req: callers::Request) -> impl Future<Output = callers::Answer> + 'static {
+        self.clone().reply(req)
+    }
+}
+
+struct Running(rc::Rc<cell::Cell<u32>>);
+
+impl Running {
+    fn new(count: &rc::Rc<cell::Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,134 @@
+//! The gateway as a process of its own.
+
+use std::fs;
+use std::io;
+use std::net;
+use std::path;
+use std::process;
+
+/// Where a process listens.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ports {
+    pub(crate) front: net::SocketAddr,
+    pub(crate) ready: net::SocketAddr,
+    pub(crate) directory: net::SocketAddr,
+    pub(crate) control: net::SocketAddr,
+    pub(crate) metrics: net::SocketAddr,
+}
+
+impl Ports {
+    /// Five ports that are free now.
+    pub(crate) fn free() -> Self {
+        let held: Vec<net::TcpListener> = (0..5)
+            .map(|_| net::TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let addr = |n: usize| held[n].local_addr().unwrap();
+        Self {
+            front: addr(0),
+            ready: addr(1),
+            directory: addr(2),
+            control: addr(3),
+            metrics: addr(4),
+        }
+    }
+}
+
+/// What a process is started with.
+#[derive(Clone, Debug)]
+pub(crate) struct Start {
+    pub(crate) program: path::PathBuf,
+    pub(crate) dir: path::PathBuf,
+    pub(crate) node: String,
+    pub(crate) zone: &'static str,
+    pub(crate) ports: Ports,
+    pub(crate) store: net::SocketAddr,
+    pub(crate) seeds: Vec<net::SocketAddr>,
+}
+
+impl Start {
+    /// The settings file as the platform writes it.
+    pub(crate) fn settings(&self) -> String {
+        let Ports {
+            front,
+            ready,
+            directory,
+            control,
+            metrics,
+        } = self.ports;
+        let seeds: Vec<String> = self.seeds.iter().map(|s| format!("\"{s}\"")).collect();
+        format!(
+            r#"node = "{node}"
+role = "entry"
+class = "front"
+ip = "127.0.0.1"
+zone = "{zone}"
+region = "north"
+port_range = [{metrics},{metrics}]
+seeds = [{seeds}]
+bootstrap = false
+bounds = ["grace_s=6","budget_ratio=0.2","budget_extra=56","budget_window_s=10","ttl_max_s=5","closed=false"]
+[zones]
+az-a = "north"
+az-b = "north"
+az-c = "south"
+[listen]
+front = "{front}"
+ready = "{ready}"
+directory = "{directory}"
+control = "{control}"
+[platform]
+addr = "{store}"
+form = "kv"
+"#,
+            node = self.node,
+            zone = self.zone,
+            metrics = metrics.port(),
+            seeds = seeds.join(","),
+            store = self.store,
+        )
+    }
+
+    /// Starts the process. Its lines go to a file named after it.
+    pub(crate) fn spawn(&self) -> io::Result<Gateway> {
+        let settings = self.dir.join(format!("{}.toml", self.node));
+        fs::write(&settings, self.settings())?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(format!("{}.log", self.node)))?;
+        let child = process::Command::new(&self.program)
+            .env("BULRUSHWIND_SETTINGS", &settings)
+            .stdin(process::Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Gateway { child })
+    }
+}
+
+/// A running process, ended when dropped.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) child: process::Child,
+}
+
+impl Gateway {
+    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        let pid = rustix::process::Pid::from_raw(id).unwrap();
+        // A process that has just ended by itself cannot be signalled, and need not be.
+        let _ = rustix::process::kill_process(pid, signal);
+    }
+
+    pub(crate) fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // Both fail only where it has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/support/proxy.rs
@@ -0,0 +1,101 @@
+//! A proxy on the loopback interface that delays, cuts, silences or resets what passes through.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use bulrushwind::transport::socket;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task;
+
+/// What a proxy does to what passes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Harm {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each piece waits so long.
+    Delay(time::Duration),
+    /// What comes from the dialler is dropped.
+    DropsRequests,
+    /// What comes from the other side is dropped.
+    DropsAnswers,
+    /// Connections are reset.
+    Resets,
+}
+
+/// A proxy in front of one address.
+#[derive(Clone, Debug)]
+pub(crate) struct Proxy {
+    pub(crate) addr: net::SocketAddr,
+    harm: rc::Rc<cell::Cell<Harm>>,
+}
+
+impl Proxy {
+    pub(crate) fn start(to: net::SocketAddr) -> Self {
+        let listener = socket::listen(net::SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let proxy = Self {
+            addr: listener.local_addr().unwrap(),
+            harm: rc::Rc::default(),
+        };
+        let harm = proxy.harm.clone();
+        task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                task::spawn_local(pass(stream, to, harm.clone()));
+            }
+        });
+        proxy
+    }
+
+    pub(crate) fn set(&self, harm: Harm) {
+        self.harm.set(harm);
+    }
+}
+
+async fn pass(from: TcpStream, to: net::SocketAddr, harm: rc::Rc<cell::Cell<Harm>>) {
+    if harm.get() == Harm::Resets {
+        return reset(&from);
+    }
+    let Ok(to) = TcpStream::connect(to).await else {
+        return reset(&from);
+    };
+    let reset_on = socket2::SockRef::from(&from).try_clone().unwrap();
+    let (mut from_rx, mut from_tx) = from.into_split();
+    let (mut to_rx, mut to_tx) = to.into_split();
+    let out = copy(&mut from_rx, &mut to_tx, &harm, Harm::DropsRequests);
+    let back = copy(&mut to_rx, &mut from_tx, &harm, Harm::DropsAnswers);
+    tokio::select! {
+        () = out => {}
+        () = back => {}
+    }
+    if harm.get() == Harm::Resets {
+        let _ = reset_on.set_linger(Some(time::Duration::ZERO));
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    // A socket that is gone already needs no reset.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
+}
+
+async fn copy(
+    rx: &mut (impl AsyncReadExt + Unpin),
+    tx: &mut (impl AsyncWriteExt + Unpin),
+    harm: &cell::Cell<Harm>,
+    dropping: Harm,
+) {
+    let mut buf = vec![0; 8 << 10];
+    while let Ok(n @ 1..) = rx.read(&mut buf).await {
+        match harm.get() {
+            Harm::Resets => return,
+            Harm::Delay(delay) => tokio::time::sleep(delay).await,
+            harm if harm == dropping => continue,
+            _ => {}
+        }
+        if tx.write_all(&buf[..n]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/store.rs
@@ -0,0 +1,349 @@
+//! The platform's store as its published protocol describes it, with the ways in which it fails.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use bulrushwind::protocol::{http1, routes};
+use bulrushwind::transport::{callers, socket, upstream};
+use bytes::Bytes;
+use serde_json::{Value, json};
+use tokio::sync::{Notify, watch};
+use tokio::task;
+
+/// How the store serves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// As it should.
+    #[default]
+    Up,
+    /// It does not answer.
+    Silent,
+    /// It refuses everything.
+    Busy,
+    /// It does what it is asked, and the answer is lost.
+    LosesAnswers,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: String,
+    rev: u64,
+    lease: u64,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: time::Duration,
+    ends: time::Instant,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    items: collections::BTreeMap<String, Item>,
+    events: Vec<(u64, String, Option<Item>)>,
+    revision: u64,
+    /// History up to here is gone.
+    forgotten: u64,
+    leases: collections::BTreeMap<u64, Lease>,
+    next_lease: u64,
+    mode: Mode,
+    calls: usize,
+}
+
+impl Inner {
+    fn put(&mut self, key: &str, value: String, lease: u64) {
+        self.revision += 1;
+        let item = Item {
+            value,
+            rev: self.revision,
+            lease,
+        };
+        self.events
+            .push((self.revision, key.to_owned(), Some(item.clone())));
+        self.items.insert(key.to_owned(), item);
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.events.push((self.revision, key.to_owned(), None));
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
+        keys.iter().for_each(|key| self.remove(key));
+    }
+
+    fn lapse(&mut self) {
+        let now = time::Instant::now();
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        over.into_iter().for_each(|id| self.end_lease(id));
+    }
+}
+
+/// The store.
+#[derive(Clone, Debug)]
+pub(crate) struct Store {
+    inner: rc::Rc<cell::RefCell<Inner>>,
+    changed: rc::Rc<Notify>,
+    pub(crate) addr: net::SocketAddr,
+}
+
+impl Store {
+    /// Starts one on the current thread.
+    pub(crate) fn start() -> Self {
+        let listener = socket::listen(net::SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let store = Self {
+            inner: rc::Rc::default(),
+            changed: rc::Rc::default(),
+            addr: listener.local_addr().unwrap(),
+        };
+        store.inner.borrow_mut().revision = 1;
+        let served = store.clone();
+        task::spawn_local(async move {
+            let (_stop, stop) = watch::channel(false);
+            while let Ok((stream, _)) = listener.accept().await {
+                task::spawn_local(callers::serve(stream, served.clone(), stop.clone()));
+            }
+        });
+        let lapsing = store.clone();
+        task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(time::Duration::from_millis(50)).await;
+                let paused = lapsing.inner.borrow().mode == Mode::Silent;
+                if !paused {
+                    lapsing.inner.borrow_mut().lapse();
+                    lapsing.changed.notify_waiters();
+                }
+            }
+        });
+        store
+    }
+
+    pub(crate) fn set_mode(&self, mode: Mode) {
+        self.inner.borrow_mut().mode = mode;
+        self.changed.notify_waiters();
+    }
+
+    /// Drops all history, so that watches from before must begin anew.
+    pub(crate) fn forget_history(&self) {
+        let mut inner = self.inner.borrow_mut();
+        inner.forgotten = inner.revision;
+        inner.events.clear();
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    pub(crate) fn calls(&self) -> usize {
+        self.inner.borrow().calls
+    }
+
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+        let inner = self.inner.borrow();
+        inner
+            .items
+            .keys()
+            .filter(|k| k.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Writes as operators and backend servers do.
+    pub(crate) fn write(&self, key: &str, value: &Value) {
+        let text = data_encoding::BASE64.encode(value.to_string().as_bytes());
+        self.inner.borrow_mut().put(key, text, 0);
+        self.changed.notify_waiters();
+    }
+
+    pub(crate) fn remove(&self, key: &str) {
+        self.inner.borrow_mut().remove(key);
+        self.changed.notify_waiters();
+    }
+
+    async fn reply(self, req: callers::Request) -> callers::Answer {
+        let mode = {
+            let mut inner = self.inner.borrow_mut();
+            inner.calls += 1;
+            inner.mode
+        };
+        match mode {
+            Mode::Silent => return std::future::pending().await,
+            Mode::Busy => return callers::Answer::bare(503),
+            Mode::Up | Mode::LosesAnswers => {}
+        }
+        let answer = self.act(&req).await;
+        let write = req.head.method() != b"GET";
+        if mode == Mode::LosesAnswers && write {
+            return std::future::pending().await;
+        }
+        answer
+    }
+
+    async fn act(&self, req: &callers::Request) -> callers::Answer {
+        let path = req.head.path();
+        let target = req.head.target();
+        let body: Value = match &req.payload {
+            upstream::Payload::Whole(body) => serde_json::from_slice(body).unwrap_or_default(),
+            upstream::Payload::Pieces { .. } => Value::Null,
+        };
+        let last = path.rsplit('/').next().unwrap_or_default();
+        match (req.head.method(), path) {
+            (b"GET", "/kv-range") => self.range(target),
+            (b"GET", "/kv-watch") => self.watch(target).await,
+            (b"POST", "/kv-txn") => self.txn(&body),
+            (b"POST", "/kv-lease") => self.lease(&body),
+            (b"POST", _) if path.starts_with("/kv-keep/") => self.renew(last),
+            (b"DELETE", _) if path.starts_with("/kv-lease-end/") => {
+                self.inner.borrow_mut().end_lease(last.parse().unwrap());
+                self.changed.notify_waiters();
+                json_answer(&json!({}))
+            }
+            _ => callers::Answer::bare(404),
+        }
+    }
+
+    fn range(&self, target: &str) -> callers::Answer {
+        /// So few that a list needs several pages.
+        const PAGE: usize = 4;
+        let inner = self.inner.borrow();
+        let prefix = query(target, "prefix").unwrap_or_default();
+        let after = query(target, "after").unwrap_or_default();
+        let mut found: Vec<Value> = inner
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
+            .take(PAGE + 1)
+            .map(|(key, item)| shown(key, item))
+            .collect();
+        let truncated = found.len() > PAGE;
+        found.truncate(PAGE);
+        json_answer(
+            &json!({"items": found, "truncated": truncated, "store_revision": inner.revision}),
+        )
+    }
+
+    async fn watch(&self, target: &str) -> callers::Answer {
+        let after: u64 = query(target, "after").unwrap().parse().unwrap();
+        let wait: u64 = query(target, "wait_ms").unwrap().parse().unwrap();
+        let until = time::Instant::now() + time::Duration::from_millis(wait);
+        loop {
+            let changed = self.changed.notified();
+            {
+                let inner = self.inner.borrow();
+                if after < inner.forgotten {
+                    return callers::Answer::bare(410);
+                }
+                let events: Vec<Value> = inner
+                    .events
+                    .iter()
+                    .filter(|(rev, _, _)| *rev > after)
+                    .map(|(rev, key, item)| match item {
+                        Some(item) => shown(key, item),
+                        None => json!({"key": key, "rev": rev, "tombstone": true}),
+                    })
+                    .collect();
+                if !events.is_empty() || time::Instant::now() >= until {
+                    return json_answer(
+                        &json!({"events": events, "store_revision": inner.revision}),
+                    );
+                }
+            }
+            // Whether told or out of time, the loop looks again.
+            let _ = tokio::time::timeout_at(until.into(), changed).await;
+        }
+    }
+
+    fn txn(&self, body: &Value) -> callers::Answer {
+        let mut inner = self.inner.borrow_mut();
+        for condition in body["precondition"].as_array().into_iter().flatten() {
+            let rev = inner
+                .items
+                .get(condition["key"].as_str().unwrap())
+                .map_or(0, |item| item.rev);
+            if condition["rev"] != rev {
+                return callers::Answer::bare(412);
+            }
+        }
+        for put in body["put_items"].as_array().into_iter().flatten() {
+            let lease = put["lease"].as_u64().unwrap_or_default();
+            if lease != 0 && !inner.leases.contains_key(&lease) {
+                return callers::Answer::bare(404);
+            }
+            let key = put["key"].as_str().unwrap();
+            assert!(!key.starts_with("op/") && !key.starts_with("servers/"));
+            inner.put(key, put["value"].as_str().unwrap().to_owned(), lease);
+        }
+        for key in body["remove"].as_array().into_iter().flatten() {
+            inner.remove(key.as_str().unwrap());
+        }
+        let rev = inner.revision;
+        drop(inner);
+        self.changed.notify_waiters();
+        json_answer(&json!({"rev": rev}))
+    }
+
+    fn lease(&self, body: &Value) -> callers::Answer {
+        let ttl = time::Duration::from_secs_f64(body["ttl_s_time"].as_f64().unwrap());
+        let mut inner = self.inner.borrow_mut();
+        inner.next_lease += 1;
+        let id = inner.next_lease;
+        let ends = time::Instant::now() + ttl;
+        inner.leases.insert(id, Lease { ttl, ends });
+        json_answer(&json!({"lease": id, "ttl_s_time": ttl.as_secs_f64()}))
+    }
+
+    fn renew(&self, id: &str) -> callers::Answer {
+        let mut inner = self.inner.borrow_mut();
+        match inner.leases.get_mut(&id.parse().unwrap()) {
+            Some(lease) => {
+                lease.ends = time::Instant::now() + lease.ttl;
+                json_answer(&json!({"ttl_s_time": lease.ttl.as_secs_f64()}))
+            }
+            None => callers::Answer::bare(404),
+        }
+    }
+}
+
+impl callers::Handler for Store {
+    fn limits(&self) -> routes::Limits {
+        routes::Limits::default()
+    }
+
+    fn answer(&self, req: callers::Request) -> impl Future<Output = callers::Answer> + 'static {
+        self.clone().reply(req)
+    }
+}
+
+fn shown(key: &str, item: &Item) -> Value {
+    json!({"key": key, "value": item.value, "rev": item.rev, "created_rev": item.rev, "lease": item.lease})
+}
+
+fn query(target: &str, name: &str) -> Option<String> {
+    let (_, query) = target.split_once('?')?;
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then(|| value.to_owned())
+    })
+}
+
+pub(crate) fn json_answer(value: &Value) -> callers::Answer {
+    let mut answer = callers::Answer::bare(200);
+    http1::put_field(&mut answer.fields, b"Content-Type", b"application/json");
+    answer.body = callers::Body::Whole(Bytes::from(value.to_string()));
+    answer
+}
