Explain a request from logs and metrics: a line an ending, counters, and 'explain'

Lines are limited by kind and what was left out is said. Counters, latencies and gauges stand on a fixed port. 'bulrushwind explain ID LOG...' prints the story.

--- a/src/bin/bulrushwind-gateway.rs
+++ b/src/bin/bulrushwind-gateway.rs
@@ -15,6 +15,9 @@
     /// The settings file that the platform writes
     #[arg(long, value_name = "FILE", env = platform::names::SETTINGS)]
     settings: path::PathBuf,
+    /// Port of this VM for metrics [default: the first of the ports that are free for us]
+    #[arg(long, value_name = "PORT")]
+    metrics_port: Option<u16>,
     /// Check the settings file and exit
     #[arg(long)]
     check: bool,
@@ -35,5 +38,6 @@
     if args.check {
         return platform::settings::read(&args.settings).map(drop);
     }
-    platform::run(&args.settings, logging::buffered("bulrushwind-gateway"))
+    let log = logging::buffered("bulrushwind-gateway");
+    platform::run(&args.settings, args.metrics_port, &log)
 }
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -146,6 +146,12 @@
     Undrain(Undrain),
     /// Ask which entry VMs a caller should use for a service
     Lookup(Lookup),
+    /// Tell the story of one request from the logs of entry VMs
+    ///
+    /// Reads the logs as the gateway writes them, from files or from standard input, and prints in
+    /// the order of time what the request's own lines say and what was believed then of the
+    /// backend servers, the routes and the store.
+    Explain(Explain),
     /// Make a signing key
     ///
     /// Writes the secret half to a file that only this user may read and prints the public half.
@@ -161,6 +167,16 @@
     },
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, clap::Args)]
+pub struct Explain {
+    /// The request's id
+    pub request: String,
+    /// Logs of entry VMs [default: standard input]
+    #[arg(value_name = "LOG")]
+    pub logs: Vec<path::PathBuf>,
+}
+
 /// Arguments of `check`.
 #[derive(Debug, clap::Args)]
 pub struct Check {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 pub mod directory;
 pub mod drain;
 pub mod entries;
+pub mod explain;
 pub mod keys;
 pub mod lookup;
 pub mod output;
@@ -133,6 +134,7 @@
         args::Command::Drain(args) => drain::drain(&cx, args),
         args::Command::Undrain(args) => drain::undrain(&cx, args),
         args::Command::Lookup(args) => lookup::run(&cx, args),
+        args::Command::Explain(args) => explain::run(&cx, args),
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod mirror;
 pub mod place;
 pub mod pool;
+mod record;
 pub mod request;
 pub mod waiting;
 
@@ -25,9 +26,9 @@
 
 use crate::coordination::listing;
 use crate::decisions::{affinity, ejection, limit, policy, regions, resend, split};
-use crate::id;
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
+use crate::{id, logging, metrics};
 
 /// How long a planned stop goes on taking requests: callers learn within the time that an answer
 /// about where to connect is kept, and until then some still come here.
@@ -133,6 +134,8 @@
     splits: cell::RefCell<collections::HashMap<String, split::Split>>,
     waiting: cell::RefCell<waiting::Waiting>,
     pool: cell::RefCell<pool::Pool>,
+    lines: logging::Limiter,
+    labels: metrics::Bounded,
     stop: watch::Sender<bool>,
     /// From when on a planned stop takes no further request.
     closed: cell::Cell<Option<policy::Moment>>,
@@ -171,6 +174,8 @@
             splits: cell::RefCell::default(),
             waiting: cell::RefCell::default(),
             pool: cell::RefCell::default(),
+            lines: logging::Limiter::new(record::RATE),
+            labels: metrics::Bounded::default(),
             stop: watch::channel(false).0,
             closed: cell::Cell::new(None),
             in_hand: cell::Cell::new(0),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,7 +7,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use super::{Gateway, attempt, place};
+use super::{Gateway, attempt, place, record};
 use crate::decisions::{affinity, comeback, policy};
 use crate::id;
 use crate::protocol::{http1, names, routes};
@@ -45,29 +45,44 @@
     deadline: policy::Moment,
 }
 
-/// Counts the requests in hand, however they end.
-struct InHand(Gateway);
+/// Counts the requests in hand, however they end, and tells of those whose callers left.
+struct InHand {
+    cx: Gateway,
+    id: Bytes,
+    ended: bool,
+}
 
 impl InHand {
-    fn new(cx: &Gateway) -> Self {
+    fn new(cx: &Gateway, head: &http1::RequestHead) -> Self {
         cx.in_hand.set(cx.in_hand.get() + 1);
-        Self(cx.clone())
+        let id = head.fields.get(cx.cfg.names.id).unwrap_or_default();
+        Self {
+            cx: cx.clone(),
+            id: Bytes::copy_from_slice(id),
+            ended: false,
+        }
     }
 }
 
 impl Drop for InHand {
     fn drop(&mut self) {
-        self.0.in_hand.set(self.0.in_hand.get() - 1);
+        self.cx.in_hand.set(self.cx.in_hand.get() - 1);
+        if !self.ended {
+            self.cx.record_left(&self.id);
+        }
     }
 }
 
 impl Gateway {
     /// Answers a request.
     pub(super) async fn handle(self, mut req: callers::Request) -> callers::Answer {
-        let _in_hand = InHand::new(&self);
+        let mut in_hand = InHand::new(&self, &req.head);
         let facts = match self.facts(&req) {
             Ok(facts) => facts,
-            Err(answer) => return answer,
+            Err(answer) => {
+                in_hand.ended = true;
+                return answer;
+            }
         };
         let service = self.service_for(&facts);
         let bound = &self.cfg.resend;
@@ -94,9 +109,27 @@
             tried: Vec::new(),
             sends: 0,
             ran: 0,
+            first_sent: None,
+            fate: ("answered", ""),
             committed: &req.committed,
         };
-        run.answer().await
+        let answer = run.answer().await;
+        in_hand.ended = true;
+        self.record(&record::Ended {
+            id: &facts.id,
+            route: &facts.route,
+            service: run.job.service.as_str(),
+            away,
+            status: answer.status,
+            fate: run.fate.0,
+            why: run.fate.1,
+            tried: &run.tried,
+            sends: run.sends,
+            received: facts.received,
+            first_sent: run.first_sent,
+            deadline: facts.deadline,
+        });
+        answer
     }
 
     fn facts(&self, req: &callers::Request) -> Result<Facts, callers::Answer> {
@@ -117,7 +150,7 @@
             return Err(self.not_here(&id, UNREADY, "no routes yet"));
         };
         let Some(route) = table.select(host, req.head.path()) else {
-            slog::debug!(self.log, "no route"; "request" => %String::from_utf8_lossy(&id), "host" => host, "path" => req.head.path(), "version" => table.version);
+            slog::trace!(self.log, "no route"; "request" => %String::from_utf8_lossy(&id), "host" => host, "path" => req.head.path(), "version" => table.version);
             return refuse(404);
         };
         let stated = fields.text(self.cfg.names.timeout_ms);
@@ -160,7 +193,9 @@
 
     /// This VM cannot take the request just now; another may.
     fn not_here(&self, id: &[u8], after: time::Duration, why: &str) -> callers::Answer {
-        slog::info!(self.log, "refused"; "request" => %String::from_utf8_lossy(id), "why" => why);
+        if let Some(left_out) = self.lines.admit("not here", self.now()) {
+            slog::info!(self.log, "refused"; "request" => %String::from_utf8_lossy(id), "why" => why, "left_out" => left_out);
+        }
         let mut answer = self.own_answer(503, Some(id));
         answer.close = true;
         put_retry_after(&mut answer.fields, after);
@@ -201,6 +236,9 @@
     sends: u32,
     /// At how many backend servers it may have run.
     ran: u32,
+    first_sent: Option<policy::Moment>,
+    /// What became of it, and why.
+    fate: (&'static str, &'static str),
     committed: &'a std::cell::Cell<bool>,
 }
 
@@ -286,6 +324,7 @@
 
     fn sent(&mut self) {
         self.sends += 1;
+        self.first_sent.get_or_insert(self.cx.now());
         if !self.facts.route.idempotent {
             self.committed.set(true);
         }
@@ -367,13 +406,17 @@
             attempt::Outcome::Answer {
                 answer,
                 failed: false,
-            } => return Settled::Answer(answer),
+            } => {
+                self.fate = ("answered", "");
+                return Settled::Answer(answer);
+            }
             attempt::Outcome::Answer {
                 answer,
                 failed: true,
             } => {
                 self.note(id, name);
                 self.ran += 1;
+                self.fate = ("failed", "the backend server failed");
                 if !self.facts.route.idempotent {
                     return Settled::Answer(answer);
                 }
@@ -386,11 +429,8 @@
         Settled::Failed(None)
     }
 
-    fn note(&self, id: &id::VmId, what: &str) {
-        slog::info!(self.cx.log, "send failed";
-            "request" => %String::from_utf8_lossy(&self.facts.id),
-            "service" => %self.job.service, "backend" => %id, "outcome" => what,
-            "sends" => self.sends, "left_ms" => self.left().as_millis() as u64);
+    fn note(&self, id: &id::VmId, what: &'static str) {
+        self.cx.record_send(&self.facts.id, id, what, self.sends);
     }
 
     fn left(&self) -> time::Duration {
@@ -398,7 +438,7 @@
     }
 
     /// No answer could be had, and no further send is possible.
-    fn ended(&self) -> callers::Answer {
+    fn ended(&mut self) -> callers::Answer {
         match self.ran {
             0 => self.refuse("not run anywhere"),
             _ => self.give_up("no answer"),
@@ -406,28 +446,19 @@
     }
 
     /// It has not run and will not.
-    fn refuse(&self, why: &str) -> callers::Answer {
+    fn refuse(&mut self, why: &'static str) -> callers::Answer {
+        self.fate = ("not_run", why);
         let work = self.cx.with_desk(&self.job.service, |desk| desk.work);
         let backlog = time::Duration::from_secs_f64(work);
         let after = comeback::after(backlog, self.left(), self.cx.jitter());
-        slog::info!(self.cx.log, "refused";
-            "request" => %String::from_utf8_lossy(&self.facts.id),
-            "route" => &self.facts.route.name, "service" => %self.job.service, "away" => self.away,
-            "why" => why, "sends" => self.sends,
-            "waited_ms" => self.cx.now().saturating_sub(self.facts.received).as_millis() as u64,
-            "left_ms" => self.left().as_millis() as u64);
         let mut answer = self.cx.own_answer(503, Some(&self.facts.id));
         put_retry_after(&mut answer.fields, after);
         answer
     }
 
     /// It may have run, and its caller gets no answer of a backend server.
-    fn give_up(&self, why: &str) -> callers::Answer {
-        slog::info!(self.cx.log, "given up";
-            "request" => %String::from_utf8_lossy(&self.facts.id),
-            "route" => &self.facts.route.name, "service" => %self.job.service, "away" => self.away,
-            "why" => why, "sends" => self.sends, "backends" => ?self.tried,
-            "took_ms" => self.cx.now().saturating_sub(self.facts.received).as_millis() as u64);
+    fn give_up(&mut self, why: &'static str) -> callers::Answer {
+        self.fate = ("unknown", why);
         let status = match self.left().is_zero() {
             true => 504,
             false => 502,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -100,17 +100,30 @@
     slog::Logger::root(sync::Arc::new(slog::Discard), slog::o!())
 }
 
-/// Lines of one event that are written in a row before the limit counts.
-const BURST: f64 = 20.0;
+/// How many lines of one event are written.
+#[derive(Clone, Copy, Debug)]
+pub struct Rate {
+    /// In a row, before the limit counts.
+    pub burst: f64,
+    /// A second, once the burst is used up.
+    pub a_second: f64,
+}
 
-/// Lines of one event that are written a second once the burst is used up.
-const A_SECOND: f64 = 5.0;
+impl Default for Rate {
+    fn default() -> Self {
+        Self {
+            burst: 20.0,
+            a_second: 5.0,
+        }
+    }
+}
 
 /// Holds back lines that come too often. When a region fails, each refused request would write a
 /// line; the log would take the processor that callers need, and the first line, which tells the
 /// cause, would scroll away.
 #[derive(Debug, Default)]
 pub struct Limiter {
+    rate: Rate,
     events: parking_lot::Mutex<collections::BTreeMap<&'static str, Bucket>>,
 }
 
@@ -122,17 +135,25 @@
 }
 
 impl Limiter {
+    /// A limiter that lets so many lines of each event pass.
+    pub fn new(rate: Rate) -> Self {
+        Self {
+            rate,
+            ..Self::default()
+        }
+    }
+
     /// Whether a line of this event may be written now, and then how many were held back before
     /// it.
     pub fn admit(&self, event: &'static str, now: time::Duration) -> Option<u64> {
         let mut events = self.events.lock();
         let bucket = events.entry(event).or_insert(Bucket {
-            left: BURST,
+            left: self.rate.burst,
             filled: now,
             held_back: 0,
         });
         let passed = now.saturating_sub(bucket.filled).as_secs_f64();
-        bucket.left = (bucket.left + passed * A_SECOND).min(BURST);
+        bucket.left = (bucket.left + passed * self.rate.a_second).min(self.rate.burst);
         bucket.filled = now;
         if bucket.left < 1.0 {
             bucket.held_back += 1;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,14 +19,25 @@
 
 use crate::gateway::{front, mirror};
 use crate::transport::{callers, socket};
-use crate::{error, gateway};
+use crate::{error, gateway, metrics};
 
 /// How long before the end of the grace time a planned stop ends whatever is in hand.
 const MARGIN: time::Duration = time::Duration::from_millis(250);
 
 /// Runs an entry VM's process on the platform until it is told to stop.
-pub fn run(path: &path::Path, log: slog::Logger) -> Result<(), error::Error> {
-    let settings = rc::Rc::new(settings::read(path)?);
+///
+/// `metrics_port` is where operators expect metrics, if they said so.
+pub fn run(
+    path: &path::Path,
+    metrics_port: Option<u16>,
+    log: &slog::Logger,
+) -> Result<(), error::Error> {
+    let mut settings = settings::read(path)?;
+    if let Some(port) = metrics_port {
+        settings.metrics.set_port(port);
+    }
+    let settings = rc::Rc::new(settings);
+    let log = log.new(slog::o!("on" => settings.gateway.vm.to_string()));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -40,7 +51,7 @@
     log: slog::Logger,
 ) -> Result<(), error::Error> {
     let cx = gateway::Gateway::new(settings.gateway.clone(), log.clone());
-    slog::info!(log, "start"; "vm" => %cx.cfg.vm, "az" => %cx.cfg.az, "front" => %cx.cfg.front);
+    slog::info!(log, "start"; "vm" => %cx.cfg.vm, "az" => %cx.cfg.az, "front" => %cx.cfg.front, "metrics" => %settings.metrics);
     let mirror = mirror::Mirror::new(cx.clone());
     let calls = calls::Calls {
         cx: cx.clone(),
@@ -48,14 +59,12 @@
     };
     listen(settings.gateway.front, "front", cx.clone(), &cx)?;
     listen(settings.ready, "ready", calls.clone(), &cx)?;
-    let more = [
-        (settings.directory, "directory"),
-        (Some(settings.metrics), "metrics"),
-    ];
-    for (addr, name) in more {
-        if let Some(addr) = addr {
-            listen(addr, name, calls.clone(), &cx)?;
-        }
+    if let Some(addr) = settings.directory {
+        listen(addr, "directory", calls.clone(), &cx)?;
+    }
+    // Callers are served without metrics rather than not at all.
+    if let Err(err) = listen(settings.metrics, "metrics", calls, &cx) {
+        slog::warn!(log, "no metrics"; "error" => %err);
     }
     if let Some(addr) = settings.peers {
         task::spawn_local(mirror.clone().serve(bind(addr, "control")?));
@@ -69,6 +78,7 @@
     };
     let registered = task::spawn_local(registration.keep());
     task::spawn_local(cx.clone().upkeep());
+    task::spawn_local(count(cx.clone()));
     until_told(&cx).await?;
     leave(&cx, registered).await;
     slog::info!(log, "stop"; "in_hand" => cx.in_hand());
@@ -93,6 +103,17 @@
     })
 }
 
+/// Keeps the gauges, and folds what histograms gathered: without that it piles up until somebody
+/// asks for the metrics.
+async fn count(cx: gateway::Gateway) {
+    const EVERY: time::Duration = time::Duration::from_secs(2);
+    loop {
+        tokio::time::sleep(EVERY).await;
+        cx.set_gauges();
+        metrics::exporter().upkeep();
+    }
+}
+
 /// Waits for SIGTERM. The settings of a running process do not change where it listens, so a
 /// SIGHUP only leaves a line.
 async fn until_told(cx: &gateway::Gateway) -> Result<(), error::Error> {
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -85,6 +85,11 @@
         };
     }
 
+    /// How old the load is that an answer carried last; `None` before the first.
+    pub fn report_age(&self, now: policy::Moment) -> Option<std::time::Duration> {
+        (self.report.at > policy::Moment::ZERO).then(|| now.saturating_sub(self.report.at))
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: policy::Moment) -> bool {
         now < self.listed.cold_until
