--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -52,6 +52,8 @@
     pub(crate) to_store: proxy::Proxy,
     /// When it was last killed or paused, or came back from it.
     pub(crate) rough: cell::Cell<Option<time::Instant>>,
+    /// Whether it is being ended and started again.
+    pub(crate) ending: cell::Cell<bool>,
     /// Counts its starts.
     pub(crate) epoch: cell::Cell<u64>,
 }
@@ -65,6 +67,17 @@
         }
     }
 
+    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
+        if let Some(gateway) = &*self.gateway.borrow() {
+            gateway.signal(signal);
+        }
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        let mut gateway = self.gateway.borrow_mut();
+        gateway.as_mut().is_none_or(process::Gateway::has_ended)
+    }
+
     pub(crate) fn is_rough_since(&self, since: time::Instant) -> bool {
         self.rough.get().is_some_and(|at| at >= since)
     }
@@ -160,6 +173,7 @@
                     gateway: cell::RefCell::default(),
                     to_store,
                     rough: cell::Cell::default(),
+                    ending: cell::Cell::default(),
                     epoch: cell::Cell::default(),
                 }
             })
