Refuse requests that crash backend servers, counted over all entry VMs

A request in flight at three crashes is refused everywhere for 90 s. What was in flight counts only where the backend server then takes no connection, since answers get lost on the way too. The crashes are told through the store, a key for each with a lease.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -12,6 +12,7 @@
 pub mod caps;
 pub mod cold;
 pub mod comeback;
+pub mod crashes;
 pub mod dispatch;
 pub mod drain;
 pub mod ejection;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -39,6 +39,8 @@
     pub service: id::ServiceId,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// What marks it and others like it.
+    pub fingerprint: u64,
     /// When its time is up.
     pub deadline: policy::Moment,
 }
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -16,7 +16,71 @@
 /// otherwise: the list lags by a heartbeat and its way.
 const UNSURE: time::Duration = time::Duration::from_secs(3);
 
+/// A request that was in flight when a backend server crashed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Crash {
+    /// What marks the request.
+    pub fingerprint: u64,
+    /// The backend server.
+    pub backend: id::VmId,
+}
+
 impl Gateway {
+    /// Learns of a crash from another entry VM, or that it is long ago. Returns whether that is
+    /// news.
+    pub fn learn_crash(&self, crash: &Crash, counts: bool) -> bool {
+        let mut crashes = self.crashes.borrow_mut();
+        let backend = crash.backend.as_str();
+        if !counts {
+            return crashes.forget(crash.fingerprint, backend);
+        }
+        let news = crashes.learn(crash.fingerprint, backend);
+        if news && crashes.is_banned(crash.fingerprint) {
+            slog::warn!(self.log, "request refused from now on, it crashes backend servers"; "fingerprint" => format!("{:016x}", crash.fingerprint), "backend" => backend);
+        }
+        news
+    }
+
+    /// Crashes seen here that others are to be told of.
+    pub fn untold_crashes(&self) -> Vec<Crash> {
+        self.untold.take()
+    }
+
+    /// Those that could not be told are kept for the next time.
+    pub fn keep_untold(&self, crashes: Vec<Crash>) {
+        /// More tell nothing new: a lost zone breaks this many requests of one VM.
+        const MOST: usize = 128;
+        let mut untold = self.untold.borrow_mut();
+        untold.extend(crashes);
+        untold.truncate(MOST);
+    }
+
+    /// Learns from a send whether its backend server crashed.
+    fn judge_crash(&self, job: &attempt::Job, id: &id::VmId, outcome: &attempt::Outcome) {
+        let now = self.now();
+        match outcome {
+            attempt::Outcome::Unknown(upstream::Failure::Lost) => {
+                let mut crashes = self.crashes.borrow_mut();
+                crashes.lost(now, job.fingerprint, id.as_str());
+            }
+            attempt::Outcome::NotRun(attempt::NotRun::NoConnection) => {
+                let crashed = self.crashes.borrow_mut().refused(now, id.as_str());
+                let crashed: Vec<Crash> = crashed
+                    .into_iter()
+                    .map(|fingerprint| Crash {
+                        fingerprint,
+                        backend: id.clone(),
+                    })
+                    .collect();
+                for crash in &crashed {
+                    self.learn_crash(crash, true);
+                }
+                self.keep_untold(crashed);
+            }
+            _ => {}
+        }
+    }
+
     /// Takes a version of the routes. An older one than that in force changes nothing.
     pub fn learn_routes(&self, table: routes::Table) -> bool {
         let known = self.table().map(|t| t.version);
@@ -173,14 +237,11 @@
         begun: policy::Moment,
         outcome: &attempt::Outcome,
     ) {
+        self.judge_crash(job, id, outcome);
         let now = self.now();
         let cfg = &self.cfg.ejection;
         let mut backends = self.backends.borrow_mut();
-        let members = backends.of(&job.service).count();
-        let out = backends
-            .of(&job.service)
-            .filter(|b| b.health.state() != ejection::State::In)
-            .count();
+        let (members, out) = count_out(&backends, &job.service);
         let Some(backend) = backends.get_mut(id) else {
             return;
         };
@@ -222,11 +283,7 @@
         let now = self.now();
         let cfg = &self.cfg.ejection;
         let mut backends = self.backends.borrow_mut();
-        let members = backends.of(&job.service).count();
-        let out = backends
-            .of(&job.service)
-            .filter(|b| b.health.state() != ejection::State::In)
-            .count();
+        let (members, out) = count_out(&backends, &job.service);
         let Some(backend) = backends.get_mut(id) else {
             return;
         };
@@ -313,3 +370,12 @@
         }
     }
 }
+
+/// How many backend servers a service has, and how many of them get no work or are on trial.
+fn count_out(backends: &backends::Backends, service: &id::ServiceId) -> (usize, usize) {
+    let out = backends
+        .of(service)
+        .filter(|b| b.health.state() != ejection::State::In)
+        .count();
+    (backends.of(service).count(), out)
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,7 +25,7 @@
 use tokio::sync::watch;
 
 use crate::coordination::listing;
-use crate::decisions::{affinity, ejection, limit, policy, regions, resend, split};
+use crate::decisions::{affinity, crashes, ejection, limit, policy, regions, resend, split};
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
 use crate::{id, logging, metrics};
@@ -134,6 +134,9 @@
     splits: cell::RefCell<collections::HashMap<String, split::Split>>,
     waiting: cell::RefCell<waiting::Waiting>,
     pool: cell::RefCell<pool::Pool>,
+    crashes: cell::RefCell<crashes::Crashes>,
+    /// Crashes seen here that others have not been told of.
+    untold: cell::RefCell<Vec<beliefs::Crash>>,
     lines: logging::Limiter,
     labels: metrics::Bounded,
     stop: watch::Sender<bool>,
@@ -174,6 +177,8 @@
             splits: cell::RefCell::default(),
             waiting: cell::RefCell::default(),
             pool: cell::RefCell::default(),
+            crashes: cell::RefCell::default(),
+            untold: cell::RefCell::default(),
             lines: logging::Limiter::new(record::RATE),
             labels: metrics::Bounded::default(),
             stop: watch::channel(false).0,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -35,6 +35,10 @@
 /// of a second.
 const UNREADY: time::Duration = time::Duration::from_millis(300);
 
+/// When a caller may come back whose request crashes backend servers: it will not be served for a
+/// minute at least.
+const BANNED: time::Duration = time::Duration::from_secs(60);
+
 /// What a request's head and the routes in force say.
 struct Facts {
     route: rc::Rc<routes::Route>,
@@ -84,6 +88,11 @@
                 return answer;
             }
         };
+        let fingerprint = fingerprint(&req);
+        if self.crashes.borrow().is_banned(fingerprint) {
+            in_hand.ended = true;
+            return self.not_here(&facts.id, BANNED, "it crashes backend servers");
+        }
         let service = self.service_for(&facts);
         let bound = &self.cfg.resend;
         let now = self.now();
@@ -97,6 +106,7 @@
             id: facts.id.clone(),
             service,
             idempotent: facts.route.idempotent,
+            fingerprint,
             deadline: facts.deadline,
         });
         let payload = std::mem::replace(&mut req.payload, upstream::Payload::Whole(Bytes::new()));
@@ -212,6 +222,18 @@
     }
 }
 
+/// What is the same in requests that are sent again: target, object and body.
+fn fingerprint(req: &callers::Request) -> u64 {
+    let head = affinity::hash(req.head.target().as_bytes());
+    let host = affinity::hash(req.head.fields.get("host").unwrap_or_default());
+    let object = affinity::hash(req.head.fields.get("cookie").unwrap_or_default());
+    let body = match &req.payload {
+        upstream::Payload::Whole(body) => affinity::hash(body),
+        upstream::Payload::Pieces { length, .. } => length.unwrap_or_default(),
+    };
+    [host, object, body].into_iter().fold(head, affinity::mix)
+}
+
 fn put_retry_after(fields: &mut BytesMut, after: time::Duration) {
     let text = format!("{:.3}", after.as_secs_f64());
     http1::put_field(fields, b"Retry-After", text.as_bytes());
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -4,9 +4,12 @@
 use std::time;
 
 use crate::decisions::policy;
+use crate::gateway::beliefs;
 use crate::protocol::routes;
 use crate::state::{backends, entries};
 
+use super::names;
+
 /// Why a value cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -189,3 +192,22 @@
         az: entry.az.to_string(),
     })?)
 }
+
+/// A crash from the rest of its key.
+pub fn crash(rest: &str) -> Option<beliefs::Crash> {
+    let (fingerprint, backend) = rest.split_once('/')?;
+    Some(beliefs::Crash {
+        fingerprint: u64::from_str_radix(fingerprint, 16).ok()?,
+        backend: backend.into(),
+    })
+}
+
+/// The key of a crash.
+pub fn crash_key(crash: &beliefs::Crash) -> String {
+    format!(
+        "{}{:016x}/{}",
+        names::CRASHES,
+        crash.fingerprint,
+        crash.backend
+    )
+}
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -3,7 +3,7 @@
 use std::rc;
 use std::time;
 
-use crate::gateway::mirror as following;
+use crate::gateway::{beliefs, mirror as following};
 use crate::protocol::mirror;
 use crate::state::entries;
 use crate::{gateway, id};
@@ -16,6 +16,10 @@
 /// How often it is renewed: two renewals may fail before it ends.
 const RENEW: time::Duration = time::Duration::from_secs(1);
 
+/// How long a crash counts against the requests that were in flight: longer than callers go on
+/// asking, short enough that a repaired service is not held back.
+const CRASH_COUNTS: time::Duration = time::Duration::from_secs(90);
+
 /// The pause after a call that failed.
 const RETRY: time::Duration = time::Duration::from_millis(300);
 
@@ -50,6 +54,9 @@
         if let Some(vm) = key.strip_prefix(names::ENTRIES) {
             return self.entry(&vm.into(), value);
         }
+        if let Some(crash) = key.strip_prefix(names::CRASHES).and_then(decode::crash) {
+            return Ok(self.cx.learn_crash(&crash, value.is_some()));
+        }
         match value {
             Some(value) if key == names::CONFIG => Ok(self.cx.learn_routes(decode::config(value)?)),
             _ => Ok(false),
@@ -133,6 +140,7 @@
         let mut held = None;
         while !self.cx.is_stopping() {
             held = self.round(&mut client, held).await;
+            self.tell_crashes(&mut client).await;
             let pause = match held {
                 Some(_) => RENEW,
                 None => RETRY,
@@ -170,6 +178,31 @@
         }
     }
 
+    /// Tells all entry VMs of the crashes seen here.
+    async fn tell_crashes(&self, client: &mut store::Client) {
+        let untold = self.cx.untold_crashes();
+        if untold.is_empty() {
+            return;
+        }
+        if let Err(err) = self.write_crashes(client, &untold).await {
+            slog::info!(self.cx.log, "crashes not told yet"; "crashes" => untold.len(), "error" => %err);
+            self.cx.keep_untold(untold);
+        }
+    }
+
+    async fn write_crashes(
+        &self,
+        client: &mut store::Client,
+        crashes: &[beliefs::Crash],
+    ) -> Result<(), store::Error> {
+        let lease = client.lease(CRASH_COUNTS).await?;
+        let keys: Vec<String> = crashes.iter().map(decode::crash_key).collect();
+        for some in keys.chunks(store::MOST_PUTS) {
+            client.put_all(some, b"", lease).await?;
+        }
+        Ok(())
+    }
+
     fn key(&self) -> String {
         format!("{}{}", names::ENTRIES, self.cx.cfg.vm)
     }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -27,3 +27,7 @@
 
 /// Under this our own entry VMs register.
 pub const ENTRIES: &str = "bulrushwind/entry/";
+
+/// Under this stand requests that were in flight when a backend server crashed: the request's
+/// fingerprint, a slash, the backend server's name.
+pub const CRASHES: &str = "bulrushwind/crash/";
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,6 +16,9 @@
 /// after 0.12 s; a slow one takes fifty times as long and still helps.
 const CALL: time::Duration = time::Duration::from_millis(1000);
 
+/// Keys that one call may write.
+pub const MOST_PUTS: usize = 32;
+
 /// Why a call did not do what was asked.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -197,12 +200,23 @@
 
     /// Writes a key that goes with a lease.
     pub async fn put(&mut self, key: &str, value: &[u8], lease: u64) -> Result<(), Error> {
+        self.put_all(&[key.to_owned()], value, lease).await
+    }
+
+    /// Writes keys with one value that go with a lease, [`MOST_PUTS`] at most.
+    pub async fn put_all(
+        &mut self,
+        keys: &[String],
+        value: &[u8],
+        lease: u64,
+    ) -> Result<(), Error> {
+        let puts = keys.iter().map(|key| Put {
+            key,
+            value: data_encoding::BASE64.encode(value),
+            lease,
+        });
         let txn = Txn {
-            put_items: vec![Put {
-                key,
-                value: data_encoding::BASE64.encode(value),
-                lease,
-            }],
+            put_items: puts.collect(),
             ..Txn::default()
         };
         let body = serde_json::to_vec(&txn)?;
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use bulrushwind::coordination::{listing, mirror};
-use bulrushwind::decisions::{affinity, cold, comeback, nearby, regions, resend, split};
+use bulrushwind::decisions::{affinity, cold, comeback, crashes, nearby, regions, resend, split};
 use bulrushwind::id;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -303,6 +303,46 @@
     assert!(comeback::after(secs(0.0), left, 0.0) > time::Duration::ZERO);
 }
 
+/// One request crashes each backend server that runs it, and its caller sends it again through
+/// other entry VMs. Counted by each VM alone, it takes down twice as many as there are VMs.
+#[test]
+fn a_request_in_flight_at_three_crashes_is_refused_by_all_and_innocent_ones_are_not() {
+    let mut vms = vec![crashes::Crashes::default(); 8];
+    let bad = 7;
+    for n in 0..3_u64 {
+        let backend = format!("i-{n}");
+        let (seen_by, now) = (n as usize, secs(n as f64 * 5.0));
+        vms[seen_by].lost(now, bad, &backend);
+        vms[seen_by].lost(now, 100 + n, &backend);
+        assert!(!vms[7].is_banned(bad));
+        for fingerprint in vms[seen_by].refused(now + secs(0.3), &backend) {
+            vms.iter_mut().for_each(|vm| {
+                vm.learn(fingerprint, &backend);
+            });
+        }
+    }
+    assert!(vms.iter().all(|vm| vm.is_banned(bad)));
+    assert!((100..103).all(|innocent| !vms[0].is_banned(innocent)));
+    assert!(vms[0].forget(bad, "i-0"));
+    assert!(
+        !vms[0].is_banned(bad),
+        "after a while it may be tried again"
+    );
+}
+
+/// Answers are lost on the way while their backend servers are sound. Taken for crashes, the most
+/// frequent requests would be refused.
+#[test]
+fn a_broken_connection_alone_is_no_crash() {
+    let mut crashes = crashes::Crashes::default();
+    for n in 0..10 {
+        crashes.lost(secs(f64::from(n)), 7, "i-1");
+    }
+    assert_eq!(crashes.refused(secs(30.0), "i-1"), Vec::<u64>::new());
+    crashes.lost(secs(31.0), 7, "i-1");
+    assert!(crashes.refused(secs(31.1), "i-2").is_empty());
+}
+
 fn names(n: usize) -> Vec<id::VmId> {
     (0..n)
         .map(|i| id::VmId::from(format!("i-{i}").as_str()))
