--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -8,7 +8,7 @@
 
 use bulrushwind::platform::names::FIELDS;
 use bulrushwind::protocol::{http1, routes};
-use bulrushwind::transport::{callers, socket};
+use bulrushwind::transport::callers;
 use bytes::Bytes;
 use serde_json::json;
 use tokio::sync::watch;
@@ -57,7 +57,7 @@
         work: time::Duration,
         log: rc::Rc<cell::RefCell<Log>>,
     ) -> Self {
-        let listener = socket::listen(net::SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let listener = super::listen();
         let backend = Self {
             id: id.to_owned(),
             service,
@@ -110,7 +110,8 @@
             return self.not_run(503, &id);
         }
         if self.left.get().is_some_and(|at| at.elapsed() > DRAIN) {
-            self.log.borrow_mut().late.push(id.clone());
+            let what = format!("{id} {}", req.head.target());
+            self.log.borrow_mut().late.push(what);
         }
         *self.log.borrow_mut().runs.entry(id.clone()).or_default() += 1;
         let _running = Running::new(&self.running);
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -5,7 +5,6 @@
 use std::net;
 use std::path;
 use std::process;
-use std::sync::atomic;
 
 /// Where a process listens.
 #[derive(Clone, Copy, Debug)]
@@ -18,30 +17,16 @@
 }
 
 impl Ports {
-    /// Five ports that are free now. They lie below those that the system hands out by itself,
-    /// and each process that runs tests begins elsewhere; else a proxy or another run could take
-    /// one before the gateway does.
+    /// Five ports that are free now.
     pub(crate) fn free() -> Self {
-        const FIRST: u32 = 11_000;
-        const RUNS: u32 = 80;
-        const EACH: u32 = 250;
-        static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
-        let base = FIRST + process::id() % RUNS * EACH;
-        let mut free = Vec::new();
-        while free.len() < 5 {
-            let n = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
-            let port = u16::try_from(base + n % EACH).unwrap();
-            let addr = net::SocketAddr::from(([127, 0, 0, 1], port));
-            if net::TcpListener::bind(addr).is_ok() {
-                free.push(addr);
-            }
-        }
+        let held: Vec<net::TcpListener> = (0..5).map(|_| super::bind()).collect();
+        let addr = |n: usize| held[n].local_addr().unwrap();
         Self {
-            front: free[0],
-            ready: free[1],
-            directory: free[2],
-            control: free[3],
-            metrics: free[4],
+            front: addr(0),
+            ready: addr(1),
+            directory: addr(2),
+            control: addr(3),
+            metrics: addr(4),
         }
     }
 }
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -5,7 +5,6 @@
 use std::rc;
 use std::time;
 
-use bulrushwind::transport::socket;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task;
@@ -35,7 +34,7 @@
 
 impl Proxy {
     pub(crate) fn start(to: net::SocketAddr) -> Self {
-        let listener = socket::listen(net::SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let listener = super::listen();
         let proxy = Self {
             addr: listener.local_addr().unwrap(),
             harm: rc::Rc::default(),
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use bulrushwind::protocol::{http1, routes};
-use bulrushwind::transport::{callers, socket, upstream};
+use bulrushwind::transport::{callers, upstream};
 use bytes::Bytes;
 use serde_json::{Value, json};
 use tokio::sync::{Notify, watch};
@@ -107,7 +107,7 @@
 impl Store {
     /// Starts one on the current thread.
     pub(crate) fn start() -> Self {
-        let listener = socket::listen(net::SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let listener = super::listen();
         let store = Self {
             inner: rc::Rc::default(),
             changed: rc::Rc::default(),
