--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -26,7 +26,8 @@
         let vm = rng.random_range(0..scene.vms.len());
         let length = ms(rng.random_range(200..2500));
         let scene = scene.clone();
-        running.push(match rng.random_range(0..12) {
+        running.push(match rng.random_range(0..13) {
+            12 => task::spawn_local(slow_down(scene, length)),
             0 => task::spawn_local(kill(scene, vm, length)),
             1 | 2 => task::spawn_local(stop(scene, vm)),
             3 => task::spawn_local(pause(scene, vm, length)),
@@ -153,3 +154,13 @@
     backend.loses.set(false);
     scene.backend_fault.set(Some(time::Instant::now()));
 }
+
+/// A backend server works many times longer than usual.
+async fn slow_down(scene: rc::Rc<Scene>, length: time::Duration) {
+    let Some(backend) = scene.backends.borrow().first().cloned() else {
+        return;
+    };
+    backend.delay(ms(400));
+    tokio::time::sleep(length).await;
+    backend.delay(super::scene::WORK);
+}
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -43,6 +43,9 @@
 /// How long all may take to serve again once the faults are over.
 const RECOVERY: time::Duration = time::Duration::from_secs(20);
 
+/// How long a backend server works on a request.
+pub(crate) const WORK: time::Duration = time::Duration::from_millis(20);
+
 pub(crate) const ZONES: [&str; 3] = ["az-a", "az-b", "az-c"];
 
 /// An entry VM and what is done to it.
@@ -192,10 +195,9 @@
     }
 
     pub(crate) fn add_backend(&self, n: usize) {
-        let work = time::Duration::from_millis(20);
         let zone = ZONES[n % ZONES.len()];
         let id = format!("i-{n}");
-        let added = backend::Backend::start(&id, "svc", zone, work, self.log.clone());
+        let added = backend::Backend::start(&id, "svc", zone, WORK, self.log.clone());
         added.register(&self.store, "ready");
         self.backends.borrow_mut().push(added);
     }
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -108,7 +108,11 @@
             .filter(|line| line.on == *vm && Some(&line.at) <= last)
         {
             if line.is_belief(&backends) {
-                beliefs.insert((line.what.as_str(), line.text("backend")), line);
+                let about = match line.text("backend") {
+                    "" => line.text("az"),
+                    backend => backend,
+                };
+                beliefs.insert((line.what.as_str(), about), line);
             }
         }
         found.extend(beliefs.into_values().cloned());
@@ -149,7 +153,7 @@
     let story = story(&lines, &args.request);
     if story.is_empty() {
         return Err(error::Error::Config(format!(
-            "no line tells of request `{}`; give the logs of all entry VMs of that time, and note that of the requests that were answered only one in 64 leaves a line",
+            "no line tells of request `{}`; give the logs of all entry VMs of that time, and note that of the requests that were answered in time only one in 64 leaves a line",
             args.request
         )));
     }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -1,7 +1,7 @@
 //! What is written and counted of each request, so that one can be explained afterwards from logs
 //! and metrics alone.
 //!
-//! A request that was not answered well leaves a line, up to a rate; of the others those whose id
+//! A request that was not answered in time leaves a line, up to a rate; of the others those whose id
 //! falls into a fixed share leave one, the same on all entry VMs. What the rate left out is said
 //! in the next line of its kind.
 
@@ -25,7 +25,7 @@
 /// Within this the store counts as heard: a reader hears it twice a second.
 const STORE_HEARD: time::Duration = time::Duration::from_secs(2);
 
-/// Of the requests that were answered well, one in so many leaves a line.
+/// Of the requests that were answered in time, one in so many leaves a line.
 const SAMPLED: u64 = 64;
 
 /// How a request ended.
@@ -68,15 +68,19 @@
             counter!(known::RETRIES, "service" => service.clone())
                 .increment(u64::from(ended.sends - 1));
         }
-        let good = ended.fate == "answered";
-        if good && took <= ended.route.aim {
+        let in_time = ended.fate == "answered" && took <= ended.route.aim;
+        if in_time {
             counter!(known::IN_TIME, "service" => service).increment(1);
         }
-        if good && !affinity::hash(ended.id).is_multiple_of(SAMPLED) {
+        let kind = match ended.fate {
+            "answered" if !in_time => "late",
+            fate => fate,
+        };
+        if in_time && !affinity::hash(ended.id).is_multiple_of(SAMPLED) {
             return;
         }
-        let Some(left_out) = self.lines.admit(ended.fate, now) else {
-            counter!(known::LOG_SUPPRESSED, "event" => ended.fate).increment(1);
+        let Some(left_out) = self.lines.admit(kind, now) else {
+            counter!(known::LOG_SUPPRESSED, "event" => kind).increment(1);
             return;
         };
         let waited = ended
@@ -85,7 +89,7 @@
             .saturating_sub(ended.received);
         let backends: Vec<&str> = ended.tried.iter().map(|id| id.as_str()).collect();
         slog::info!(self.log, "request";
-            "request" => %String::from_utf8_lossy(ended.id), "fate" => ended.fate, "why" => ended.why,
+            "request" => %String::from_utf8_lossy(ended.id), "fate" => kind, "why" => ended.why,
             "status" => ended.status, "route" => &ended.route.name, "service" => ended.service,
             "away" => ended.away, "backends" => backends.join(","), "sends" => ended.sends,
             "waited_ms" => ms(waited), "took_ms" => ms(took),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,4 +4,5 @@
 mod support;
 
 mod decoding;
+mod explaining;
 mod processes;
--- a/tests/platform/processes.rs
+++ b/tests/platform/processes.rs
@@ -15,9 +15,9 @@
 
 use super::support::{backend, process, proxy, store};
 
-const LONG: time::Duration = time::Duration::from_secs(30);
+pub(crate) const LONG: time::Duration = time::Duration::from_secs(30);
 
-fn play<F: Future<Output = ()>>(scene: impl FnOnce() -> F) {
+pub(crate) fn play<F: Future<Output = ()>>(scene: impl FnOnce() -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -48,14 +48,14 @@
     })
 }
 
-struct Scene {
-    store: store::Store,
-    backends: Vec<backend::Backend>,
-    dir: tempfile::TempDir,
+pub(crate) struct Scene {
+    pub(crate) store: store::Store,
+    pub(crate) backends: Vec<backend::Backend>,
+    pub(crate) dir: tempfile::TempDir,
 }
 
 impl Scene {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let store = store::Store::start();
         store.write("op/config", &config(1, &["/read/", "/book/"]));
         let log: rc::Rc<cell::RefCell<backend::Log>> = rc::Rc::default();
@@ -75,7 +75,7 @@
         }
     }
 
-    fn start(
+    pub(crate) fn start(
         &self,
         node: &str,
         store: net::SocketAddr,
@@ -95,7 +95,7 @@
 }
 
 /// The status and body that a request gets, `None` where nothing answers.
-async fn ask(addr: net::SocketAddr, target: &str, id: &str) -> Option<(u16, String)> {
+pub(crate) async fn ask(addr: net::SocketAddr, target: &str, id: &str) -> Option<(u16, String)> {
     let text = format!(
         "GET {target} HTTP/1.1\r\nHost: example.test\r\n{}: {id}\r\n{}: 4000\r\n\r\n",
         FIELDS.id, FIELDS.timeout_ms
@@ -121,7 +121,7 @@
     ))
 }
 
-async fn until_status(addr: net::SocketAddr, target: &str, status: u16) {
+pub(crate) async fn until_status(addr: net::SocketAddr, target: &str, status: u16) {
     let begun = time::Instant::now();
     while ask(addr, target, "r").await.map(|(s, _)| s) != Some(status) {
         assert!(begun.elapsed() < LONG, "{target} never answers {status}");
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -32,7 +32,7 @@
     pub(crate) service: &'static str,
     pub(crate) zone: &'static str,
     pub(crate) addr: net::SocketAddr,
-    work: time::Duration,
+    work: rc::Rc<cell::Cell<time::Duration>>,
     running: rc::Rc<cell::Cell<u32>>,
     log: rc::Rc<cell::RefCell<Log>>,
     /// From when on requests count as late.
@@ -63,7 +63,7 @@
             service,
             zone,
             addr: listener.local_addr().unwrap(),
-            work,
+            work: rc::Rc::new(cell::Cell::new(work)),
             running: rc::Rc::default(),
             log,
             left: rc::Rc::default(),
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Works so long on each request from now on.
+    pub(crate) fn delay(&self, work: time::Duration) {
+        self.work.set(work);
+    }
+
     /// Takes no further connections.
     pub(crate) fn close(&self) {
         if let Some(accepting) = self.accepting.borrow_mut().take() {
@@ -115,7 +120,7 @@
         }
         *self.log.borrow_mut().runs.entry(id.clone()).or_default() += 1;
         let _running = Running::new(&self.running);
-        tokio::time::sleep(self.work).await;
+        tokio::time::sleep(self.work.get()).await;
         if self.loses.get() {
             return std::future::pending().await;
         }
