--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -41,23 +41,43 @@
     /// Seconds of faults for each seed
     #[arg(long, default_value_t = 8.0)]
     faults: f64,
+    /// Play the seeds that failed once
+    #[arg(long)]
+    kept: bool,
     /// Keep the processes' logs in this directory
     #[arg(long, value_name = "DIR")]
     keep_logs: Option<path::PathBuf>,
 }
 
+/// The seeds that failed once.
+#[derive(Debug, serde::Deserialize)]
+struct Kept {
+    seed: Vec<KeptSeed>,
+}
+
+#[derive(Debug, serde::Deserialize)]
+struct KeptSeed {
+    seed: u64,
+}
+
 fn main() -> process::ExitCode {
     let args = Args::parse();
     let begun = time::Instant::now();
-    let mut seed = args.first;
+    let more = || {
+        let minutes = args.minutes.unwrap_or_default();
+        begun.elapsed().as_secs_f64() < minutes * 60.0
+    };
+    let kept: Kept = toml::from_str(include_str!("../../tests/soak_seeds.toml"))
+        .expect("the kept seeds can be read");
+    let mut seeds = kept.seed.iter().map(|kept| kept.seed).collect::<Vec<u64>>();
+    if !args.kept {
+        seeds = (args.first..args.first + args.seeds).collect();
+    }
     let (mut passed, mut failed) = (0, 0);
-    loop {
-        let more = args
-            .minutes
-            .is_some_and(|minutes| begun.elapsed().as_secs_f64() < minutes * 60.0);
-        if seed >= args.first + args.seeds && !more {
-            break;
-        }
+    let mut next = 0;
+    while next < seeds.len() {
+        let seed = seeds[next];
+        next += 1;
         let report = play(&args, seed);
         println!("{report}");
         match report.broken.is_empty() {
@@ -69,7 +89,9 @@
                 );
             }
         }
-        seed += 1;
+        if next == seeds.len() && more() {
+            seeds.push(seed + 1);
+        }
     }
     println!("soak: {passed} passed, {failed} failed");
     process::ExitCode::from(u8::from(failed > 0))
