Take out what stood twice: heartbeats of both elections, the end of an attempt, connecting

The two ways to pick a reader share their own heartbeats; the desk builds the end of an attempt once; the gateway connects and ejects in one place each and counts ejections.

--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -94,10 +94,7 @@
 #[derive(Debug)]
 pub struct Lowest {
     own: id::VmId,
-    beat: peer::Alive,
-    timing: Timing,
-    started: policy::Moment,
-    next: policy::Moment,
+    pulse: Pulse,
     heard: collections::BTreeMap<id::VmId, (u64, policy::Moment)>,
     reader: Option<id::VmId>,
 }
@@ -110,25 +107,18 @@
         now: policy::Moment,
     ) -> Self {
         Self {
-            beat: beat(&own, incarnation),
+            pulse: Pulse::new(&own, incarnation, timing, now),
             own,
-            timing,
-            started: now,
-            next: now,
             heard: collections::BTreeMap::new(),
             reader: None,
         }
     }
 
     fn tick(&mut self, now: policy::Moment, out: &mut Vec<Out>) {
-        if now >= self.next {
-            self.next = now + self.timing.every;
-            self.beat.seq += 1;
-            out.push(Out::All(peer::Message::Alive(self.beat.clone())));
-        }
-        let timeout = self.timing.timeout;
+        self.pulse.send_due(now, out);
+        let timeout = self.pulse.timing.timeout;
         self.heard.retain(|_, (_, at)| now <= *at + timeout);
-        if now < self.started + timeout {
+        if !self.pulse.has_listened(now) {
             return;
         }
         let lowest = self.heard.keys().next().unwrap_or(&self.own);
@@ -173,10 +163,7 @@
 #[derive(Debug)]
 pub struct Accused {
     own: id::VmId,
-    beat: peer::Alive,
-    timing: Timing,
-    started: policy::Moment,
-    next: policy::Moment,
+    pulse: Pulse,
     counted: Option<policy::Moment>,
     contenders: collections::BTreeMap<id::VmId, Contender>,
     timeouts: collections::BTreeMap<id::VmId, time::Duration>,
@@ -202,11 +189,8 @@
         now: policy::Moment,
     ) -> Self {
         Self {
-            beat: beat(&own, incarnation),
+            pulse: Pulse::new(&own, incarnation, timing, now),
             own,
-            timing,
-            started: now,
-            next: now,
             counted: None,
             contenders: collections::BTreeMap::new(),
             timeouts: collections::BTreeMap::new(),
@@ -218,14 +202,12 @@
 
     fn tick(&mut self, now: policy::Moment, out: &mut Vec<Out>) {
         self.expire(now, out);
-        if self.reader.is_none() && now >= self.started + self.timing.timeout {
+        if self.reader.is_none() && self.pulse.has_listened(now) {
             self.join();
         }
         self.update();
-        if self.is_reader() && now >= self.next {
-            self.next = now + self.timing.every;
-            self.beat.seq += 1;
-            out.push(Out::All(peer::Message::Alive(self.beat.clone())));
+        if self.is_reader() {
+            self.pulse.send_due(now, out);
         }
     }
 
@@ -253,7 +235,7 @@
     fn accuse(&mut self, now: policy::Moment, accuse: &peer::Accuse, out: &mut Vec<Out>) -> bool {
         if accuse.vm == self.own {
             let ours = (accuse.incarnation, accuse.phase);
-            if ours == (self.beat.incarnation, self.beat.phase) {
+            if ours == (self.pulse.beat.incarnation, self.pulse.beat.phase) {
                 self.count(now);
             }
             return false;
@@ -295,9 +277,9 @@
             let Some(contender) = self.contenders.remove(&vm) else {
                 continue;
             };
-            let longer = self.timeout(&vm) + self.timing.step;
+            let longer = self.timeout(&vm) + self.pulse.timing.step;
             self.timeouts
-                .insert(vm.clone(), longer.min(self.timing.max_timeout));
+                .insert(vm.clone(), longer.min(self.pulse.timing.max_timeout));
             out.push(Out::All(peer::Message::Accuse(peer::Accuse {
                 vm,
                 incarnation: contender.beat.incarnation,
@@ -309,7 +291,7 @@
     /// A process that joins stands behind the reader it finds.
     fn join(&mut self) {
         let counters = self.contenders.values().map(|c| c.beat.counter);
-        self.beat.counter = counters.min().map_or(0, |counter| counter + 1);
+        self.pulse.beat.counter = counters.min().map_or(0, |counter| counter + 1);
         self.reader = Some(self.own.clone());
     }
 
@@ -317,7 +299,7 @@
         if self.reader.is_none() {
             return;
         }
-        let own = (self.beat.counter, &self.own);
+        let own = (self.pulse.beat.counter, &self.own);
         let others = self.contenders.iter().map(|(vm, c)| (c.beat.counter, vm));
         let (_, first) = others.fold(own, Ord::min);
         if self.reader.as_ref() == Some(first) {
@@ -327,7 +309,7 @@
         self.reader = Some(first.clone());
         if gives_up {
             // Our silence from now on is no fault.
-            self.beat.phase += 1;
+            self.pulse.beat.phase += 1;
         }
     }
 
@@ -346,18 +328,18 @@
     fn count(&mut self, now: policy::Moment) {
         let recent = self
             .counted
-            .is_some_and(|at| now < at + self.timing.timeout);
+            .is_some_and(|at| now < at + self.pulse.timing.timeout);
         if recent {
             return;
         }
         self.counted = Some(now);
-        self.beat.counter += 1;
+        self.pulse.beat.counter += 1;
         self.update();
     }
 
     /// Whether an accusation over the same silence was not passed on yet.
     fn is_first(&mut self, now: policy::Moment, accuse: &peer::Accuse) -> bool {
-        let timeout = self.timing.timeout;
+        let timeout = self.pulse.timing.timeout;
         let said = (accuse.incarnation, accuse.phase);
         let before = self.accusations.insert(accuse.vm.clone(), (said, now));
         before.is_none_or(|(what, at)| what != said || now >= at + timeout)
@@ -370,7 +352,7 @@
 
     fn timeout(&self, vm: &id::VmId) -> time::Duration {
         let known = self.timeouts.get(vm).copied();
-        known.unwrap_or(self.timing.timeout)
+        known.unwrap_or(self.pulse.timing.timeout)
     }
 }
 
@@ -386,6 +368,46 @@
     }
 }
 
+/// A process's own heartbeats: the last one, and when the next is due.
+#[derive(Debug)]
+struct Pulse {
+    beat: peer::Alive,
+    timing: Timing,
+    started: policy::Moment,
+    next: policy::Moment,
+}
+
+impl Pulse {
+    fn new(
+        own: &id::VmId,
+        incarnation: id::Incarnation,
+        timing: Timing,
+        now: policy::Moment,
+    ) -> Self {
+        Self {
+            beat: beat(own, incarnation),
+            timing,
+            started: now,
+            next: now,
+        }
+    }
+
+    /// Sends the next heartbeat, if it is due.
+    fn send_due(&mut self, now: policy::Moment, out: &mut Vec<Out>) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + self.timing.every;
+        self.beat.seq += 1;
+        out.push(Out::All(peer::Message::Alive(self.beat.clone())));
+    }
+
+    /// Whether the process has listened for so long that it would have heard a reader.
+    fn has_listened(&self, now: policy::Moment) -> bool {
+        now >= self.started + self.timing.timeout
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -462,6 +484,6 @@
             phase: 0,
         };
         b.accuse(ms(4_000), &accuse, &mut out);
-        assert_eq!(b.beat.counter, 0);
+        assert_eq!(b.pulse.beat.counter, 0);
     }
 }
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -327,10 +327,8 @@
         slog::crit!(core.log, "the policy would run a request twice"; "service" => desk.service.as_str());
     }
     let events = core.events.clone();
-    let (at, desk) = (to.clone(), desk.clone());
-    let (Some((addr, wire, prefix)), false) = (target, twice) else {
-        let wire = sync::Arc::default();
-        let result = Err(client::Failure::NotSent);
+    let (at, ended_at) = (to.clone(), desk.clone());
+    let ended = move |wire, result| {
         let end = AttemptEnd {
             req,
             number,
@@ -338,7 +336,11 @@
             wire,
             result,
         };
-        let _ = events.send(Event::Ended(desk, end));
+        // Nobody listens once the process is about to end.
+        let _ = events.send(Event::Ended(ended_at, end));
+    };
+    let (Some((addr, wire, prefix)), false) = (target, twice) else {
+        ended(sync::Arc::default(), Err(client::Failure::NotSent));
         return;
     };
     core.observer.sent(
@@ -375,16 +377,7 @@
         timeout,
         body_bytes,
     };
-    let attempt = core.client.send(call, move |result| {
-        let end = AttemptEnd {
-            req,
-            number,
-            at,
-            wire,
-            result,
-        };
-        let _ = events.send(Event::Ended(desk, end));
-    });
+    let attempt = core.client.send(call, move |result| ended(wire, result));
     pending.attempts.push((to, attempt));
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -114,25 +114,22 @@
         let reused = pooled.is_some();
         let mut wire = match pooled {
             Some(wire) => wire,
-            None => match socket::Wire::connect(seat.addr, CONNECT).await {
+            None => match connect(&seat).await {
                 Ok(wire) => wire,
-                Err(_) => return Outcome::NotRun(NotRun::NoConnection),
+                Err(outcome) => return outcome,
             },
         };
-        let first = self.exchange(job, &mut wire, payload, &seat).await;
-        let received = match first {
-            Err(upstream::Failure::Unsent) if reused && payload.is_fresh() => {
-                // The resting connection was closed meanwhile; no byte went out on it.
-                wire = match socket::Wire::connect(seat.addr, CONNECT).await {
-                    Ok(wire) => wire,
-                    Err(_) => return Outcome::NotRun(NotRun::NoConnection),
-                };
-                self.exchange(job, &mut wire, payload, &seat).await
-            }
-            other => other,
-        };
+        let mut received = self.exchange(job, &mut wire, payload, &seat).await;
+        if matches!(received, Err(upstream::Failure::Unsent)) && reused && payload.is_fresh() {
+            // The resting connection was closed meanwhile; no byte went out on it.
+            wire = match connect(&seat).await {
+                Ok(wire) => wire,
+                Err(outcome) => return outcome,
+            };
+            received = self.exchange(job, &mut wire, payload, &seat).await;
+        }
         match received {
-            Ok(received) => self.finish(job, wire, received, seat).await,
+            Ok(received) => self.finish(wire, received, seat).await,
             Err(upstream::Failure::Unsent) => Outcome::NotRun(NotRun::NoConnection),
             Err(failure) => Outcome::Unknown(failure),
         }
@@ -190,7 +187,6 @@
     /// Reads the answer's body and passes it on.
     async fn finish(
         &self,
-        job: &Job,
         mut wire: socket::Wire,
         received: upstream::Received,
         seat: place::Seat,
@@ -236,7 +232,6 @@
             close: false,
         };
         let failed = head.status >= 500;
-        let _ = job;
         Outcome::Answer { answer, failed }
     }
 
@@ -296,6 +291,12 @@
     }
 }
 
+async fn connect(seat: &place::Seat) -> Result<socket::Wire, Outcome> {
+    socket::Wire::connect(seat.addr, CONNECT)
+        .await
+        .map_err(|_| Outcome::NotRun(NotRun::NoConnection))
+}
+
 fn fields_for_caller(fields: &http1::Fields) -> BytesMut {
     let mut out = BytesMut::with_capacity(256);
     for (name, value) in fields.end_to_end() {
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -8,6 +8,7 @@
 use crate::coordination::listing;
 use crate::decisions::{ejection, policy, regions};
 use crate::id;
+use crate::metrics as known;
 use crate::protocol::routes;
 use crate::state::{backends, entries};
 use crate::transport::upstream;
@@ -266,11 +267,10 @@
         let eject = eject && (down || ejection::room(cfg, members, out));
         if eject {
             backend.health.eject(cfg, now, down);
-            slog::info!(self.log, "backend server ejected"; "backend" => %id, "down" => down, "why" => outcome.as_str());
         }
         drop(backends);
-        if eject && down {
-            self.pool.borrow_mut().drop_all(id);
+        if eject {
+            self.ejected(job, id, down, outcome.as_str());
         }
         if let attempt::Outcome::Answer { failed: false, .. } = outcome {
             let took = now.saturating_sub(begun);
@@ -289,7 +289,17 @@
         };
         if backend.health.failed(cfg) && ejection::room(cfg, members, out) {
             backend.health.eject(cfg, now, false);
-            slog::info!(self.log, "backend server ejected"; "backend" => %id, "down" => false, "why" => "hangs");
+            self.ejected(job, id, false, "hangs");
+        }
+    }
+
+    /// Writes and counts that a backend server gets no work for a while.
+    fn ejected(&self, job: &attempt::Job, id: &id::VmId, down: bool, why: &'static str) {
+        slog::info!(self.log, "backend server ejected"; "backend" => %id, "down" => down, "why" => why);
+        let service = self.labels.label(job.service.as_str());
+        metrics::counter!(known::EJECTIONS, "service" => service).increment(1);
+        if down {
+            self.pool.borrow_mut().drop_all(id);
         }
     }
 
