--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -7,8 +7,8 @@
 use crate::transport::socket;
 
 /// How long a connection rests at most before it is used again. Backend servers close idle ones
-/// after some seconds, and a request sent into that moment is lost. Two seconds stay clear of the
-/// shortest timeout that backend servers are known to state, five.
+/// after some seconds, and a request sent into that moment is lost. Those of the users do so after
+/// ten; four leave room for some that do so sooner without a word.
 const REST: time::Duration = time::Duration::from_secs(4);
 
 /// Connections that rest for one backend server, at most. It works on few requests at once, and
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -130,12 +130,14 @@
     pub(super) fn record_send(
         &self,
         id: &[u8],
+        service: &str,
         backend: &crate::id::VmId,
         outcome: &'static str,
         sends: u32,
     ) {
         let now = self.now();
-        counter!(known::ATTEMPTS, "service" => "", "ended" => outcome).increment(1);
+        counter!(known::ATTEMPTS, "service" => self.labels.label(service), "ended" => outcome)
+            .increment(1);
         let Some(left_out) = self.lines.admit("send", now) else {
             counter!(known::LOG_SUPPRESSED, "event" => "send").increment(1);
             return;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -452,7 +452,9 @@
     }
 
     fn note(&self, id: &id::VmId, what: &'static str) {
-        self.cx.record_send(&self.facts.id, id, what, self.sends);
+        let service = self.job.service.as_str();
+        self.cx
+            .record_send(&self.facts.id, service, id, what, self.sends);
     }
 
     fn left(&self) -> time::Duration {
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -64,10 +64,6 @@
 struct Service {
     name: String,
     #[serde(default)]
-    max_conns: u32,
-    #[serde(default)]
-    cold_s: f64,
-    #[serde(default)]
     cold_per_s: f64,
 }
 
@@ -102,7 +98,7 @@
     let version = u64::from_str_radix(&config.version, 16)
         .map_err(|_| Error::Version(config.version.clone()))?;
     let routes: Result<Vec<_>, Error> = config.routes.into_iter().map(route).collect();
-    let services: Result<Vec<_>, Error> = config.services.into_iter().map(service).collect();
+    let services = config.services.into_iter().map(service).collect();
     let limits = match config.limits {
         Some(limits) => routes::Limits {
             head: limits.header_bytes,
@@ -112,7 +108,7 @@
         },
         None => routes::Limits::default(),
     };
-    Ok(routes::Table::new(version, routes?, services?, limits))
+    Ok(routes::Table::new(version, routes?, services, limits))
 }
 
 fn route(route: Route) -> Result<routes::Route, Error> {
@@ -144,13 +140,11 @@
     })
 }
 
-fn service(service: Service) -> Result<routes::Service, Error> {
-    Ok(routes::Service {
+fn service(service: Service) -> routes::Service {
+    routes::Service {
         name: service.name.as_str().into(),
-        max_connections: service.max_conns,
-        cold_for: seconds(service.cold_s)?,
         cold_rate: service.cold_per_s,
-    })
+    }
 }
 
 /// A backend server's entry, read at `now`.
--- a/src/protocol/routes.rs
+++ b/src/protocol/routes.rs
@@ -50,10 +50,6 @@
 pub struct Service {
     /// Its name.
     pub name: id::ServiceId,
-    /// How many connections one backend server takes from all entry VMs.
-    pub max_connections: u32,
-    /// How long a backend server stays cold after its start.
-    pub cold_for: time::Duration,
     /// Requests a second that a cold backend server bears.
     pub cold_rate: f64,
 }
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -109,10 +109,27 @@
     task: Option<task::AbortHandle>,
     committed: rc::Rc<cell::Cell<bool>>,
     keep_alive: bool,
+    form: Form,
+}
+
+/// What an answer must look like for the caller to read it.
+#[derive(Clone, Copy, Debug)]
+struct Form {
+    /// Whether the caller understands chunks.
     chunks: bool,
+    /// Whether it expects no body.
     to_head: bool,
 }
 
+impl Default for Form {
+    fn default() -> Self {
+        Self {
+            chunks: true,
+            to_head: false,
+        }
+    }
+}
+
 impl Drop for Pending {
     fn drop(&mut self) {
         if let Some(task) = self.task.take()
@@ -212,7 +229,8 @@
 
     async fn step(&mut self) -> Step {
         let until = self.patience();
-        let room = self.buf.len() < AHEAD;
+        // A head that may be longer than what is read ahead must still be read whole.
+        let room = self.buf.len() < AHEAD.max(self.handler.limits().head + 1);
         if room {
             self.buf.reserve(4 << 10);
         }
@@ -253,7 +271,7 @@
             close: true,
             ..Answer::bare(408)
         };
-        self.put(answer, true, false).await.map(|_| ())
+        self.put(answer, true, Form::default()).await.map(drop)
     }
 
     /// Starts each request that was read whole, while there is room for it.
@@ -288,6 +306,9 @@
                         }
                         Err(_) => return self.refuse(400),
                     }
+                    if reader.taken() > self.handler.limits().body {
+                        return self.refuse(413);
+                    }
                     self.hold_or_pass(head, reader, body, received);
                 }
                 Reading::Passed { reader, tx, piece } => {
@@ -419,8 +440,10 @@
         let (tx, rx) = oneshot::channel();
         let committed = rc::Rc::new(cell::Cell::new(false));
         let keep_alive = head.keeps_alive();
-        let chunks = head.knows_chunks();
-        let to_head = head.method() == b"HEAD";
+        let form = Form {
+            chunks: head.knows_chunks(),
+            to_head: head.method() == b"HEAD",
+        };
         let answer = self.handler.answer(Request {
             head,
             payload,
@@ -437,8 +460,7 @@
             task: Some(task.abort_handle()),
             committed,
             keep_alive,
-            chunks,
-            to_head,
+            form,
         });
     }
 
@@ -457,8 +479,7 @@
             task: None,
             committed: rc::Rc::default(),
             keep_alive: false,
-            chunks: true,
-            to_head: false,
+            form: Form::default(),
         });
         Ok(())
     }
@@ -471,40 +492,20 @@
         let reads_on = !self.pending.is_empty() || !matches!(self.reading, Reading::Head);
         let stopping = *self.stop.borrow() && !reads_on && self.buf.is_empty();
         let close = answer.close || !done.keep_alive || stopping;
-        let cut = self.put_for(answer, close, &done).await?;
+        let cut = self.put(answer, close, done.form).await?;
         self.active = time::Instant::now();
         Ok(close || cut)
     }
 
-    async fn put_for(&mut self, answer: Answer, close: bool, done: &Pending) -> io::Result<bool> {
-        if done.chunks {
-            return self.put(answer, close, done.to_head).await;
-        }
-        let close = close || matches!(answer.body, Body::Pieces { length: None, .. });
-        self.put_plain(answer, close, done.to_head).await
-    }
-
-    async fn put(&mut self, answer: Answer, close: bool, to_head: bool) -> io::Result<bool> {
-        let chunked = matches!(answer.body, Body::Pieces { length: None, .. });
-        self.put_framed(answer, close, to_head, chunked).await
-    }
-
-    async fn put_plain(&mut self, answer: Answer, close: bool, to_head: bool) -> io::Result<bool> {
-        self.put_framed(answer, close, to_head, false).await
-    }
-
     /// Writes head and body. Returns whether the connection must end to mark the body's end.
-    async fn put_framed(
-        &mut self,
-        answer: Answer,
-        close: bool,
-        to_head: bool,
-        chunked: bool,
-    ) -> io::Result<bool> {
+    async fn put(&mut self, answer: Answer, close: bool, form: Form) -> io::Result<bool> {
+        let endless = matches!(answer.body, Body::Pieces { length: None, .. });
+        let chunked = endless && form.chunks;
+        let cut = endless && !form.chunks;
         let mut out = BytesMut::with_capacity(answer.fields.len() + 256);
         http1::put_status(&mut out, answer.status);
         out.extend_from_slice(&answer.fields);
-        if close {
+        if close || cut {
             http1::put_field(&mut out, b"Connection", b"close");
         }
         let length = match &answer.body {
@@ -514,7 +515,7 @@
         let bodyless = answer.status == 204 || answer.status == 304;
         match length {
             Some(_) if bodyless => {}
-            Some(n) if !to_head || n > 0 => http1::put_number(&mut out, "Content-Length", n),
+            Some(n) if !form.to_head || n > 0 => http1::put_number(&mut out, "Content-Length", n),
             Some(_) => {}
             None if chunked => http1::put_field(&mut out, b"Transfer-Encoding", b"chunked"),
             None => {}
@@ -524,13 +525,10 @@
             Body::Whole(body) => {
                 out.extend_from_slice(&body);
                 self.send(&out).await?;
-                Ok(false)
-            }
-            Body::Pieces { rx, .. } => {
-                self.put_pieces(out, rx, chunked).await?;
-                Ok(length.is_none() && !chunked)
             }
+            Body::Pieces { rx, .. } => self.put_pieces(out, rx, chunked).await?,
         }
+        Ok(cut)
     }
 
     /// Passes an answer on as it comes. One that breaks off must not look whole, so the
--- a/tests/gateway/bodies.rs
+++ b/tests/gateway/bodies.rs
@@ -1,6 +1,6 @@
 //! Bodies of requests, short and long.
 
-use super::stage::{Act, Stage, play, post};
+use super::stage::{Act, Stage, play, post, route, table};
 
 #[test]
 fn a_body_in_chunks_arrives_whole() {
@@ -16,6 +16,27 @@
     });
 }
 
+/// A body in chunks does not say how long it is. One that passes the limit on the way is refused,
+/// and nothing of it runs.
+#[test]
+fn a_body_in_chunks_that_passes_the_limit_is_refused() {
+    play(|| async {
+        let stage = Stage::new(1, &[]).await;
+        let mut table = table(2, vec![route("/book/", false)]);
+        table.limits.body = 10;
+        stage.cx.learn_routes(table);
+        let mut caller = stage.caller().await;
+        let head = "POST /book/a HTTP/1.1\r\nHost: example.test\r\nx-id: b1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let got = caller
+            .ask(&format!(
+                "{head}8\r\nabcdefgh\r\n8\r\nabcdefgh\r\n0\r\n\r\n"
+            ))
+            .await;
+        assert_eq!(got.status, 413);
+        assert_eq!(stage.seen.borrow().arrived, 0);
+    });
+}
+
 /// A body of megabytes on a small VM. Held whole, a few at once would end the process.
 #[test]
 fn a_long_body_is_passed_on_whole_and_the_connection_goes_on() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod bodies;
 mod callers;
+mod following;
 mod once;
 mod stage;
 mod stop;
--- a/tests/gateway/stage.rs
+++ b/tests/gateway/stage.rs
@@ -124,8 +124,6 @@
 pub(crate) fn table(version: u64, routes: Vec<routes::Route>) -> routes::Table {
     let service = routes::Service {
         name: "svc".into(),
-        max_connections: 100,
-        cold_for: time::Duration::ZERO,
         cold_rate: 3.0,
     };
     let limits = routes::Limits {
