--- a/benches/coordination/times.rs
+++ b/benches/coordination/times.rs
@@ -22,15 +22,16 @@
     println!("times: apply to in force on 12 processes, {APPLIES} changes each");
     println!("| store | p50 ms | p99 ms | largest ms |");
     println!("|---|---|---|---|");
-    row(&fleet, "healthy", 0);
-    row(&fleet, "300 ms slow", 300);
+    row(&fleet, "healthy", 0, 0);
+    row(&fleet, "300 ms slow", 300, 0);
+    row(&fleet, "reply lost after the write", 0, 1);
 }
 
-fn row(fleet: &deployment::Deployment, name: &str, delay_ms: u64) {
+fn row(fleet: &deployment::Deployment, name: &str, delay_ms: u64, lost: u32) {
     let platform = fleet.platform();
     let mut took = Vec::new();
     for change in 0..APPLIES {
-        fleet.faults(false, delay_ms, 0).unwrap();
+        fleet.faults(false, delay_ms, lost).unwrap();
         thread::sleep(time::Duration::from_millis(37 * (change as u64 % 5)));
         let from = time::Instant::now();
         let version = operator::apply(&platform, "bays", &format!("# {change}"), 0, 0).unwrap();
--- a/tests/platform/processes.rs
+++ b/tests/platform/processes.rs
@@ -75,13 +75,13 @@
         }
     }
 
-    pub(crate) fn start(
+    fn starting(
         &self,
         node: &str,
         store: net::SocketAddr,
         seeds: &[net::SocketAddr],
-    ) -> (process::Ports, process::Gateway) {
-        let start = process::Start {
+    ) -> process::Start {
+        process::Start {
             program: path::PathBuf::from(env!("CARGO_BIN_EXE_bulrushwind-gateway")),
             dir: self.dir.path().to_owned(),
             node: node.to_owned(),
@@ -89,7 +89,16 @@
             ports: process::Ports::free(),
             store,
             seeds: seeds.to_vec(),
-        };
+        }
+    }
+
+    pub(crate) fn start(
+        &self,
+        node: &str,
+        store: net::SocketAddr,
+        seeds: &[net::SocketAddr],
+    ) -> (process::Ports, process::Gateway) {
+        let start = self.starting(node, store, seeds);
         (start.ports, start.spawn().unwrap())
     }
 }
@@ -264,6 +273,32 @@
     });
 }
 
+/// Whoever reads the logs stops reading, and the pipe is full. Held up by its lines, the process
+/// would stop to answer callers.
+#[test]
+fn a_process_whose_log_nobody_reads_goes_on_serving() {
+    play(|| async {
+        let scene = Scene::new();
+        let start = scene.starting("vm-1", scene.store.addr, &[]);
+        let _gateway = start.spawn_to(std::process::Stdio::piped()).unwrap();
+        until_status(start.ports.front, "/read/a", 200).await;
+        // A line for each, 600 KB in all: more than a pipe and the process's own buffer hold.
+        for n in 0..3000 {
+            let entry = json!({"service": "other", "addr": "127.0.0.1:9", "zone": "az-a", "slots": 1,
+                "state": "ready", "cold_left_s": 0.0});
+            scene.store.write(&format!("servers/other-{n}"), &entry);
+        }
+        scene.store.write("op/config", &config(2, &["/new/"]));
+        until_status(start.ports.front, "/new/a", 200).await;
+        for n in 0..20 {
+            let (status, _) = ask(start.ports.front, "/new/a", &format!("r{n}"))
+                .await
+                .unwrap();
+            assert_eq!(status, 200);
+        }
+    });
+}
+
 /// A write's answer is lost, so nobody knows whether the registration stands. The VM must not stay
 /// out of use for it, nor register twice.
 #[test]
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -88,17 +88,21 @@
 
     /// Starts the process. Its lines go to a file named after it.
     pub(crate) fn spawn(&self) -> io::Result<Gateway> {
-        let settings = self.dir.join(format!("{}.toml", self.node));
-        fs::write(&settings, self.settings())?;
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(self.dir.join(format!("{}.log", self.node)))?;
+        self.spawn_to(log.into())
+    }
+
+    /// Starts the process with its lines going there.
+    pub(crate) fn spawn_to(&self, lines: process::Stdio) -> io::Result<Gateway> {
+        let settings = self.dir.join(format!("{}.toml", self.node));
+        fs::write(&settings, self.settings())?;
         let child = process::Command::new(&self.program)
             .env("BULRUSHWIND_SETTINGS", &settings)
             .stdin(process::Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(lines)
             .spawn()?;
         Ok(Gateway { child })
     }
