Call a read not run when each of two backend servers says so

A read that hung and was tried elsewhere as well counted as run once more than it was, so that its caller was told 502 where nothing had run. Test first: 502, then 503.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -386,15 +386,14 @@
 
     /// One more send at once, where there is room now.
     fn again(&mut self) -> Option<(upstream::Payload, place::Seat)> {
-        let running = self.ran + 1;
-        if running >= self.facts.route.attempts {
+        // The send that is still out may run, and so may this one.
+        if self.ran + 2 > self.facts.route.attempts {
             return None;
         }
         let seat = self.cx.try_place(&self.need()).ok()?;
         if !self.may_send() {
             return None;
         }
-        self.ran += 1;
         self.tried.push(seat.id.clone());
         let payload = self.take_payload()?;
         self.sent();
--- a/tests/gateway/once.rs
+++ b/tests/gateway/once.rs
@@ -1,5 +1,9 @@
 //! Requests that must not run twice, and words that must be true.
 
+use std::time;
+
+use bulrushwind::protocol::routes;
+
 use super::stage::{Act, Stage, get, play, post, route, table};
 
 /// The connection breaks after a booking was sent. Sent again, a bay is billed to two members; told
@@ -61,6 +65,26 @@
     });
 }
 
+/// A read hangs and is tried elsewhere as well; then all backend servers say that they did not run
+/// it. Told that its outcome is unknown, its caller would not dare to believe that nothing ran.
+#[test]
+fn a_read_that_two_backend_servers_refuse_is_called_not_run() {
+    play(|| async {
+        let acts: Vec<Act> = (0..20).map(|_| Act::Shed).collect();
+        let acts = [vec![Act::ShedAfterNext], acts].concat();
+        let stage = Stage::new(4, &acts).await;
+        let quick = routes::Route {
+            aim: time::Duration::from_millis(200),
+            ..route("/read/", true)
+        };
+        stage.cx.learn_routes(table(2, vec![quick]));
+        let got = stage.caller().await.ask(&get("/read/a", "r1")).await;
+        assert_eq!(got.status, 503);
+        assert_eq!(stage.runs("r1"), 0);
+        assert!(stage.seen.borrow().arrived >= 2);
+    });
+}
+
 #[test]
 fn without_a_backend_server_requests_are_refused_at_once() {
     play(|| async {
--- a/tests/gateway/stage.rs
+++ b/tests/gateway/stage.rs
@@ -37,6 +37,8 @@
     AfterNext(&'static str),
     /// Says that it did not run the request.
     Shed,
+    /// Says so once another request has begun.
+    ShedAfterNext,
     /// Answers a failure of its own.
     Fail,
     /// Closes without an answer, having run the request.
@@ -222,6 +224,9 @@
     }
 }
 
+/// What a backend server says that did not run a request.
+const SHED: &str = "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n";
+
 struct Backend {
     name: String,
     seen: rc::Rc<cell::RefCell<Seen>>,
@@ -280,7 +285,7 @@
         if !matches!(act, Act::Early(_)) && self.read_body(wire, head).await.is_none() {
             return false;
         }
-        if !matches!(act, Act::Shed) {
+        if !matches!(act, Act::Shed | Act::ShedAfterNext) {
             self.seen
                 .borrow_mut()
                 .ran
@@ -301,10 +306,11 @@
                 self.begun.notified().await;
                 (whole(body), true)
             }
-            Act::Shed => (
-                "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
-                true,
-            ),
+            Act::ShedAfterNext => {
+                self.begun.notified().await;
+                (SHED.to_owned(), true)
+            }
+            Act::Shed => (SHED.to_owned(), true),
             Act::Fail => (head_of("500 Broken", "Content-Length: 3\r\n") + "bad", true),
             Act::Lose => (String::new(), false),
             Act::Truncate => (
