Do not send a booking on whose caller has left

A booking that was sent goes on without its caller, since it may be running; that it must not begin anew was missing. Ruled out: reads, whose work ends with their caller. Test first: one run, then none.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -121,7 +121,7 @@
             ran: 0,
             first_sent: None,
             fate: ("answered", ""),
-            committed: &req.committed,
+            bond: &req.bond,
         };
         let answer = run.answer().await;
         in_hand.ended = true;
@@ -261,7 +261,7 @@
     first_sent: Option<policy::Moment>,
     /// What became of it, and why.
     fate: (&'static str, &'static str),
-    committed: &'a std::cell::Cell<bool>,
+    bond: &'a callers::Bond,
 }
 
 impl Run<'_> {
@@ -348,7 +348,7 @@
         self.sends += 1;
         self.first_sent.get_or_insert(self.cx.now());
         if !self.facts.route.idempotent {
-            self.committed.set(true);
+            self.bond.committed.set(true);
         }
     }
 
@@ -375,7 +375,9 @@
     fn may_send(&self) -> bool {
         let more = self.ran < self.facts.route.attempts && self.sends <= self.facts.route.attempts;
         let fresh = self.payload.is_some();
-        if !more || !fresh || self.cx.now() >= self.facts.deadline {
+        // A caller that has left waits for nothing; what it wanted must not begin anew without it.
+        let over = self.bond.left.get() || self.cx.now() >= self.facts.deadline;
+        if !more || !fresh || over {
             return false;
         }
         let (now, vms) = (self.cx.now(), self.cx.entries.borrow().len());
@@ -415,6 +417,9 @@
             .saturating_sub(time::Duration::from_secs_f64(usual));
         let wait = self.cx.now() + self.facts.route.aim.mul_f64(WAIT);
         let seat = self.cx.place(&self.need(), until.min(wait)).await.ok()?;
+        if self.bond.left.get() {
+            return None;
+        }
         self.tried.push(seat.id.clone());
         let payload = self.take_payload()?;
         self.sent();
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -51,8 +51,18 @@
     pub payload: upstream::Payload,
     /// When its head was whole.
     pub received: time::Instant,
-    /// Set once the request must go on though its caller leaves.
-    pub committed: rc::Rc<cell::Cell<bool>>,
+    /// Whether its caller still waits, and whether it goes on without.
+    pub bond: rc::Rc<Bond>,
+}
+
+/// What ties a request to its caller.
+#[derive(Debug, Default)]
+pub struct Bond {
+    /// Set once the request must go on though its caller leaves: it may be running, and cut off
+    /// then nobody would know whether it has.
+    pub committed: cell::Cell<bool>,
+    /// Set once the caller has left. What goes on is not sent anywhere else.
+    pub left: cell::Cell<bool>,
 }
 
 /// The body of an answer.
@@ -107,7 +117,7 @@
 struct Pending {
     rx: oneshot::Receiver<Answer>,
     task: Option<task::AbortHandle>,
-    committed: rc::Rc<cell::Cell<bool>>,
+    bond: rc::Rc<Bond>,
     keep_alive: bool,
     form: Form,
 }
@@ -132,8 +142,9 @@
 
 impl Drop for Pending {
     fn drop(&mut self) {
+        self.bond.left.set(true);
         if let Some(task) = self.task.take()
-            && !self.committed.get()
+            && !self.bond.committed.get()
         {
             task.abort();
         }
@@ -438,7 +449,7 @@
         received: time::Instant,
     ) {
         let (tx, rx) = oneshot::channel();
-        let committed = rc::Rc::new(cell::Cell::new(false));
+        let bond = rc::Rc::new(Bond::default());
         let keep_alive = head.keeps_alive();
         let form = Form {
             chunks: head.knows_chunks(),
@@ -448,7 +459,7 @@
             head,
             payload,
             received,
-            committed: committed.clone(),
+            bond: bond.clone(),
         });
         let task = task::spawn_local(async move {
             // The receiver is gone where the caller left and the request had to go on.
@@ -458,7 +469,7 @@
         self.pending.push_back(Pending {
             rx,
             task: Some(task.abort_handle()),
-            committed,
+            bond,
             keep_alive,
             form,
         });
@@ -477,7 +488,7 @@
         self.pending.push_back(Pending {
             rx,
             task: None,
-            committed: rc::Rc::default(),
+            bond: rc::Rc::default(),
             keep_alive: false,
             form: Form::default(),
         });
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -59,6 +59,30 @@
     });
 }
 
+/// A booking waits in a full backend server's queue, and its caller gives up. When the backend server
+/// says at last that it did not run it, sending it on would take a bay that nobody waits for.
+#[test]
+fn a_booking_whose_caller_has_left_is_not_sent_on() {
+    play(|| async {
+        let stage = Stage::new(3, &[Act::ShedAfterNext]).await;
+        let mut caller = stage.caller().await;
+        caller.send(&post("/book/a", "b1", "x")).await;
+        stage
+            .until("the booking arrives", |seen| seen.arrived == 1)
+            .await;
+        drop(caller);
+        // The gateway has to notice that the caller is gone before the backend server answers.
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        let mut other = stage.caller().await;
+        for n in 0..20 {
+            let got = other.ask(&get("/read/a", &format!("r{n}"))).await;
+            assert_eq!(got.status, 200);
+        }
+        assert_eq!(stage.runs("b1"), 0);
+        assert_eq!(stage.seen.borrow().arrived, 21);
+    });
+}
+
 /// Messages whose length can be read in two ways let one caller put words into another's mouth.
 #[test]
 fn what_is_no_request_is_refused_and_its_connection_ends() {
