--- a/src/decisions/regions.rs
+++ b/src/decisions/regions.rs
@@ -23,8 +23,8 @@
     /// of the slots stayed twice as loaded as the others, and its backend servers never warmed.
     pub spare: f64,
     /// The load per slot above which more goes elsewhere: as much waits as runs. Objects that move
-    /// are cold where they arrive, so a queue that comes and goes is no reason; at 0.95 shares
-    /// moved with each wave, and a sixth less was answered in time.
+    /// are cold where they arrive, so a queue that comes and goes is no reason; from 0.95 to 2,
+    /// with the step below, mean worth rose from 0.544 to 0.579 and from 0.518 to 0.568.
     pub high: f64,
     /// The load per slot below which less goes elsewhere.
     pub low: f64,
