Take long messages for signs of life, pack them, read over wide links

Cause: a configuration of 1,896 routes is 560 KB. A reader with a link of 10 Mbit/s and a tenth of a core passed it on to a dozen followers; each waited longer than the 1.2 s of silence that ends a link, so all left their reader at once, asked one another in vain and read the store themselves, where the same list ran into the limit of 1 s for a call.

Ruled out: the store (its answer was there at 24.6 s), the decoder (20 ms on a tenth of a core).

Change: messages over 4 KB are packed (flate2); bytes of a message on its way count as a sign of life, for two seconds more at most; the same for the store's answers, four seconds; among the VMs of a region those with the widest links read and pass on.

Tests: a long message over a narrow link, one that never becomes whole, a long configuration over a narrow link to the store (the first and the last fail on the code before), decoders against noise.

--- a/src/coordination/mirror.rs
+++ b/src/coordination/mirror.rs
@@ -2,12 +2,14 @@
 //!
 //! Each call to the store is paid for, and each entry VM needs what stands there. If each read it,
 //! calls would grow with the VMs: at 85 VMs they cost more than all processors. So in each region
-//! the first of the registered entry VMs reads, in an order that all work out alike. The first of
+//! the first of the registered entry VMs reads, in an order that all work out alike: those with the
+//! widest links first, since whoever reads also passes on. The first of
 //! each other availability zone follows it and passes on what it hears to those of its zone, so
 //! that a list crosses to a zone once. One that finds nobody to follow reads by itself; two readers
 //! cost calls and nothing else, so nothing has to be agreed on. Each follows only one that stands
 //! before it in the order, so that no two follow one another and hear nothing.
 
+use std::cmp;
 use std::collections;
 use std::net;
 use std::time;
@@ -118,10 +120,10 @@
         self.avoided.retain(|_, until| *until > now);
         let mut before: Vec<&Place> = near
             .iter()
-            .filter(|vm| (vm.hash, &vm.vm) < (own.hash, &own.vm))
+            .filter(|vm| vm.order(own).is_lt())
             .filter(|vm| !self.avoided.contains_key(&vm.vm))
             .collect();
-        before.sort_by(|a, b| (a.hash, &a.vm).cmp(&(b.hash, &b.vm)));
+        before.sort_by(|a, b| a.order(b));
         let (zone, beyond): (Vec<&Place>, Vec<&Place>) =
             before.into_iter().partition(|vm| vm.az == own.az);
         zone.into_iter()
@@ -143,4 +145,17 @@
     pub az: id::AzId,
     /// Where it can be asked.
     pub peers: Option<net::SocketAddr>,
+    /// The bandwidth of its link, in Mbit/s.
+    pub link_mbps: u32,
+}
+
+impl Place {
+    /// Whether it stands before another.
+    ///
+    /// A list of 1,900 routes that a VM with a link of 10 Mbit/s passed on to ten others took the
+    /// last of them over a second; VMs with 200 Mbit/s stand beside it in the same region.
+    pub fn order(&self, other: &Self) -> cmp::Ordering {
+        let wider = other.link_mbps.cmp(&self.link_mbps);
+        wider.then_with(|| (self.hash, &self.vm).cmp(&(other.hash, &other.vm)))
+    }
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -130,6 +130,7 @@
             vm: self.cx.cfg.vm.clone(),
             az: self.cx.cfg.az.clone(),
             peers: None,
+            link_mbps: self.cx.cfg.link_mbps,
         }
     }
 
@@ -144,6 +145,7 @@
                 vm: vm.clone(),
                 az: entry.az.clone(),
                 peers: entry.peers,
+                link_mbps: entry.link_mbps,
             });
         near.collect()
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,8 @@
     pub regions: collections::BTreeMap<id::AzId, id::RegionId>,
     /// Where callers connect.
     pub front: net::SocketAddr,
+    /// The bandwidth of its link, in Mbit/s; 0: not known.
+    pub link_mbps: u32,
     /// The names of the fields of requests and answers.
     pub names: names::Names,
     /// The bound on second sends over all entry VMs.
@@ -68,6 +70,7 @@
             az: "az".into(),
             regions: collections::BTreeMap::new(),
             front: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            link_mbps: 0,
             names: names::Names::default(),
             resend: resend::Bound::default(),
             affinity: affinity::Config::default(),
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -166,6 +166,8 @@
     front: net::SocketAddr,
     peers: Option<net::SocketAddr>,
     az: String,
+    #[serde(default)]
+    link_mbps: u32,
 }
 
 /// An entry VM's registration.
@@ -175,6 +177,7 @@
         front: entry.front,
         peers: entry.peers,
         az: entry.az.as_str().into(),
+        link_mbps: entry.link_mbps,
     })
 }
 
@@ -184,6 +187,7 @@
         front: entry.front,
         peers: entry.peers,
         az: entry.az.to_string(),
+        link_mbps: entry.link_mbps,
     })?)
 }
 
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -225,6 +225,7 @@
             front: self.settings.gateway.front,
             peers: self.settings.peers,
             az: self.settings.gateway.az.clone(),
+            link_mbps: self.settings.gateway.link_mbps,
         })?;
         let lease = client.lease(LEASE).await?;
         client.put(&self.key(), &value, lease).await?;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -26,6 +26,14 @@
     bounds: Vec<String>,
     /// The first and the last port that are free on each machine.
     port_range: [u16; 2],
+    #[serde(default)]
+    limits: Limits,
+}
+
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+struct Limits {
+    #[serde(default)]
+    link_mbps: f64,
 }
 
 #[derive(Clone, Debug, serde::Deserialize)]
@@ -109,6 +117,7 @@
             az: file.zone.as_str().into(),
             regions,
             front,
+            link_mbps: file.limits.link_mbps as u32,
             names: names::FIELDS,
             resend,
             grace: time::Duration::from_secs_f64(grace),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,10 +12,15 @@
 /// How long connecting may take.
 const CONNECT: time::Duration = time::Duration::from_millis(500);
 
-/// How long a call may take. The store answers in a few milliseconds, and from the farthest region
-/// after 0.12 s; a slow one takes fifty times as long and still helps.
+/// How long the store may be silent in a call. It answers in a few milliseconds, and from the
+/// farthest region after 0.12 s; a slow one takes fifty times as long and still helps.
 const CALL: time::Duration = time::Duration::from_millis(1000);
 
+/// How long an answer may take that has begun to arrive. The longest value is 1.4 MB as text; a
+/// link of 10 Mbit/s that others use as well carries it in two seconds. Given up on after one, it
+/// would be asked for again and never be had.
+const ARRIVE: time::Duration = time::Duration::from_secs(4);
+
 /// Keys that one call may write.
 pub const MOST_PUTS: usize = 32;
 
@@ -239,14 +244,11 @@
         body: &[u8],
         limit: time::Duration,
     ) -> Result<Bytes, Error> {
-        let call = self.exchange(method, target, body);
-        let (status, answer) = match tokio::time::timeout(limit, call).await {
-            Ok(Some(answered)) => answered,
+        let answered = self.exchange(method, target, body, limit).await;
+        let Some((status, answer)) = answered else {
             // A connection on which an answer is missing brings nothing further.
-            Ok(None) | Err(_) => {
-                self.wire = None;
-                return Err(Error::NoAnswer);
-            }
+            self.wire = None;
+            return Err(Error::NoAnswer);
         };
         match status {
             200..300 => Ok(answer),
@@ -256,8 +258,31 @@
         }
     }
 
-    /// One call; `None` where no answer came.
-    async fn exchange(&mut self, method: &str, target: &str, body: &[u8]) -> Option<(u16, Bytes)> {
+    /// One call; `None` where no answer came within the limit.
+    async fn exchange(
+        &mut self,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        limit: time::Duration,
+    ) -> Option<(u16, Bytes)> {
+        let asked = tokio::time::timeout(limit, self.ask(method, target, body)).await;
+        let (mut wire, received) = asked.ok()??;
+        let answer = tokio::time::timeout(ARRIVE, take(&mut wire, received.head.framing)).await;
+        let answer = answer.ok()??;
+        if received.reusable {
+            self.wire = Some(wire);
+        }
+        Some((received.head.status, answer))
+    }
+
+    /// Sends a call and waits for its answer's head.
+    async fn ask(
+        &mut self,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Option<(socket::Wire, upstream::Received)> {
         let resting = self.wire.take().and_then(socket::Wire::resting);
         let mut wire = match resting {
             Some(wire) => wire,
@@ -277,14 +302,19 @@
         let received = upstream::exchange(&mut wire, head.as_bytes(), &mut payload, tag)
             .await
             .ok()?;
-        let mut reader = http1::BodyReader::new(received.head.framing);
-        let mut answer = BytesMut::new();
-        while let Some(piece) = upstream::next_piece(&mut wire, &mut reader).await.ok()? {
-            answer.extend_from_slice(&piece);
-        }
-        if received.reusable {
-            self.wire = Some(wire);
+        Some((wire, received))
+    }
+}
+
+/// Reads an answer's body; `None` where it breaks off or falls silent.
+async fn take(wire: &mut socket::Wire, framing: http1::Framing) -> Option<Bytes> {
+    let mut reader = http1::BodyReader::new(framing);
+    let mut answer = BytesMut::new();
+    loop {
+        let piece = tokio::time::timeout(CALL, upstream::next_piece(wire, &mut reader)).await;
+        match piece.ok()?.ok()? {
+            Some(piece) => answer.extend_from_slice(&piece),
+            None => return Some(answer.freeze()),
         }
-        Some((received.head.status, answer.freeze()))
     }
 }
--- a/src/protocol/mirror.rs
+++ b/src/protocol/mirror.rs
@@ -1,7 +1,10 @@
 //! What entry VMs tell one another of the platform's store, so that one of them reads it for the
 //! others.
 
+use std::io::{self, Read, Write};
+
 use bytes::Bytes;
+use flate2::{read, write};
 
 data! {
     /// A key of the store with its value. What the value means is not known here.
@@ -46,14 +49,50 @@
 #[error("a message of an entry VM cannot be read: {0}; run the same version on all entry VMs")]
 pub struct Error(String);
 
-/// Encodes a message.
+/// From which length on a message is packed, in bytes. Shorter ones, as most are, gain less than
+/// the work costs.
+const PACK: usize = 4 << 10;
+
+/// The longest message that is unpacked, in bytes: the store's longest values and a thousand times
+/// as many backend servers as there are.
+const LONGEST: u64 = 64 << 20;
+
+/// The first byte of a message that stands as it is.
+const PLAIN: u8 = 0;
+
+/// The first byte of a message that is packed with deflate.
+const PACKED: u8 = 1;
+
+/// Encodes a message. A long one is packed: a list of 1,900 routes is 560 KB, which a link of
+/// 10 Mbit/s carries to one follower in half a second; packed it is a fifteenth of that.
 pub fn encode<T: serde::Serialize>(message: &T) -> Result<Vec<u8>, Error> {
-    let mut buf = Vec::new();
+    let mut buf = vec![PLAIN];
     ciborium::into_writer(message, &mut buf).map_err(|err| Error(err.to_string()))?;
-    Ok(buf)
+    match buf.len() > PACK {
+        true => pack(&buf[1..]),
+        false => Ok(buf),
+    }
+}
+
+fn pack(bytes: &[u8]) -> Result<Vec<u8>, Error> {
+    let mut packer = write::DeflateEncoder::new(vec![PACKED], flate2::Compression::fast());
+    packer
+        .write_all(bytes)
+        .and_then(|()| packer.finish())
+        .map_err(|err| Error(err.to_string()))
 }
 
 /// Decodes a message.
 pub fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
-    ciborium::from_reader(bytes).map_err(|err| Error(err.to_string()))
+    let (form, rest) = bytes
+        .split_first()
+        .ok_or_else(|| Error("it is empty".into()))?;
+    match *form {
+        PLAIN => ciborium::from_reader(rest).map_err(|err| Error(err.to_string())),
+        PACKED => {
+            let unpacked = io::BufReader::new(read::DeflateDecoder::new(rest).take(LONGEST));
+            ciborium::from_reader(unpacked).map_err(|err| Error(err.to_string()))
+        }
+        form => Err(Error(format!("its form is {form}"))),
+    }
 }
--- a/src/state/entries.rs
+++ b/src/state/entries.rs
@@ -15,6 +15,8 @@
     pub peers: Option<net::SocketAddr>,
     /// Its availability zone.
     pub az: id::AzId,
+    /// The bandwidth of its link, in Mbit/s; 0 where it does not say.
+    pub link_mbps: u32,
 }
 
 /// The entry VMs by name.
--- a/src/transport/mirror.rs
+++ b/src/transport/mirror.rs
@@ -1,10 +1,16 @@
 //! Links between entry VMs over which one tells others what it reads: WebSockets with one CBOR
 //! message a frame.
 
+use std::cell;
+use std::io;
 use std::net;
+use std::pin;
+use std::rc;
+use std::task;
 use std::time;
 
 use futures_util::{SinkExt, StreamExt};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_tungstenite::tungstenite;
 use tungstenite::protocol;
@@ -15,6 +21,10 @@
 /// How long opening a link may take: two round trips across the widest link, and a slow peer.
 const OPEN: time::Duration = time::Duration::from_millis(600);
 
+/// How long one message may take to arrive once its first bytes are there: the longest list of
+/// routes (1 MB, a third of that packed) over a link of 10 Mbit/s that others use as well.
+const ARRIVE: time::Duration = time::Duration::from_secs(2);
+
 /// How long one message may take to leave.
 const WRITE: time::Duration = time::Duration::from_secs(2);
 
@@ -48,9 +58,68 @@
     }
 }
 
+/// A connection that notes when bytes came.
+#[derive(Debug)]
+struct Noted {
+    stream: TcpStream,
+    heard: rc::Rc<cell::Cell<time::Instant>>,
+}
+
+impl AsyncRead for Noted {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.heard.set(time::Instant::now());
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Noted {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 /// A link.
 #[derive(Debug)]
-pub struct Link(tokio_tungstenite::WebSocketStream<TcpStream>);
+pub struct Link {
+    socket: tokio_tungstenite::WebSocketStream<Noted>,
+    heard: rc::Rc<cell::Cell<time::Instant>>,
+}
+
+fn note(stream: TcpStream) -> io::Result<(Noted, rc::Rc<cell::Cell<time::Instant>>)> {
+    socket::guard(&stream)?;
+    let heard = rc::Rc::new(cell::Cell::new(time::Instant::now()));
+    let noted = Noted {
+        stream,
+        heard: heard.clone(),
+    };
+    Ok((noted, heard))
+}
 
 fn config() -> protocol::WebSocketConfig {
     protocol::WebSocketConfig::default()
@@ -63,11 +132,11 @@
     pub async fn open(addr: net::SocketAddr) -> Result<Self, Error> {
         let open = async {
             let stream = TcpStream::connect(addr).await?;
-            socket::guard(&stream)?;
+            let (noted, heard) = note(stream)?;
             let url = format!("ws://{addr}/mirror");
-            let (link, _) =
-                tokio_tungstenite::client_async_with_config(url, stream, Some(config())).await?;
-            Ok(Self(link))
+            let (socket, _) =
+                tokio_tungstenite::client_async_with_config(url, noted, Some(config())).await?;
+            Ok(Self { socket, heard })
         };
         tokio::time::timeout(OPEN, open)
             .await
@@ -76,49 +145,66 @@
 
     /// Takes a link that another entry VM opens.
     pub async fn accept(stream: TcpStream) -> Result<Self, Error> {
-        socket::guard(&stream)?;
-        let accept = tokio_tungstenite::accept_async_with_config(stream, Some(config()));
-        let link = tokio::time::timeout(OPEN, accept)
+        let (noted, heard) = note(stream)?;
+        let accept = tokio_tungstenite::accept_async_with_config(noted, Some(config()));
+        let socket = tokio::time::timeout(OPEN, accept)
             .await
             .map_err(|_| Error::Timeout)??;
-        Ok(Self(link))
+        Ok(Self { socket, heard })
     }
 
     /// Sends an encoded message.
     pub async fn send(&mut self, message: &[u8]) -> Result<(), Error> {
         let frame = tungstenite::Message::binary(message.to_vec());
-        tokio::time::timeout(WRITE, self.0.send(frame))
+        tokio::time::timeout(WRITE, self.socket.send(frame))
             .await
             .map_err(|_| Error::Timeout)??;
         Ok(())
     }
 
-    /// The next message within the limit.
+    /// The next message. The other side may be silent for so long; bytes of a message that is on
+    /// its way are a sign of life too.
+    ///
+    /// A long list takes more than a second over a narrow link. Taken for silence, it made all
+    /// followers of a reader leave it at once and turn to the store, and each was up to three
+    /// seconds late with what had changed.
     pub async fn receive<T: serde::de::DeserializeOwned>(
         &mut self,
-        limit: time::Duration,
+        silence: time::Duration,
     ) -> Result<T, Error> {
-        let next = async {
-            loop {
-                match self.0.next().await {
-                    Some(Ok(tungstenite::Message::Binary(bytes))) => return Ok(bytes),
-                    Some(Ok(tungstenite::Message::Close(_))) | None => {
-                        return Err(Error::Link("closed by the other side".into()));
-                    }
-                    Some(Ok(_)) => {}
-                    Some(Err(err)) => return Err(err.into()),
+        let begun = time::Instant::now();
+        let latest = begun + silence + ARRIVE;
+        let heard = self.heard.clone();
+        let next = self.next();
+        tokio::pin!(next);
+        loop {
+            let until = (heard.get().max(begun) + silence).min(latest);
+            if let Ok(bytes) = tokio::time::timeout_at(until.into(), &mut next).await {
+                return Ok(mirror::decode(&bytes?)?);
+            }
+            if heard.get() + silence <= time::Instant::now() || until == latest {
+                return Err(Error::Timeout);
+            }
+        }
+    }
+
+    /// The bytes of the next message.
+    async fn next(&mut self) -> Result<bytes::Bytes, Error> {
+        loop {
+            match self.socket.next().await {
+                Some(Ok(tungstenite::Message::Binary(bytes))) => return Ok(bytes),
+                Some(Ok(tungstenite::Message::Close(_))) | None => {
+                    return Err(Error::Link("closed by the other side".into()));
                 }
+                Some(Ok(_)) => {}
+                Some(Err(err)) => return Err(err.into()),
             }
-        };
-        let bytes = tokio::time::timeout(limit, next)
-            .await
-            .map_err(|_| Error::Timeout)??;
-        Ok(mirror::decode(&bytes)?)
+        }
     }
 
     /// Waits until the other side closes or fails.
     pub async fn closed(&mut self) {
-        while let Some(Ok(message)) = self.0.next().await {
+        while let Some(Ok(message)) = self.socket.next().await {
             if message.is_close() {
                 return;
             }
--- a/tests/gateway/following.rs
+++ b/tests/gateway/following.rs
@@ -12,6 +12,7 @@
 use tokio::task;
 
 use super::stage::{LONG, play};
+use super::support::proxy;
 
 /// A store that answers until it is told to fall silent.
 #[derive(Clone, Default)]
@@ -79,3 +80,101 @@
         until(addr, "it says that it does not read", not).await;
     });
 }
+
+const SILENCE: time::Duration = time::Duration::from_millis(500);
+
+/// The far end of a link that sends what it is told, through a proxy that lets 8 KB pass at a time.
+fn narrow(pause: time::Duration, frames: Vec<Vec<u8>>) -> std::net::SocketAddr {
+    let listener = socket::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let proxy = proxy::Proxy::start(listener.local_addr().unwrap());
+    proxy.set(proxy::Harm::Delay(pause));
+    task::spawn_local(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut link = links::Link::accept(stream).await.unwrap();
+        for frame in frames {
+            link.send(&frame).await.unwrap();
+        }
+        link.closed().await;
+    });
+    proxy.addr
+}
+
+fn noise(len: usize) -> bytes::Bytes {
+    use rand::{Rng, SeedableRng};
+    let mut bytes = vec![0; len];
+    rand_chacha::ChaCha8Rng::seed_from_u64(5).fill_bytes(&mut bytes);
+    bytes.into()
+}
+
+fn whole(len: usize) -> mirror::Message {
+    let record = mirror::Record {
+        key: "a".to_owned(),
+        value: Some(noise(len)),
+    };
+    mirror::Message::Whole {
+        records: vec![record],
+        revision: 7,
+    }
+}
+
+/// A list of 1,900 routes comes over a link of 10 Mbit/s, which takes longer than a reader may be
+/// silent. All who follow the reader leave it at once, turn to the store together and are late with
+/// what changes meanwhile: requests reach a backend server that has ended.
+#[test]
+fn a_message_that_is_long_on_its_way_is_no_silence() {
+    play(|| async {
+        let sent = whole(120 << 10);
+        let frame = mirror::encode(&sent).unwrap();
+        let addr = narrow(time::Duration::from_millis(60), vec![frame]);
+        let mut link = links::Link::open(addr).await.unwrap();
+        let received: mirror::Message = link.receive(SILENCE).await.unwrap();
+        assert_eq!(received, sent);
+    });
+}
+
+/// A link brings a few bytes now and then and never a whole message. Whoever waits for it believes
+/// what was true minutes ago.
+#[test]
+fn a_message_that_never_becomes_whole_ends_the_link() {
+    play(|| async {
+        let frame = mirror::encode(&whole(4 << 20)).unwrap();
+        let addr = narrow(time::Duration::from_millis(100), vec![frame]);
+        let mut link = links::Link::open(addr).await.unwrap();
+        let received = link.receive::<mirror::Message>(SILENCE).await;
+        assert!(matches!(received, Err(links::Error::Timeout)));
+    });
+}
+
+#[test]
+fn long_messages_are_packed_and_come_out_as_they_went_in() {
+    let text = "{\"host\":\"a.example\",\"prefix\":\"/a/b/\",\"kind\":\"safe\"},".repeat(2_000);
+    let message = mirror::Message::Changes {
+        records: vec![mirror::Record {
+            key: "routes".to_owned(),
+            value: Some(text.clone().into()),
+        }],
+        revision: 9,
+    };
+    let packed = mirror::encode(&message).unwrap();
+    assert!(packed.len() < text.len() / 10, "{}", packed.len());
+    let back: mirror::Message = mirror::decode(&packed).unwrap();
+    assert_eq!(back, message);
+}
+
+/// Another version, or a broken link, sends bytes that are no message. A decoder that panics ends
+/// the process, and with it all requests in hand.
+#[test]
+fn no_bytes_end_the_decoder_of_messages() {
+    use rand::{RngExt, SeedableRng};
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(12);
+    let messages = [whole(100), whole(8 << 10)].map(|m| mirror::encode(&m).unwrap());
+    assert!(mirror::decode::<mirror::Message>(b"").is_err());
+    for n in 0..2_000 {
+        let mut bytes = messages[n % 2].clone();
+        for _ in 0..rng.random_range(1..8) {
+            let at = rng.random_range(0..bytes.len());
+            bytes[at] = rng.random();
+        }
+        let _ = mirror::decode::<mirror::Message>(&bytes);
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,3 +7,6 @@
 mod once;
 mod stage;
 mod stop;
+#[path = "../support/mod.rs"]
+#[expect(dead_code, reason = "shared with the tests of the platform's adapter")]
+mod support;
--- a/tests/gateway/stage.rs
+++ b/tests/gateway/stage.rs
@@ -156,6 +156,7 @@
             front,
             peers: None,
             az: "az".into(),
+            link_mbps: 0,
         };
         cx.learn_entry(&"vm".into(), entry);
         let stage = Self {
--- a/tests/platform/processes.rs
+++ b/tests/platform/processes.rs
@@ -273,6 +273,23 @@
     });
 }
 
+/// Operators add thousands of routes at once, and the VM's link is narrow: the list takes seconds to
+/// arrive. Given up on and asked for anew it never arrives, and callers of the new routes get 404.
+#[test]
+fn a_long_configuration_arrives_over_a_narrow_link() {
+    play(|| async {
+        let scene = Scene::new();
+        let many: Vec<String> = (0..2_000).map(|n| format!("/read/{n}/")).collect();
+        let mut prefixes: Vec<&str> = many.iter().map(String::as_str).collect();
+        prefixes.push("/late/");
+        scene.store.write("op/config", &config(2, &prefixes));
+        let narrow = proxy::Proxy::start(scene.store.addr);
+        narrow.set(proxy::Harm::Delay(time::Duration::from_millis(20)));
+        let (ports, _gateway) = scene.start("vm-1", narrow.addr, &[]);
+        until_status(ports.front, "/late/a", 200).await;
+    });
+}
+
 /// Whoever reads the logs stops reading, and the pipe is full. Held up by its lines, the process
 /// would stop to answer callers.
 #[test]
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -394,6 +394,7 @@
         vm: id::VmId::from(format!("vm-{n}").as_str()),
         az: az.into(),
         peers: None,
+        link_mbps: 100,
     }
 }
 
@@ -419,6 +420,19 @@
     );
 }
 
+/// VMs of several sizes stand in one region, and the first by name has the narrowest link. What it
+/// passes on to all others is late.
+#[test]
+fn those_with_wide_links_are_followed() {
+    let mut all: Vec<mirror::Place> = (0..6).map(|n| place(n, "a")).collect();
+    all[0].link_mbps = 10;
+    all[4].link_mbps = 200;
+    let mut order = mirror::Order::default();
+    let asked = order.ask(secs(1.0), &all[0], &all);
+    assert_eq!(asked, [all[4].clone(), all[1].clone()]);
+    assert!(order.ask(secs(1.0), &all[4], &all).is_empty());
+}
+
 /// The first of the order is cut off from the store. All who wait for it have old routes.
 #[test]
 fn one_that_cannot_be_followed_is_left_alone_for_a_while() {
