Hold each object to two places, refuse at once what finds no room

Backend servers keep 25 to 43 objects; placed at the third and fourth of their order as well, each backend server saw more objects than it keeps and all caches stayed cold, with queues of three requests a slot before them (reads took 2 to 3 s for 0.48 s of warm work). Requests that waited here for room were late when they got it.

Ruled out: too few slots (warm work needs 0.44 of them), hedges (62 of 1,383 of the worst kind), the share sent to other regions (within 0.005 at 0.7 and 1.0 of a fair share).

Change: the second place of an object's order only where a slot is free, no third; one that is full keeps its place; 2.5 requests a slot at the first, not 3.5; no line of waiting requests; a read is tried a second time after 1.5 of its aim at the earliest, not 0.75, which fell into cold work; the less urgent leave room for a second after a more urgent request found none.

--- a/src/decisions/affinity.rs
+++ b/src/decisions/affinity.rs
@@ -9,9 +9,11 @@
 //! So each object has an order of backend servers, by rendezvous hashing of its key: every entry
 //! VM finds the same one without a message, and a backend server that leaves moves only its own
 //! objects. The load stays bounded (consistent hashing with bounded loads, Mirrokni, Thorup and
-//! Zadimoghaddam, 2018): a request goes on to the next of the order once the queue at the first
-//! costs more than a cold cache does. The second of the order sees an object's overflow each
-//! time, so it warms too.
+//! Zadimoghaddam, 2018), but at the second of the order, not beyond: each further place that an
+//! object reaches pushes another out of a cache there. When zones are lost and all caches are
+//! cold, requests that wander to whichever backend server has room keep every cache cold, for as
+//! long as the load stays above what cold backend servers carry. Held to two places, each object
+//! is handled there once or twice and is warm; what does not fit is refused meanwhile.
 
 use xxhash_rust::xxh3;
 
@@ -24,21 +26,26 @@
     /// on a cold object takes about three times the warm time, so it is worth waiting behind up
     /// to two full sets of slots instead.
     pub second: f64,
-    /// What each further one costs more: it holds the object in no case, so only a clearly
-    /// shorter queue speaks for it.
-    pub further: f64,
-    /// The load beyond which nothing is sent, in requests per slot. A queue at a backend server
-    /// is first come first served, and beyond two requests a slot it is better kept here, where
-    /// the more urgent goes first.
+    /// The load of the first of the order beyond which nothing is sent, in requests per slot.
+    /// What finds two and a half requests a slot ahead waits for one and a half times the work
+    /// and is late; refused, its caller is back when part of the queue has gone.
     pub most: f64,
+    /// The load of the second of the order from which nothing is sent there. Only a free slot
+    /// speaks for handling an object a second time cold; at two and a half requests a slot caches
+    /// stayed cold for ten seconds after two zones of six had been lost.
+    pub spill: f64,
+    /// The part of [`Self::most`] for what leaves room for the more urgent: half a request a slot
+    /// stays free for these.
+    pub behind: f64,
 }
 
 impl Default for Config {
     fn default() -> Self {
         Self {
             second: 2.0,
-            further: 1.0,
-            most: 3.5,
+            most: 2.5,
+            spill: 1.0,
+            behind: 0.8,
         }
     }
 }
@@ -47,11 +54,23 @@
     /// Checks the ranges.
     pub fn check(&self) -> Result<(), range::Error> {
         range::check("affinity.second", self.second, 0.0..=10.0)?;
-        range::check("affinity.further", self.further, 0.0..=10.0)?;
-        range::check("affinity.most", self.most, 0.1..=10.0)
+        range::check("affinity.most", self.most, 0.1..=10.0)?;
+        range::check("affinity.spill", self.spill, 0.0..=10.0)?;
+        range::check("affinity.behind", self.behind, 0.1..=1.0)
     }
 }
 
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Want {
+    /// The hash of its object; `None`: it has none.
+    pub key: Option<u64>,
+    /// Decides among equally loaded ones where there is no object.
+    pub tie: u64,
+    /// Whether it leaves room for the more urgent.
+    pub behind: bool,
+}
+
 /// A backend server that may get the request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -61,8 +80,15 @@
     pub slots: f64,
     /// Requests that run or wait there, as far as known.
     pub load: f64,
-    /// Its share of the objects, in slots.
-    pub weight: f64,
+    /// It takes nothing more from this VM just now. It keeps its place in the order.
+    pub full: bool,
+}
+
+impl Candidate {
+    /// Its load in requests per slot; `None` where it takes nothing.
+    fn room(&self) -> Option<f64> {
+        (!self.full).then(|| self.load / self.slots.max(1.0))
+    }
 }
 
 /// The hash of a name or key, the same on every VM and in every version.
@@ -88,35 +114,54 @@
     -weight.max(f64::MIN_POSITIVE) / u.ln()
 }
 
-/// The backend server to send to, as an index into `candidates`; `None` where all are full.
-/// Without a key, the least loaded; `tie` decides among equals.
-pub fn pick(cfg: &Config, key: Option<u64>, tie: u64, candidates: &[Candidate]) -> Option<usize> {
-    let mut order: Vec<(f64, usize)> = candidates
-        .iter()
-        .enumerate()
-        .map(|(i, c)| (rank(key.unwrap_or(tie), c.hash, c.weight), i))
-        .collect();
-    order.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let mut best: Option<(f64, usize)> = None;
-    for (place, (_, i)) in order.into_iter().enumerate() {
-        let candidate = &candidates[i];
-        let load = candidate.load / candidate.slots.max(1.0);
-        if load >= cfg.most {
-            continue;
-        }
-        let cost = load + key.map_or(0.0, |_| handicap(cfg, place));
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, i));
+/// The backend server to send to, as an index into `candidates`; `None` where there is no room.
+pub fn pick(cfg: &Config, want: &Want, candidates: &[Candidate]) -> Option<usize> {
+    let most = match want.behind {
+        true => cfg.most * cfg.behind,
+        false => cfg.most,
+    };
+    match want.key {
+        Some(key) => by_object(cfg, key, most, candidates),
+        None => least_loaded(want.tie, most, candidates),
+    }
+}
+
+fn by_object(cfg: &Config, key: u64, most: f64, candidates: &[Candidate]) -> Option<usize> {
+    let (first, second) = first_two(key, candidates);
+    let load = |place: Option<usize>, most: f64| {
+        let place = place?;
+        let load = candidates[place].room().filter(|load| *load < most)?;
+        Some((place, load))
+    };
+    match (load(first, most), load(second, cfg.spill)) {
+        (Some((_, at_first)), Some((second, at_second))) if at_first > at_second + cfg.second => {
+            Some(second)
         }
+        (Some((first, _)), _) => Some(first),
+        (None, second) => second.map(|(second, _)| second),
     }
-    best.map(|(_, i)| i)
 }
 
-/// What a place in an object's order costs. A queue shorter than the slots costs nothing, so it
-/// speaks for the first; beyond, each request per slot counts.
-fn handicap(cfg: &Config, place: usize) -> f64 {
-    match place {
-        0 => 0.0,
-        n => cfg.second + cfg.further * (n - 1) as f64,
+/// The first two of an object's order.
+fn first_two(key: u64, candidates: &[Candidate]) -> (Option<usize>, Option<usize>) {
+    let (mut first, mut second) = (None, None);
+    for (i, candidate) in candidates.iter().enumerate() {
+        let ranked = Some((rank(key, candidate.hash, candidate.slots), i));
+        if ranked > first {
+            (first, second) = (ranked, first);
+        } else if ranked > second {
+            second = ranked;
+        }
     }
+    let place = |ranked: Option<(f64, usize)>| ranked.map(|(_, i)| i);
+    (place(first), place(second))
+}
+
+fn least_loaded(tie: u64, most: f64, candidates: &[Candidate]) -> Option<usize> {
+    let with_room = candidates.iter().enumerate().filter_map(|(i, c)| {
+        let load = c.room().filter(|load| *load < most)?;
+        Some((load, -rank(tie, c.hash, c.slots), i))
+    });
+    let least = with_room.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
+    Some(least.2)
 }
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod plan;
 pub mod policy;
+pub mod precedence;
 pub mod probe;
 pub mod quarantine;
 pub mod queue;
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -116,7 +116,6 @@
         self.backends.borrow_mut().put(id, listed, region);
         if before.is_none() {
             slog::info!(self.log, "backend server listed"; "backend" => %id, "service" => %service, "cold" => cold);
-            self.waiting.borrow_mut().wake(&service);
         }
         if leaving {
             slog::info!(self.log, "backend server leaves"; "backend" => %id, "service" => %service);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,7 +13,6 @@
 pub mod pool;
 mod record;
 pub mod request;
-pub mod waiting;
 
 use std::cell;
 use std::collections;
@@ -25,7 +24,9 @@
 use tokio::sync::watch;
 
 use crate::coordination::listing;
-use crate::decisions::{affinity, crashes, ejection, limit, policy, regions, resend, split};
+use crate::decisions::{
+    affinity, crashes, ejection, limit, policy, precedence, regions, resend, split,
+};
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
 use crate::{id, logging, metrics};
@@ -98,6 +99,8 @@
     pub resends: resend::Resends,
     /// The share that other regions serve.
     pub share: regions::Share,
+    /// What its less urgent requests leave to the more urgent.
+    pub precedence: precedence::Precedence,
     /// Requests since the last step of that share, decaying.
     pub traffic: f64,
     /// How long answers take, in seconds.
@@ -135,7 +138,6 @@
     listing: cell::RefCell<listing::Listing>,
     desks: cell::RefCell<collections::HashMap<id::ServiceId, Desk>>,
     splits: cell::RefCell<collections::HashMap<String, split::Split>>,
-    waiting: cell::RefCell<waiting::Waiting>,
     pool: cell::RefCell<pool::Pool>,
     crashes: cell::RefCell<crashes::Crashes>,
     /// Crashes seen here that others have not been told of.
@@ -178,7 +180,6 @@
             listing: cell::RefCell::default(),
             desks: cell::RefCell::default(),
             splits: cell::RefCell::default(),
-            waiting: cell::RefCell::default(),
             pool: cell::RefCell::default(),
             crashes: cell::RefCell::default(),
             untold: cell::RefCell::default(),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -1,16 +1,10 @@
 //! Finding a backend server for a request, or a place in line, or that neither is worth it.
 
-use std::time;
-
-use super::{Cx, Gateway, waiting};
+use super::{Cx, Gateway};
 use crate::decisions::{affinity, cold, ejection, policy};
 use crate::id;
 use crate::state::backends;
 
-/// How often one that waits looks again without being told: loads that others report fade, and
-/// a pause after a refusal ends, without anybody telling.
-const LOOK: time::Duration = time::Duration::from_millis(40);
-
 /// What a request needs of a backend server.
 #[derive(Debug)]
 pub struct Need<'a> {
@@ -24,8 +18,8 @@
     pub regions: &'a [id::RegionId],
     /// Whether it may run more than once.
     pub idempotent: bool,
-    /// The rank of its route.
-    pub priority: u32,
+    /// Whether its route ranks behind others of the service.
+    pub behind: bool,
     /// Backend servers that it has been sent to.
     pub tried: &'a [id::VmId],
 }
@@ -38,7 +32,6 @@
     pub id: id::VmId,
     /// Its address.
     pub addr: std::net::SocketAddr,
-    service: id::ServiceId,
     /// Whether it lies in another region.
     pub far: bool,
 }
@@ -48,7 +41,6 @@
         if let Some(backend) = self.cx.backends.borrow_mut().get_mut(&self.id) {
             backend.in_flight = backend.in_flight.saturating_sub(1);
         }
-        self.cx.waiting.borrow_mut().wake(&self.service);
     }
 }
 
@@ -57,7 +49,7 @@
 pub enum Nowhere {
     /// None is usable at all.
     NoBackend,
-    /// All are full, for longer than it is worth waiting.
+    /// Those that may have the object warm are full, so that it would be late.
     Full,
 }
 
@@ -72,47 +64,17 @@
 }
 
 impl Gateway {
-    /// Waits for a backend server until the given moment.
-    pub async fn place(&self, need: &Need<'_>, until: policy::Moment) -> Result<Seat, Nowhere> {
-        let line = waiting::Line {
-            service: need.service.clone(),
-            away: need.away,
-        };
-        let place = self.waiting.borrow_mut().place(need.priority);
-        loop {
-            let ahead = self.waiting.borrow().ahead(&line, place);
-            if ahead == 0 {
-                match self.try_place(need) {
-                    Ok(seat) => return Ok(seat),
-                    Err(Nowhere::NoBackend) => return Err(Nowhere::NoBackend),
-                    Err(Nowhere::Full) => {}
-                }
-            }
-            let now = self.now();
-            if now >= until || self.wait_ahead(need, ahead) > until - now {
-                return Err(Nowhere::Full);
-            }
-            let told = self.waiting.borrow_mut().stand(&line, place);
-            let _leave = Leave {
-                cx: self,
-                line: &line,
-                place,
-            };
-            let look = self.instant(until.min(now + LOOK));
-            tokio::select! {
-                _ = told => {}
-                () = tokio::time::sleep_until(look) => {}
-            }
-        }
-    }
-
     /// A backend server that takes the request now.
-    pub fn try_place(&self, need: &Need<'_>) -> Result<Seat, Nowhere> {
+    pub fn place(&self, need: &Need<'_>) -> Result<Seat, Nowhere> {
         let now = self.now();
         let chosen = {
             let backends = self.backends.borrow();
-            self.choose(&backends, need, now)?
+            self.choose(&backends, need, now)
         };
+        if chosen == Err(Nowhere::Full) && !need.behind {
+            self.with_desk(need.service, |desk| desk.precedence.refused(now));
+        }
+        let chosen = chosen?;
         let mut backends = self.backends.borrow_mut();
         let Some(backend) = backends.get_mut(&chosen) else {
             return Err(Nowhere::NoBackend);
@@ -128,25 +90,11 @@
             cx: self.clone(),
             id: chosen,
             addr: backend.listed.addr,
-            service: need.service.clone(),
             far: backend.region != self.region,
         })
     }
 }
 
-/// Leaves the line however the wait ends.
-struct Leave<'a> {
-    cx: &'a Cx,
-    line: &'a waiting::Line,
-    place: waiting::Place,
-}
-
-impl Drop for Leave<'_> {
-    fn drop(&mut self) {
-        self.cx.waiting.borrow_mut().leave(self.line, self.place);
-    }
-}
-
 impl Cx {
     fn choose(
         &self,
@@ -171,22 +119,26 @@
         if usable.is_empty() {
             return Err(Nowhere::NoBackend);
         }
-        let ready: Vec<&backends::Backend> = usable
+        let in_order: Vec<&backends::Backend> = usable
             .into_iter()
-            .filter(|b| self.takes_now(b, need, now))
+            .filter(|b| self.has_place(b, need, now))
             .collect();
-        let candidates: Vec<affinity::Candidate> = ready
+        let candidates: Vec<affinity::Candidate> = in_order
             .iter()
             .map(|b| affinity::Candidate {
                 hash: b.hash,
                 slots: f64::from(b.listed.slots),
                 load: b.load(now),
-                weight: f64::from(b.listed.slots),
+                full: b.in_flight as usize >= b.limit.get(now),
             })
             .collect();
-        let tie = need.key.unwrap_or_else(|| self.jitter().to_bits());
-        affinity::pick(&self.cfg.affinity, need.key, tie, &candidates)
-            .map(|i| ready[i].id.clone())
+        let want = affinity::Want {
+            key: need.key,
+            tie: self.jitter().to_bits(),
+            behind: need.behind && self.with_desk(need.service, |desk| desk.precedence.yields(now)),
+        };
+        affinity::pick(&self.cfg.affinity, &want, &candidates)
+            .map(|i| in_order[i].id.clone())
             .ok_or(Nowhere::Full)
     }
 
@@ -206,19 +158,14 @@
         !out || (b.health.due(now) && need.idempotent)
     }
 
-    /// Whether it may be sent a request just now.
-    fn takes_now(&self, b: &backends::Backend, need: &Need<'_>, now: policy::Moment) -> bool {
+    /// Whether it has a place in the order of objects just now. One that is cold or on trial has
+    /// one only for a request that it takes at once: its objects go elsewhere meanwhile.
+    fn has_place(&self, b: &backends::Backend, need: &Need<'_>, now: policy::Moment) -> bool {
         let on_trial = b.health.state() != ejection::State::In;
         if on_trial && (b.in_flight > 0 || !need.idempotent) {
             return false;
         }
-        if b.in_flight as usize >= b.limit.get(now) {
-            return false;
-        }
-        if !b.is_cold(now) {
-            return true;
-        }
-        b.pace.ready(now) && self.owns_cold(b)
+        !b.is_cold(now) || (b.pace.ready(now) && self.owns_cold(b))
     }
 
     fn owns_cold(&self, b: &backends::Backend) -> bool {
@@ -245,19 +192,4 @@
             .filter(|rate| *rate > 0.0)
             .unwrap_or(UNKNOWN)
     }
-
-    /// How long those ahead in line will take, at the pace of the last answers.
-    fn wait_ahead(&self, need: &Need<'_>, ahead: usize) -> time::Duration {
-        let slots: f64 = self
-            .backends
-            .borrow()
-            .of(need.service)
-            .filter(|b| (b.region == self.region) != need.away)
-            .map(|b| f64::from(b.listed.slots))
-            .sum();
-        let vms = self.entries.borrow().len().max(1) as f64;
-        let own = (slots / vms).max(1.0);
-        let work = self.with_desk(need.service, |desk| desk.work);
-        time::Duration::from_secs_f64(work * ahead as f64 / own)
-    }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,10 +13,6 @@
 use crate::protocol::{http1, names, routes};
 use crate::transport::{callers, upstream};
 
-/// Which part of its aim a request may wait for a backend server. What then still takes its usual
-/// time comes late and takes the slot of one that would be in time.
-const WAIT: f64 = 0.3;
-
 /// The longest time that a caller who names none is taken to wait.
 const NO_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
@@ -28,6 +24,11 @@
 /// by a sixth and queues by two or three times the work; beyond four times something is wrong.
 const HEDGE: f64 = 4.0;
 
+/// How many times its aim a read takes at least before it is tried elsewhere as well. Work on a
+/// cold object takes 1.2 to 1.6 times the aim: tried a second time before, it costs two slots and
+/// is no sooner.
+const HEDGE_AIM: f64 = 1.5;
+
 /// When a caller may come back whom this VM no longer takes: at once, to another.
 const ELSEWHERE: time::Duration = time::Duration::from_millis(20);
 
@@ -41,6 +42,7 @@
 
 /// What a request's head and the routes in force say.
 struct Facts {
+    table: rc::Rc<routes::Table>,
     route: rc::Rc<routes::Route>,
     key: Option<u64>,
     id: Bytes,
@@ -186,6 +188,7 @@
             received,
             deadline: received + patience.min(route.timeout),
             route: route.clone(),
+            table,
         })
     }
 
@@ -266,10 +269,11 @@
 
 impl Run<'_> {
     async fn answer(&mut self) -> callers::Answer {
-        let seat = match self.place_first().await {
+        let seat = match self.cx.place(&self.need()) {
             Ok(seat) => seat,
             Err(why) => return self.refuse(why.as_str()),
         };
+        self.tried.push(seat.id.clone());
         let mut out = FuturesUnordered::new();
         let Some(payload) = self.take_payload() else {
             return self.refuse("the body is gone");
@@ -286,7 +290,7 @@
                     if let Some(hung) = self.tried.last() {
                         self.cx.hangs(&self.job, hung);
                     }
-                    if let Some((payload, seat)) = self.again() {
+                    if let Some((payload, seat)) = self.beside() {
                         out.push(self.cx.clone().attempt(self.job.clone(), payload, seat));
                     }
                 }
@@ -298,7 +302,7 @@
                     if !out.is_empty() {
                         continue;
                     }
-                    match self.again_or_wait().await {
+                    match self.after_failure() {
                         Some((payload, seat)) => {
                             out.push(self.cx.clone().attempt(self.job.clone(), payload, seat));
                             hedge_at = self.hedge_at();
@@ -331,19 +335,14 @@
             away: self.away,
             regions: &self.facts.route.regions,
             idempotent: self.facts.route.idempotent,
-            priority: self.facts.route.priority,
+            behind: self
+                .facts
+                .table
+                .is_behind(&self.facts.route, &self.job.service),
             tried: &self.tried,
         }
     }
 
-    async fn place_first(&mut self) -> Result<place::Seat, place::Nowhere> {
-        let wait = self.facts.route.aim.mul_f64(WAIT);
-        let until = (self.facts.received + wait).min(self.facts.deadline);
-        let seat = self.cx.place(&self.need(), until).await?;
-        self.tried.push(seat.id.clone());
-        Ok(seat)
-    }
-
     fn sent(&mut self) {
         self.sends += 1;
         self.first_sent.get_or_insert(self.cx.now());
@@ -368,7 +367,7 @@
         }
         let usual = self.cx.with_desk(&self.job.service, |desk| desk.work);
         let usual = time::Duration::from_secs_f64(usual * HEDGE);
-        Some(self.cx.now() + usual.max(self.facts.route.aim.mul_f64(0.75)))
+        Some(self.cx.now() + usual.max(self.facts.route.aim.mul_f64(HEDGE_AIM)))
     }
 
     /// Whether one more send is allowed, and then takes it from the budget.
@@ -386,40 +385,27 @@
             .with_desk(&self.job.service, |desk| desk.resends.take(bound, now, vms))
     }
 
-    /// One more send at once, where there is room now.
-    fn again(&mut self) -> Option<(upstream::Payload, place::Seat)> {
-        // The send that is still out may run, and so may this one.
+    /// One more send while another is still out, which may run as this one may.
+    fn beside(&mut self) -> Option<(upstream::Payload, place::Seat)> {
         if self.ran + 2 > self.facts.route.attempts {
             return None;
         }
-        let seat = self.cx.try_place(&self.need()).ok()?;
-        if !self.may_send() {
-            return None;
-        }
-        self.tried.push(seat.id.clone());
-        let payload = self.take_payload()?;
-        self.sent();
-        Some((payload, seat))
+        self.again()
     }
 
-    /// One more send, waiting for room if need be.
-    async fn again_or_wait(&mut self) -> Option<(upstream::Payload, place::Seat)> {
+    /// One more send after the last has failed.
+    fn after_failure(&mut self) -> Option<(upstream::Payload, place::Seat)> {
         if self.ran > 0 && !self.facts.route.idempotent {
             return None;
         }
+        self.again()
+    }
+
+    fn again(&mut self) -> Option<(upstream::Payload, place::Seat)> {
+        let seat = self.cx.place(&self.need()).ok()?;
         if !self.may_send() {
             return None;
         }
-        let usual = self.cx.with_desk(&self.job.service, |desk| desk.work);
-        let until = self
-            .facts
-            .deadline
-            .saturating_sub(time::Duration::from_secs_f64(usual));
-        let wait = self.cx.now() + self.facts.route.aim.mul_f64(WAIT);
-        let seat = self.cx.place(&self.need(), until.min(wait)).await.ok()?;
-        if self.bond.left.get() {
-            return None;
-        }
         self.tried.push(seat.id.clone());
         let payload = self.take_payload()?;
         self.sent();
--- a/src/protocol/routes.rs
+++ b/src/protocol/routes.rs
@@ -89,6 +89,8 @@
     /// What callers may send.
     pub limits: Limits,
     by_host: collections::HashMap<String, collections::HashMap<String, rc::Rc<Route>>>,
+    /// The rank of the most urgent route of each service.
+    first: collections::HashMap<id::ServiceId, u32>,
 }
 
 impl Table {
@@ -96,7 +98,12 @@
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
         let mut by_host: collections::HashMap<_, collections::HashMap<_, _>> =
             collections::HashMap::new();
+        let mut first = collections::HashMap::new();
         for route in routes {
+            for part in &route.parts {
+                let rank = first.entry(part.service.clone()).or_insert(route.priority);
+                *rank = route.priority.min(*rank);
+            }
             by_host
                 .entry(route.host.clone())
                 .or_default()
@@ -107,9 +114,17 @@
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             limits,
             by_host,
+            first,
         }
     }
 
+    /// Whether a route ranks behind another one of a service.
+    pub fn is_behind(&self, route: &Route, service: &id::ServiceId) -> bool {
+        self.first
+            .get(service)
+            .is_some_and(|first| route.priority > *first)
+    }
+
     /// How many routes there are.
     pub fn len(&self) -> usize {
         self.by_host.values().map(|routes| routes.len()).sum()
