An unreadable entry names no backend server; a later start is another run

Cause: an entry that could not be read left what was known in force, so a backend server whose entry another program had overwritten went on getting requests, and one value that was no base64 made the store's whole answer fail, with all other news in it, at each call. A backend server that starts again under its name was taken for the one before: its failures kept it out, requests open at the run before waited to their deadlines, and crashes were counted by name, so that a request that crashes the same backend server three times was never held back.

Change: each field of an entry must be there with its type; an entry that cannot be read takes its backend server out at once, also on VMs that follow another. A value that is no base64 costs itself only. Entries say when their backend server started, where they do: a later start is a new run with nothing of the one before (health, load, limit, pace, resting connections, slots), ends what is open there, and counts as a crash of its own; an earlier start changes nothing.

Tests: 9 new (tests/gateway/again.rs, tests/platform/entries.rs, decoding.rs). They need the new field, so they were written with the change; the entry ones fail on the code before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -98,11 +98,11 @@
         mut payload: upstream::Payload,
         seat: place::Seat,
     ) -> (id::VmId, Outcome) {
-        let id = seat.id.clone();
+        let run = seat.run.clone();
         let begun = self.now();
         let outcome = self.send(&job, &mut payload, seat).await;
-        self.judge(&job, &id, begun, &outcome);
-        (id, outcome)
+        self.judge(&job, &run, begun, &outcome);
+        (run.id, outcome)
     }
 
     async fn send(&self, job: &Job, payload: &mut upstream::Payload, seat: place::Seat) -> Outcome {
@@ -110,7 +110,7 @@
             true => time::Duration::MAX,
             false => RESTED,
         };
-        let pooled = self.pool.borrow_mut().take(&seat.id, rested);
+        let pooled = self.pool.borrow_mut().take(&seat.run.id, rested);
         let reused = pooled.is_some();
         let mut wire = match pooled {
             Some(wire) => wire,
@@ -142,13 +142,18 @@
         payload: &mut upstream::Payload,
         seat: &place::Seat,
     ) -> Result<upstream::Received, upstream::Failure> {
-        let head = self.head_for(job, payload, &seat.id);
+        let head = self.head_for(job, payload, &seat.run.id);
         let tag = upstream::Tag {
             field: self.cfg.names.id,
             id: &job.id,
             to_head: job.head.method() == b"HEAD",
         };
-        upstream::exchange(wire, &head, payload, tag).await
+        tokio::select! {
+            biased;
+            received = upstream::exchange(wire, &head, payload, tag) => received,
+            // The run that had the request cannot answer it any more.
+            () = seat.run.ended() => Err(upstream::Failure::Lost),
+        }
     }
 
     fn head_for(&self, job: &Job, payload: &upstream::Payload, to: &id::VmId) -> BytesMut {
@@ -193,7 +198,7 @@
     ) -> Outcome {
         let head = received.head;
         let names = &self.cfg.names;
-        self.note_load(&seat.id, &head);
+        self.note_load(&seat.run.id, &head);
         let not_run = head.fields.get(names.not_run).is_some();
         let misdirected = head.status == hyper::StatusCode::MISDIRECTED_REQUEST;
         let mut reader = http1::BodyReader::new(head.framing);
@@ -212,7 +217,7 @@
         }
         if received.reusable && wire.rests() {
             let stated = stated_rest(&head.fields);
-            self.pool.borrow_mut().put(&seat.id, wire, stated);
+            self.pool.borrow_mut().put(&seat.run.id, wire, stated);
         }
         if misdirected {
             return Outcome::NotRun(NotRun::Misdirected);
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -4,7 +4,7 @@
 use std::rc;
 use std::time;
 
-use super::{Gateway, attempt};
+use super::{Gateway, attempt, place};
 use crate::coordination::listing;
 use crate::decisions::{ejection, policy, regions};
 use crate::id;
@@ -22,8 +22,8 @@
 pub struct Crash {
     /// What marks the request.
     pub fingerprint: u64,
-    /// The backend server.
-    pub backend: id::VmId,
+    /// The name of the backend server's run that crashed, see [`backends::Backend::run_name`].
+    pub run: String,
 }
 
 impl Gateway {
@@ -31,13 +31,12 @@
     /// news.
     pub fn learn_crash(&self, crash: &Crash, counts: bool) -> bool {
         let mut crashes = self.crashes.borrow_mut();
-        let backend = crash.backend.as_str();
         if !counts {
-            return crashes.forget(crash.fingerprint, backend);
+            return crashes.forget(crash.fingerprint, &crash.run);
         }
-        let news = crashes.learn(crash.fingerprint, backend);
+        let news = crashes.learn(crash.fingerprint, &crash.run);
         if news && crashes.is_banned(crash.fingerprint) {
-            slog::warn!(self.log, "request refused from now on, it crashes backend servers"; "fingerprint" => format!("{:016x}", crash.fingerprint), "backend" => backend);
+            slog::warn!(self.log, "request refused from now on, it crashes backend servers"; "fingerprint" => format!("{:016x}", crash.fingerprint), "backend" => &crash.run);
         }
         news
     }
@@ -57,31 +56,35 @@
     }
 
     /// Learns from a send whether its backend server crashed.
-    fn judge_crash(&self, job: &attempt::Job, id: &id::VmId, outcome: &attempt::Outcome) {
-        let now = self.now();
+    fn judge_crash(&self, job: &attempt::Job, run: &str, outcome: &attempt::Outcome) {
         match outcome {
             attempt::Outcome::Unknown(upstream::Failure::Lost) => {
                 let mut crashes = self.crashes.borrow_mut();
-                crashes.lost(now, job.fingerprint, id.as_str());
+                crashes.lost(self.now(), job.fingerprint, run);
             }
             attempt::Outcome::NotRun(attempt::NotRun::NoConnection) => {
-                let crashed = self.crashes.borrow_mut().refused(now, id.as_str());
-                let crashed: Vec<Crash> = crashed
-                    .into_iter()
-                    .map(|fingerprint| Crash {
-                        fingerprint,
-                        backend: id.clone(),
-                    })
-                    .collect();
-                for crash in &crashed {
-                    self.learn_crash(crash, true);
-                }
-                self.keep_untold(crashed);
+                let crashed = self.crashes.borrow_mut().refused(self.now(), run);
+                self.crashed(run, crashed);
             }
             _ => {}
         }
     }
 
+    /// A run of a backend server crashed while these requests were in flight there.
+    fn crashed(&self, run: &str, fingerprints: Vec<u64>) {
+        let crashed: Vec<Crash> = fingerprints
+            .into_iter()
+            .map(|fingerprint| Crash {
+                fingerprint,
+                run: run.to_owned(),
+            })
+            .collect();
+        for crash in &crashed {
+            self.learn_crash(crash, true);
+        }
+        self.keep_untold(crashed);
+    }
+
     /// Takes a version of the routes. An older one than that in force changes nothing.
     pub fn learn_routes(&self, table: routes::Table) -> bool {
         let known = self.table().map(|t| t.version);
@@ -102,7 +105,15 @@
         self.listing.borrow_mut().found(id);
         let region = self.cfg.regions.get(&listed.az).cloned();
         let service = listed.service.clone();
-        let before = self.backends.borrow().get(id).map(|b| b.listed.clone());
+        let mut before = self.backends.borrow().get(id).map(|b| b.listed.clone());
+        if before.as_ref().is_some_and(|b| b.started_after(&listed)) {
+            slog::debug!(self.log, "backend server's entry not taken"; "backend" => %id, "why" => "it is of an earlier start");
+            return false;
+        }
+        if before.take_if(|b| listed.started_after(b)).is_some() {
+            self.end_run(id);
+        }
+        let start = listed.start;
         let leaving = listed.leaving && before.as_ref().is_none_or(|b| !b.leaving);
         let now = self.now();
         let cold = listed.cold_until > now;
@@ -115,7 +126,7 @@
         });
         self.backends.borrow_mut().put(id, listed, region);
         if before.is_none() {
-            slog::info!(self.log, "backend server listed"; "backend" => %id, "service" => %service, "cold" => cold);
+            slog::info!(self.log, "backend server listed"; "backend" => %id, "service" => %service, "cold" => cold, "start" => start.map(|s| s.0));
         }
         if leaving {
             slog::info!(self.log, "backend server leaves"; "backend" => %id, "service" => %service);
@@ -125,18 +136,47 @@
 
     /// The list no longer has a backend server.
     pub fn lose_backend(&self, id: &id::VmId) {
-        if self.listing.borrow_mut().lost(self.now(), id) {
+        let at_once = self.listing.borrow_mut().lost(self.now(), id);
+        if at_once {
             self.forget(id, "not listed");
         } else {
             slog::info!(self.log, "backend server missing, kept for now"; "backend" => %id, "hold_ms" => listing::HOLD.as_millis() as u64);
         }
     }
 
-    fn forget(&self, id: &id::VmId, why: &'static str) {
-        if self.backends.borrow_mut().remove(id).is_some() {
+    /// What the list says of a backend server cannot be read, so it names none: whatever wrote
+    /// there, what was known before need no longer hold, and requests would go on to an address
+    /// that nobody vouches for. Returns whether it was known.
+    pub fn disown_backend(&self, id: &id::VmId, why: &dyn std::fmt::Display) -> bool {
+        if let Some(left_out) = self.lines.admit("entry", self.now()) {
+            slog::warn!(self.log, "backend server's entry cannot be read"; "backend" => %id, "error" => %why, "left_out" => left_out);
+        }
+        self.listing.borrow_mut().found(id);
+        self.forget(id, "entry cannot be read")
+    }
+
+    /// A backend server has started again under its name. What ran there is lost and what was
+    /// seen of it says nothing of the new run: kept, its failures would keep the new one out,
+    /// and requests would wait to their deadlines for answers that cannot come.
+    fn end_run(&self, id: &id::VmId) {
+        let Some(old) = self.backends.borrow_mut().remove(id) else {
+            return;
+        };
+        self.pool.borrow_mut().drop_all(id);
+        slog::info!(self.log, "backend server started again"; "backend" => %id, "in_flight" => old.in_flight);
+        old.ended().notify_waiters();
+        let run = old.run_name();
+        let crashed = self.crashes.borrow_mut().started_again(self.now(), &run);
+        self.crashed(&run, crashed);
+    }
+
+    fn forget(&self, id: &id::VmId, why: &'static str) -> bool {
+        let known = self.backends.borrow_mut().remove(id).is_some();
+        if known {
             self.pool.borrow_mut().drop_all(id);
             slog::info!(self.log, "backend server gone"; "backend" => %id, "why" => why);
         }
+        known
     }
 
     /// The store answered.
@@ -233,16 +273,17 @@
     pub(super) fn judge(
         &self,
         job: &attempt::Job,
-        id: &id::VmId,
+        at: &place::Run,
         begun: policy::Moment,
         outcome: &attempt::Outcome,
     ) {
-        self.judge_crash(job, id, outcome);
-        let now = self.now();
+        self.judge_crash(job, &at.name, outcome);
+        let (now, id) = (self.now(), &at.id);
         let cfg = &self.cfg.ejection;
         let mut backends = self.backends.borrow_mut();
         let (members, out) = count_out(&backends, &job.service);
-        let Some(backend) = backends.get_mut(id) else {
+        // What one run did says nothing of the next.
+        let Some(backend) = backends.get_mut(id).filter(|b| at.is_of(b)) else {
             return;
         };
         let (eject, down) = match outcome {
@@ -311,7 +352,9 @@
             self.pool.borrow_mut().sweep();
             let known = self.backends.borrow().len();
             let overdue = self.listing.borrow_mut().overdue(self.now(), known);
-            overdue.iter().for_each(|id| self.forget(id, "not listed"));
+            for id in &overdue {
+                self.forget(id, "not listed");
+            }
             self.step_shares();
         }
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -1,5 +1,9 @@
 //! Finding a backend server for a request, or a place in line, or that neither is worth it.
 
+use std::rc;
+
+use tokio::sync;
+
 use super::{Cx, Gateway};
 use crate::decisions::{affinity, cold, ejection, policy};
 use crate::id;
@@ -24,12 +28,34 @@
     pub tried: &'a [id::VmId],
 }
 
+/// One run of a backend server, from a start to the next under the same name.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The backend server.
+    pub id: id::VmId,
+    /// The name of the run, see [`backends::Backend::run_name`].
+    pub name: String,
+    ended: rc::Rc<sync::Notify>,
+}
+
+impl Run {
+    /// Whether it is the one that is known now.
+    pub fn is_of(&self, known: &backends::Backend) -> bool {
+        rc::Rc::ptr_eq(&self.ended, known.ended())
+    }
+
+    /// Waits until another run of it is known to have begun.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+}
+
 /// A request's hold on a backend server, given up when dropped.
 #[derive(Debug)]
 pub struct Seat {
     cx: Gateway,
-    /// The backend server.
-    pub id: id::VmId,
+    /// The run of the backend server that it is with.
+    pub run: Run,
     /// Its address.
     pub addr: std::net::SocketAddr,
     /// Whether it lies in another region.
@@ -38,7 +64,9 @@
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        if let Some(backend) = self.cx.backends.borrow_mut().get_mut(&self.id) {
+        let mut backends = self.cx.backends.borrow_mut();
+        let known = backends.get_mut(&self.run.id);
+        if let Some(backend) = known.filter(|b| self.run.is_of(b)) {
             backend.in_flight = backend.in_flight.saturating_sub(1);
         }
     }
@@ -88,7 +116,11 @@
         }
         Ok(Seat {
             cx: self.clone(),
-            id: chosen,
+            run: Run {
+                id: chosen,
+                name: backend.run_name(),
+                ended: backend.ended().clone(),
+            },
             addr: backend.listed.addr,
             far: backend.region != self.region,
         })
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -273,7 +273,7 @@
             Ok(seat) => seat,
             Err(why) => return self.refuse(why.as_str()),
         };
-        self.tried.push(seat.id.clone());
+        self.tried.push(seat.run.id.clone());
         let mut out = FuturesUnordered::new();
         let Some(payload) = self.take_payload() else {
             return self.refuse("the body is gone");
@@ -406,7 +406,7 @@
         if !self.may_send() {
             return None;
         }
-        self.tried.push(seat.id.clone());
+        self.tried.push(seat.run.id.clone());
         let payload = self.take_payload()?;
         self.sent();
         Some((payload, seat))
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -5,6 +5,7 @@
 
 use crate::decisions::policy;
 use crate::gateway::beliefs;
+use crate::id;
 use crate::protocol::routes;
 use crate::state::{backends, entries};
 
@@ -19,6 +20,12 @@
     /// The version is not a hexadecimal number.
     #[error("version `{0}` is not a hexadecimal number")]
     Version(String),
+    /// A word that says nothing here.
+    #[error("`{0}` is not a state of a backend server")]
+    State(String),
+    /// It has no slot to work in.
+    #[error("it has no slots")]
+    NoSlots,
     /// A number is negative or no number.
     #[error("`{0}` is not a time")]
     Time(f64),
@@ -75,17 +82,23 @@
     idle_timeout_s: f64,
 }
 
-/// A backend server's entry.
+/// A backend server's entry. Another writer may have left something else under its key; so each
+/// field must be there with its type, also those that are not used here.
 #[derive(serde::Deserialize)]
 struct Server {
     service: String,
     addr: net::SocketAddr,
     zone: String,
+    #[serde(rename = "version")]
+    _version: String,
     slots: u32,
     state: String,
     /// How much longer it is cold, from when it wrote this.
-    #[serde(default)]
     cold_left_s: f64,
+    #[serde(rename = "seq")]
+    _count: u64,
+    /// The Unix millisecond of its start.
+    born: Option<u64>,
 }
 
 fn seconds(value: f64) -> Result<time::Duration, Error> {
@@ -150,13 +163,22 @@
 /// A backend server's entry, read at `now`.
 pub fn backend(value: &[u8], now: policy::Moment) -> Result<backends::Listed, Error> {
     let server: Server = serde_json::from_slice(value)?;
+    let leaving = match server.state.as_str() {
+        "ready" => false,
+        "draining" => true,
+        _ => return Err(Error::State(server.state)),
+    };
+    if server.slots == 0 {
+        return Err(Error::NoSlots);
+    }
     Ok(backends::Listed {
         service: server.service.as_str().into(),
         addr: server.addr,
         az: server.zone.as_str().into(),
         slots: server.slots,
-        leaving: server.state != "ready",
+        leaving,
         cold_until: now + seconds(server.cold_left_s)?,
+        start: server.born.map(id::Incarnation),
     })
 }
 
@@ -193,19 +215,14 @@
 
 /// A crash from the rest of its key.
 pub fn crash(rest: &str) -> Option<beliefs::Crash> {
-    let (fingerprint, backend) = rest.split_once('/')?;
+    let (fingerprint, run) = rest.split_once('/')?;
     Some(beliefs::Crash {
         fingerprint: u64::from_str_radix(fingerprint, 16).ok()?,
-        backend: backend.into(),
+        run: run.to_owned(),
     })
 }
 
 /// The key of a crash.
 pub fn crash_key(crash: &beliefs::Crash) -> String {
-    format!(
-        "{}{:016x}/{}",
-        names::CRASHES,
-        crash.fingerprint,
-        crash.backend
-    )
+    format!("{}{:016x}/{}", names::CRASHES, crash.fingerprint, crash.run)
 }
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -68,8 +68,10 @@
             self.cx.lose_backend(name);
             return Ok(true);
         };
-        let listed = decode::backend(value, self.cx.now())?;
-        Ok(self.cx.learn_backend(name, listed))
+        Ok(match decode::backend(value, self.cx.now()) {
+            Ok(listed) => self.cx.learn_backend(name, listed),
+            Err(err) => self.cx.disown_backend(name, &err),
+        })
     }
 
     fn entry(&self, vm: &id::VmId, value: Option<&[u8]>) -> Result<bool, decode::Error> {
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -29,5 +29,5 @@
 pub const ENTRIES: &str = "bulrushwind/entry/";
 
 /// Under this stand requests that were in flight when a backend server crashed: the request's
-/// fingerprint, a slash, the backend server's name.
+/// fingerprint, a slash, the name of the backend server's run.
 pub const CRASHES: &str = "bulrushwind/crash/";
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -45,9 +45,6 @@
     /// A value of our own cannot be written.
     #[error(transparent)]
     Value(#[from] super::decode::Error),
-    /// A value is not base64.
-    #[error("a value is not base64: {0}")]
-    Base64(#[from] data_encoding::DecodeError),
 }
 
 /// A key with its value, or with the mark that it was removed.
@@ -61,17 +58,16 @@
 }
 
 impl Item {
-    fn record(self) -> Result<mirror::Record, Error> {
-        let value = match self.value {
-            Some(value) if !self.tombstone => {
-                Some(data_encoding::BASE64.decode(value.as_bytes())?.into())
-            }
-            _ => None,
-        };
-        Ok(mirror::Record {
+    /// A value that is not base64 stands for one without any bytes, which nothing can be read
+    /// from. Failing here would lose the other news of the same answer, again at each call, for as
+    /// long as one value is bad.
+    fn record(self) -> mirror::Record {
+        let decode = |text: String| data_encoding::BASE64.decode(text.as_bytes());
+        let value = self.value.filter(|_| !self.tombstone);
+        mirror::Record {
             key: self.key,
-            value,
-        })
+            value: value.map(|text| decode(text).unwrap_or_default().into()),
+        }
     }
 }
 
@@ -158,9 +154,7 @@
             // first one's revision.
             let from = *revision.get_or_insert(page.store_revision);
             let more = page.truncated && !page.items.is_empty();
-            for item in page.items {
-                records.push(item.record()?);
-            }
+            records.extend(page.items.into_iter().map(Item::record));
             if !more {
                 return Ok((records, from));
             }
@@ -177,8 +171,8 @@
         let ms = wait.as_millis();
         let target = format!("/kv-watch?prefix={prefix}&after={after}&wait_ms={ms}");
         let events: Events = self.read(&target, wait + CALL).await?;
-        let records: Result<Vec<_>, Error> = events.events.into_iter().map(Item::record).collect();
-        Ok((records?, events.store_revision))
+        let records = events.events.into_iter().map(Item::record).collect();
+        Ok((records, events.store_revision))
     }
 
     /// Takes a lease.
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -5,6 +5,9 @@
 
 use std::collections;
 use std::net;
+use std::rc;
+
+use tokio::sync;
 
 use crate::decisions::{affinity, cold, ejection, limit, policy};
 use crate::id;
@@ -24,6 +27,15 @@
     pub leaving: bool,
     /// Until when it is cold, on this process's clock.
     pub cold_until: policy::Moment,
+    /// Which start of it this is; `None` where it does not say. A later start is larger.
+    pub start: Option<id::Incarnation>,
+}
+
+impl Listed {
+    /// Whether this is a later start of the same backend server.
+    pub fn started_after(&self, other: &Self) -> bool {
+        matches!((self.start, other.start), (Some(this), Some(other)) if this > other)
+    }
 }
 
 /// The load that an answer carried.
@@ -66,9 +78,23 @@
     /// How it is paced while cold.
     pub pace: cold::Pace,
     report: Report,
+    ended: rc::Rc<sync::Notify>,
 }
 
 impl Backend {
+    /// Its name with its start, which tells one run of it from the next.
+    pub fn run_name(&self) -> String {
+        match self.listed.start {
+            Some(start) => format!("{}@{start}", self.id),
+            None => self.id.to_string(),
+        }
+    }
+
+    /// Tells when this run of it is known to be over.
+    pub fn ended(&self) -> &rc::Rc<sync::Notify> {
+        &self.ended
+    }
+
     /// Requests that run or wait there, as far as known.
     pub fn load(&self, now: policy::Moment) -> f64 {
         let age = now.saturating_sub(self.report.at).as_secs_f64();
@@ -127,6 +153,7 @@
             health: ejection::Health::default(),
             pace: cold::Pace::default(),
             report: Report::default(),
+            ended: rc::Rc::default(),
         };
         self.by_id.insert(name.clone(), backend);
         true
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! A gateway with backend servers that misbehave, over real sockets on the loopback interface.
 
+mod again;
 mod answers;
 mod bodies;
 mod callers;
--- a/tests/gateway/stage.rs
+++ b/tests/gateway/stage.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use bulrushwind::gateway::{self, front};
+use bulrushwind::id;
 use bulrushwind::logging;
 use bulrushwind::protocol::{http1, names, routes};
 use bulrushwind::state::{backends, entries};
@@ -173,6 +174,11 @@
     }
 
     pub(crate) async fn add_backend(&self, name: &str) {
+        self.start_backend(name, None).await;
+    }
+
+    /// Starts a backend server, or starts it again, and lists it.
+    pub(crate) async fn start_backend(&self, name: &str, start: Option<u64>) -> backends::Listed {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let listed = backends::Listed {
@@ -182,8 +188,9 @@
             slots: 3,
             leaving: false,
             cold_until: time::Duration::ZERO,
+            start: start.map(id::Incarnation),
         };
-        self.cx.learn_backend(&name.into(), listed);
+        self.cx.learn_backend(&name.into(), listed.clone());
         let (seen, script, begun) = (self.seen.clone(), self.script.clone(), self.begun.clone());
         let name = name.to_owned();
         task::spawn_local(async move {
@@ -197,6 +204,7 @@
                 task::spawn_local(backend.serve(stream));
             }
         });
+        listed
     }
 
     pub(crate) async fn caller(&self) -> Caller {
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
+use bulrushwind::id;
 use bulrushwind::platform::{decode, names, settings};
+use serde_json::{Value, json};
 
 const SETTINGS: &str = r#"
 node = "vm-1"
@@ -95,12 +97,52 @@
     assert!(!decode::backend(ready.as_bytes(), now).unwrap().leaving);
 }
 
+/// Something else than a backend server writes under a backend server's name: a field is missing
+/// or of another type, a word is not one of those agreed on. What remains readable would be taken
+/// for an address to send to.
+#[test]
+fn an_entry_of_another_writer_is_no_backend_server() {
+    let entry = json!({"service": "s1", "addr": "10.1.1.1:80", "zone": "az-a", "version": "v1", "slots": 3,
+        "state": "ready", "cold_left_s": 1.5, "seq": 9, "born": 1_790_000_000_123_u64});
+    let decode =
+        |entry: &Value| decode::backend(entry.to_string().as_bytes(), time::Duration::ZERO);
+    let listed = decode(&entry).unwrap();
+    assert_eq!(listed.start, Some(id::Incarnation(1_790_000_000_123)));
+    for field in entry.as_object().unwrap().keys() {
+        let mut without = entry.clone();
+        without.as_object_mut().unwrap().remove(field);
+        assert_eq!(decode(&without).is_ok(), field == "born", "without {field}");
+        for other in [
+            json!(null),
+            json!([]),
+            json!({}),
+            json!(true),
+            json!(-1),
+            json!(1.5),
+        ] {
+            let mut changed = entry.clone();
+            changed[field] = other.clone();
+            let fits =
+                (field == "cold_left_s" && other == 1.5) || (field == "born" && other.is_null());
+            assert_eq!(decode(&changed).is_ok(), fits, "{field}: {other}");
+        }
+    }
+    for (field, word) in [("state", "busy"), ("addr", "nowhere"), ("state", "")] {
+        let mut changed = entry.clone();
+        changed[field] = json!(word);
+        assert!(decode(&changed).is_err(), "{field}: {word}");
+    }
+    let mut idle = entry.clone();
+    idle["slots"] = json!(0);
+    assert!(decode(&idle).is_err());
+}
+
 /// Whatever bytes stand in the store, reading them must not end the process.
 #[test]
 fn no_bytes_end_a_decoder() {
     use rand::{RngExt, SeedableRng};
     let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(11);
-    let entry = r#"{"service":"s1","addr":"10.1.1.1:80","zone":"z","slots":3,"state":"ready"}"#;
+    let entry = r#"{"service":"s1","addr":"10.1.1.1:80","zone":"z","version":"v1","slots":3,"state":"ready","cold_left_s":0,"seq":1}"#;
     for _ in 0..5000 {
         let mut bytes = match rng.random_bool(0.5) {
             true => CONFIG.as_bytes().to_vec(),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,5 +4,6 @@
 mod support;
 
 mod decoding;
+mod entries;
 mod explaining;
 mod processes;
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -165,7 +165,14 @@
 
     /// Writes as operators and backend servers do.
     pub(crate) fn write(&self, key: &str, value: &Value) {
-        let text = data_encoding::BASE64.encode(value.to_string().as_bytes());
+        self.write_text(
+            key,
+            data_encoding::BASE64.encode(value.to_string().as_bytes()),
+        );
+    }
+
+    /// Writes a value as it is to stand on the wire.
+    pub(crate) fn write_text(&self, key: &str, text: String) {
         self.inner.borrow_mut().put(key, text, 0);
         self.changed.notify_waiters();
     }
