Tell callers two VMs of their region, and more while these are busy

Cause: callers used the VMs of their own zone, up to ten in each region and more as the deployment grows.

Ruled out: backend servers that are too few (a service that refused a fifth of its requests had 0.6 of its slots at work), the processors of the VMs (0.005 cores).

Change: callers are told the two VMs of their region that carry most, from different zones, whichever zone they ask from; a VM says in its registration when it is busy, and one more is told for each. Cold backend servers are owned by the VMs that are told, since only these have requests for them.

--- a/src/decisions/cold.rs
+++ b/src/decisions/cold.rs
@@ -4,10 +4,10 @@
 //! few requests a second and crash well above that, and they look idle, so they would draw the
 //! most. One notices it as backend servers that crash again right after their start.
 //!
-//! The bound is a sum over all entry VMs, so a few owners share it: the live VMs that stand first
-//! in the backend server's own order. Each paces its part evenly. Nobody else sends. Two VMs that
-//! disagree for a moment on who is live at worst double the rate for that moment, which the
-//! margin above the rate bears.
+//! The bound is a sum over all entry VMs, so a few owners share it: of the VMs that callers of its
+//! region are told, those that stand first in the backend server's own order. Each paces its part
+//! evenly. Nobody else sends. Two VMs that disagree for a moment on who is told at worst double the
+//! rate for that moment, which the margin above the rate bears.
 
 use std::time;
 
@@ -17,8 +17,11 @@
 /// no request for it; each more makes the doubling larger when VMs disagree.
 pub const OWNERS: usize = 1;
 
-/// Whether a VM is among the owners. `vms` are the hashes of the live VMs near it.
+/// Whether a VM is among the owners. `vms` are the hashes of the VMs that may be.
 pub fn owns(backend: u64, own: u64, vms: &[u64]) -> bool {
+    if !vms.contains(&own) {
+        return false;
+    }
     let mine = affinity::rank(backend, own, 1.0);
     let ahead = vms
         .iter()
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -237,38 +237,6 @@
         news
     }
 
-    /// Where a caller of this zone and region connects: the nearest entry VMs.
-    pub fn entries_near(
-        &self,
-        az: Option<&str>,
-        region: Option<&str>,
-    ) -> Vec<std::net::SocketAddr> {
-        use crate::decisions::nearby;
-        let entries = self.entries.borrow();
-        let distance = |of: &id::AzId| {
-            let same_region = || {
-                let known = self.cfg.regions.get(of);
-                region.is_some_and(|r| known.is_some_and(|k| k.as_str() == r))
-            };
-            if az == Some(of.as_str()) {
-                return nearby::Distance::Az;
-            }
-            match same_region() {
-                true => nearby::Distance::Region,
-                false => nearby::Distance::Far,
-            }
-        };
-        let all = entries
-            .iter()
-            .map(|(_, entry)| (distance(&entry.az), entry.front));
-        // This VM answers, so it runs, whatever the store can say of it at the moment.
-        let own = (!self.is_stopping()).then(|| (distance(&self.cfg.az), self.cfg.front));
-        let mut named = nearby::nearest(all.chain(own));
-        named.sort_unstable();
-        named.dedup();
-        named
-    }
-
     /// Learns from how a send ended.
     pub(super) fn judge(
         &self,
@@ -356,6 +324,7 @@
                 self.forget(id, "not listed");
             }
             self.step_shares();
+            self.step_busy();
         }
     }
 
--- /dev/null
+++ b/src/gateway/carried.rs
@@ -0,0 +1,83 @@
+//! What this VM carries, and which entry VMs callers are told for it.
+
+use std::net;
+
+use super::Gateway;
+use crate::decisions::{affinity, nearby, policy};
+use crate::id;
+use crate::transport::callers;
+
+/// What this VM carried since a moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Carried {
+    requests: u64,
+    bytes: u64,
+    since: policy::Moment,
+}
+
+impl Gateway {
+    /// Where a caller of a region connects.
+    pub fn entries_for(&self, region: Option<&str>) -> Vec<net::SocketAddr> {
+        let near = |az: &id::AzId| {
+            let known = self.cfg.regions.get(az);
+            region.is_some_and(|r| known.is_some_and(|k| k.as_str() == r))
+        };
+        let entries = self.entries.borrow();
+        let others = entries
+            .to_tell(near, |vm, entry| (vm.clone(), entry.front))
+            .filter(|entry| entry.told.0 != self.cfg.vm);
+        // This VM answers, so it runs, whatever the store can say of it at the moment.
+        let own = (!self.is_stopping()).then(|| nearby::Entry {
+            near: near(&self.cfg.az),
+            az: &self.cfg.az,
+            requests: self.cfg.capacity.requests(),
+            busy: self.is_busy(),
+            hash: self.own_hash,
+            told: (self.cfg.vm.clone(), self.cfg.front),
+        });
+        let told = nearby::told(others.chain(own));
+        told.into_iter().map(|(_, front)| front).collect()
+    }
+
+    /// The hashes of the names of the entry VMs that the callers of a region are told.
+    pub(super) fn told_in(&self, region: Option<&id::RegionId>) -> Vec<u64> {
+        let near = |az: &id::AzId| self.cfg.regions.get(az) == region;
+        let entries = self.entries.borrow();
+        nearby::told(entries.to_tell(near, |vm, _| affinity::hash(vm.as_str().as_bytes())))
+    }
+
+    /// Whether this VM has little room for more callers.
+    pub fn is_busy(&self) -> bool {
+        self.busy.get().get()
+    }
+
+    /// Counts an answer.
+    pub(super) fn carried(&self, answer: &callers::Answer) {
+        let bytes = match &answer.body {
+            callers::Body::Whole(body) => body.len() as u64,
+            callers::Body::Pieces { length, .. } => length.unwrap_or_default(),
+        };
+        let mut carried = self.carried.get();
+        carried.requests += 1;
+        carried.bytes += bytes;
+        self.carried.set(carried);
+    }
+
+    /// Works out whether this VM is busy.
+    pub(super) fn step_busy(&self) {
+        let now = self.now();
+        let carried = self.carried.take();
+        let span = now.saturating_sub(carried.since).as_secs_f64().max(0.01);
+        self.carried.set(Carried {
+            since: now,
+            ..Carried::default()
+        });
+        let a_second = |count: u64| count as f64 / span;
+        let used = (self.cfg.capacity).used(a_second(carried.requests), a_second(carried.bytes));
+        let mut busy = self.busy.get();
+        if busy.step(used) {
+            slog::info!(self.log, "capacity in use"; "busy" => busy.get(), "used" => used, "requests" => carried.requests, "bytes" => carried.bytes, "span_s" => span);
+        }
+        self.busy.set(busy);
+    }
+}
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -130,7 +130,7 @@
             vm: self.cx.cfg.vm.clone(),
             az: self.cx.cfg.az.clone(),
             peers: None,
-            link_mbps: self.cx.cfg.link_mbps,
+            link_mbps: self.cx.cfg.capacity.link_mbps as u32,
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod attempt;
 pub mod beliefs;
+mod carried;
 pub mod front;
 pub mod mirror;
 pub mod place;
@@ -25,7 +26,7 @@
 
 use crate::coordination::listing;
 use crate::decisions::{
-    affinity, crashes, ejection, limit, policy, precedence, regions, resend, split,
+    affinity, crashes, ejection, limit, nearby, policy, precedence, regions, resend, split,
 };
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
@@ -46,8 +47,8 @@
     pub regions: collections::BTreeMap<id::AzId, id::RegionId>,
     /// Where callers connect.
     pub front: net::SocketAddr,
-    /// The bandwidth of its link, in Mbit/s; 0: not known.
-    pub link_mbps: u32,
+    /// What it can carry.
+    pub capacity: nearby::Capacity,
     /// The names of the fields of requests and answers.
     pub names: names::Names,
     /// The bound on second sends over all entry VMs.
@@ -71,7 +72,7 @@
             az: "az".into(),
             regions: collections::BTreeMap::new(),
             front: net::SocketAddr::from(([127, 0, 0, 1], 0)),
-            link_mbps: 0,
+            capacity: nearby::Capacity::default(),
             names: names::Names::default(),
             resend: resend::Bound::default(),
             affinity: affinity::Config::default(),
@@ -135,6 +136,8 @@
     backends: cell::RefCell<backends::Backends>,
     evacuated: cell::RefCell<collections::BTreeSet<id::AzId>>,
     entries: cell::RefCell<entries::Entries>,
+    carried: cell::Cell<carried::Carried>,
+    busy: cell::Cell<nearby::Busy>,
     listing: cell::RefCell<listing::Listing>,
     desks: cell::RefCell<collections::HashMap<id::ServiceId, Desk>>,
     splits: cell::RefCell<collections::HashMap<String, split::Split>>,
@@ -177,6 +180,8 @@
             backends: cell::RefCell::default(),
             evacuated: cell::RefCell::default(),
             entries: cell::RefCell::default(),
+            carried: cell::Cell::default(),
+            busy: cell::Cell::default(),
             listing: cell::RefCell::default(),
             desks: cell::RefCell::default(),
             splits: cell::RefCell::default(),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync;
 
-use super::{Cx, Gateway};
+use super::Gateway;
 use crate::decisions::{affinity, cold, ejection, policy};
 use crate::id;
 use crate::state::backends;
@@ -127,7 +127,7 @@
     }
 }
 
-impl Cx {
+impl Gateway {
     fn choose(
         &self,
         all: &backends::Backends,
@@ -200,18 +200,10 @@
         !b.is_cold(now) || (b.pace.ready(now) && self.owns_cold(b))
     }
 
+    /// Whether this VM is the one that sends to a cold backend server. Only those that callers of
+    /// its region are told have requests for it.
     fn owns_cold(&self, b: &backends::Backend) -> bool {
-        let near = self.entries.borrow().hashes_in(&b.listed.az);
-        if near.is_empty() {
-            let all: Vec<u64> = self
-                .entries
-                .borrow()
-                .iter()
-                .map(|(vm, _)| affinity::hash(vm.as_str().as_bytes()))
-                .collect();
-            return cold::owns(b.hash, self.own_hash, &all);
-        }
-        self.cfg.az == b.listed.az && cold::owns(b.hash, self.own_hash, &near)
+        cold::owns(b.hash, self.own_hash, &self.told_in(b.region.as_ref()))
     }
 
     fn cold_rate(&self, service: &id::ServiceId) -> f64 {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -127,6 +127,7 @@
         };
         let answer = run.answer().await;
         in_hand.ended = true;
+        self.carried(&answer);
         self.record(&record::Ended {
             id: &facts.id,
             route: &facts.route,
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -51,9 +51,7 @@
     }
 
     fn resolve(&self, target: &str) -> callers::Answer {
-        let az = query(target, "zone");
-        let region = query(target, "region");
-        let addrs = self.cx.entries_near(az, region);
+        let addrs = self.cx.entries_for(query(target, "region"));
         if addrs.is_empty() {
             return callers::Answer::bare(503);
         }
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -190,6 +190,10 @@
     az: String,
     #[serde(default)]
     link_mbps: u32,
+    #[serde(default)]
+    requests: u32,
+    #[serde(default)]
+    busy: bool,
 }
 
 /// An entry VM's registration.
@@ -200,6 +204,8 @@
         peers: entry.peers,
         az: entry.az.as_str().into(),
         link_mbps: entry.link_mbps,
+        requests: entry.requests,
+        busy: entry.busy,
     })
 }
 
@@ -210,6 +216,8 @@
         peers: entry.peers,
         az: entry.az.to_string(),
         link_mbps: entry.link_mbps,
+        requests: entry.requests,
+        busy: entry.busy,
     })?)
 }
 
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -128,6 +128,8 @@
     lease: u64,
     /// Renewals in a row at which the key was not seen in the store.
     unseen: u32,
+    /// Whether it says that this VM is busy.
+    busy: bool,
 }
 
 /// Renewals without the key in sight until it is written anew: the view of the store lags by
@@ -171,9 +173,10 @@
             true => 0,
             false => held.unseen + 1,
         };
+        let changed = held.busy != self.cx.is_busy();
         match client.renew(held.lease).await {
             // A store that took the key away does not say so when the lease is renewed.
-            Ok(()) if unseen > UNSEEN => self.register(client).await,
+            Ok(()) if unseen > UNSEEN || changed => self.register(client).await,
             Ok(()) => Some(Held { unseen, ..held }),
             Err(store::Error::Condition(_)) => self.register(client).await,
             Err(_) => Some(held),
@@ -205,15 +208,32 @@
         Ok(())
     }
 
+    fn value(&self) -> Result<Vec<u8>, decode::Error> {
+        let capacity = &self.cx.cfg.capacity;
+        decode::put_entry(&entries::Entry {
+            front: self.settings.gateway.front,
+            peers: self.settings.peers,
+            az: self.settings.gateway.az.clone(),
+            link_mbps: capacity.link_mbps as u32,
+            requests: capacity.requests(),
+            busy: self.cx.is_busy(),
+        })
+    }
+
     fn key(&self) -> String {
         format!("{}{}", names::ENTRIES, self.cx.cfg.vm)
     }
 
     async fn register(&self, client: &mut store::Client) -> Option<Held> {
+        let busy = self.cx.is_busy();
         match self.write(client).await {
             Ok(lease) => {
                 slog::info!(self.cx.log, "registered"; "vm" => %self.cx.cfg.vm, "lease" => lease);
-                Some(Held { lease, unseen: 0 })
+                Some(Held {
+                    lease,
+                    unseen: 0,
+                    busy,
+                })
             }
             Err(err) => {
                 slog::info!(self.cx.log, "not registered"; "error" => %err);
@@ -223,12 +243,7 @@
     }
 
     async fn write(&self, client: &mut store::Client) -> Result<u64, store::Error> {
-        let value = decode::put_entry(&entries::Entry {
-            front: self.settings.gateway.front,
-            peers: self.settings.peers,
-            az: self.settings.gateway.az.clone(),
-            link_mbps: self.settings.gateway.link_mbps,
-        })?;
+        let value = self.value()?;
         let lease = client.lease(LEASE).await?;
         client.put(&self.key(), &value, lease).await?;
         Ok(lease)
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,7 +6,7 @@
 use std::path;
 use std::time;
 
-use crate::decisions::resend;
+use crate::decisions::{nearby, resend};
 use crate::{error, gateway, id};
 
 use super::names;
@@ -34,6 +34,11 @@
 struct Limits {
     #[serde(default)]
     link_mbps: f64,
+    /// The part of each core.
+    #[serde(default)]
+    cpu_share: f64,
+    #[serde(default)]
+    cores: f64,
 }
 
 #[derive(Clone, Debug, serde::Deserialize)]
@@ -117,7 +122,10 @@
             az: file.zone.as_str().into(),
             regions,
             front,
-            link_mbps: file.limits.link_mbps as u32,
+            capacity: nearby::Capacity {
+                cores: file.limits.cpu_share * file.limits.cores,
+                link_mbps: file.limits.link_mbps,
+            },
             names: names::FIELDS,
             resend,
             grace: time::Duration::from_secs_f64(grace),
--- a/src/state/entries.rs
+++ b/src/state/entries.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::net;
 
-use crate::decisions::affinity;
+use crate::decisions::{affinity, nearby};
 use crate::id;
 
 /// An entry VM.
@@ -17,6 +17,10 @@
     pub az: id::AzId,
     /// The bandwidth of its link, in Mbit/s; 0 where it does not say.
     pub link_mbps: u32,
+    /// The usual requests a second that it can carry; 0 where it does not say.
+    pub requests: u32,
+    /// Whether it has little room for more callers.
+    pub busy: bool,
 }
 
 /// The entry VMs by name.
@@ -56,12 +60,20 @@
         self.by_vm.is_empty()
     }
 
-    /// The hashes of the names of those in one availability zone.
-    pub fn hashes_in(&self, az: &id::AzId) -> Vec<u64> {
-        self.by_vm
-            .iter()
-            .filter(|(_, entry)| entry.az == *az)
-            .map(|(vm, _)| affinity::hash(vm.as_str().as_bytes()))
-            .collect()
+    /// All of them as callers may be told of them, with what `told` says of each. `near` says
+    /// whether an availability zone is in the caller's region.
+    pub fn to_tell<'a, T: 'a>(
+        &'a self,
+        near: impl Fn(&id::AzId) -> bool + 'a,
+        told: impl Fn(&id::VmId, &Entry) -> T + 'a,
+    ) -> impl Iterator<Item = nearby::Entry<'a, T>> {
+        self.by_vm.iter().map(move |(vm, entry)| nearby::Entry {
+            near: near(&entry.az),
+            az: &entry.az,
+            requests: entry.requests,
+            busy: entry.busy,
+            hash: affinity::hash(vm.as_str().as_bytes()),
+            told: told(vm, entry),
+        })
     }
 }
--- a/tests/gateway/stage.rs
+++ b/tests/gateway/stage.rs
@@ -158,6 +158,8 @@
             peers: None,
             az: "az".into(),
             link_mbps: 0,
+            requests: 0,
+            busy: false,
         };
         cx.learn_entry(&"vm".into(), entry);
         let stage = Self {
