--- a/src/bin/bulrushwind-gateway.rs
+++ b/src/bin/bulrushwind-gateway.rs
@@ -3,6 +3,7 @@
 use std::path;
 use std::process;
 
+use bulrushwind::gateway::thresholds;
 use bulrushwind::{error, exit_codes, logging, platform};
 use clap::Parser;
 
@@ -18,7 +19,10 @@
     /// Port of this VM for metrics [default: the first of the ports that are free for us]
     #[arg(long, value_name = "PORT")]
     metrics_port: Option<u16>,
-    /// Check the settings file and exit
+    /// A TOML file with thresholds of decisions that differ from the defaults
+    #[arg(long, value_name = "FILE")]
+    thresholds: Option<path::PathBuf>,
+    /// Check the files and exit
     #[arg(long)]
     check: bool,
 }
@@ -35,9 +39,18 @@
 }
 
 fn run(args: &Args) -> Result<(), error::Error> {
+    let thresholds = match &args.thresholds {
+        Some(path) => thresholds::Thresholds::read(path)?,
+        None => thresholds::Thresholds::default(),
+    };
+    let mut settings = platform::settings::read(&args.settings)?;
+    settings.gateway.resend.used = thresholds.second_sends;
+    settings.gateway.thresholds = thresholds;
+    if let Some(port) = args.metrics_port {
+        settings.metrics.set_port(port);
+    }
     if args.check {
-        return platform::settings::read(&args.settings).map(drop);
+        return Ok(());
     }
-    let log = logging::buffered("bulrushwind-gateway");
-    platform::run(&args.settings, args.metrics_port, &log)
+    platform::run(settings, &logging::buffered("bulrushwind-gateway"))
 }
--- a/src/decisions/affinity.rs
+++ b/src/decisions/affinity.rs
@@ -20,8 +20,11 @@
 use super::range;
 
 /// Thresholds of placement by object.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Config {
+    /// Whether objects have an order of backend servers at all.
+    pub by_object: bool,
     /// What the second of the order costs more than the first, in requests per slot of load. Work
     /// on a cold object takes about three times the warm time, so it is worth waiting behind up
     /// to two full sets of slots instead.
@@ -42,6 +45,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
+            by_object: true,
             second: 2.0,
             most: 2.5,
             spill: 1.0,
@@ -120,7 +124,7 @@
         true => cfg.most * cfg.behind,
         false => cfg.most,
     };
-    match want.key {
+    match want.key.filter(|_| cfg.by_object) {
         Some(key) => by_object(cfg, key, most, candidates),
         None => least_loaded(want.tie, most, candidates),
     }
--- a/src/decisions/ejection.rs
+++ b/src/decisions/ejection.rs
@@ -16,7 +16,8 @@
 use super::{policy, range};
 
 /// Thresholds of ejection.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Config {
     /// Failed answers or timeouts in a row. Three: with one answer in a hundred failing by chance
     /// it happens once in a million.
@@ -30,8 +31,10 @@
     /// The largest share of backend servers that may be out as outliers.
     pub max_out: f64,
     /// How long the first time out lasts.
+    #[serde(with = "range::seconds")]
     pub first: time::Duration,
     /// How long a time out lasts at most.
+    #[serde(with = "range::seconds")]
     pub longest: time::Duration,
     /// Answers in a row that end a trial.
     pub trial: u32,
--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -20,15 +20,18 @@
 use super::{policy, range};
 
 /// Thresholds of the limit.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Config {
     /// What one answer adds to the limit after it sank. Ten answers make up for one slot.
     pub step: f64,
     /// What is left of the limit when the backend server sheds.
     pub shed: f64,
     /// How long a backend server that sheds gets nothing at first. About one request's time.
+    #[serde(with = "range::seconds")]
     pub rest: time::Duration,
     /// How long it gets nothing at most, however often it sheds.
+    #[serde(with = "range::seconds")]
     pub longest_rest: time::Duration,
 }
 
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -17,6 +17,7 @@
 pub mod drain;
 pub mod ejection;
 pub mod grants;
+pub mod hedge;
 pub mod limit;
 pub mod links;
 pub mod members;
--- a/src/decisions/nearby.rs
+++ b/src/decisions/nearby.rs
@@ -103,9 +103,9 @@
     pub told: T,
 }
 
-/// The entry VMs that a caller is told.
-pub fn told<'a, T>(all: impl Iterator<Item = Entry<'a, T>>) -> Vec<T> {
-    let mut rest = LEAST;
+/// The entry VMs that a caller is told, `least` of which are not busy, as far as there are so many.
+pub fn told<'a, T>(least: usize, all: impl Iterator<Item = Entry<'a, T>>) -> Vec<T> {
+    let mut rest = least;
     let enough = |entry: &Entry<'_, T>| {
         let more = rest > 0;
         rest -= usize::from(more && !entry.busy);
--- a/src/decisions/range.rs
+++ b/src/decisions/range.rs
@@ -29,6 +29,24 @@
     })
 }
 
+/// Durations as seconds, in settings.
+pub mod seconds {
+    use std::time;
+
+    use serde::{Deserialize, Deserializer, Serializer, de};
+
+    /// Writes a duration.
+    pub fn serialize<S: Serializer>(value: &time::Duration, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_f64(value.as_secs_f64())
+    }
+
+    /// Reads a duration.
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<time::Duration, D::Error> {
+        let seconds = f64::deserialize(from)?;
+        time::Duration::try_from_secs_f64(seconds).map_err(de::Error::custom)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/decisions/regions.rs
+++ b/src/decisions/regions.rs
@@ -16,7 +16,8 @@
 use super::{affinity, range};
 
 /// Thresholds of the share.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Config {
     /// How many times its callers' share of the slots a region must have to serve them all by
     /// itself. Below it some go elsewhere from the start. At 0.65 a region with half of its share
@@ -32,6 +33,7 @@
     /// second moved more objects than their new places could warm.
     pub step: f64,
     /// The length of a step.
+    #[serde(with = "range::seconds")]
     pub every: time::Duration,
 }
 
--- a/src/decisions/resend.rs
+++ b/src/decisions/resend.rs
@@ -23,6 +23,9 @@
     pub extra: f64,
     /// The window.
     pub window: time::Duration,
+    /// What of the bound is used. The rest covers VMs that have just come or gone, which others
+    /// count differently for a few seconds, and requests on their way at the window's edge.
+    pub used: f64,
 }
 
 impl Default for Bound {
@@ -31,14 +34,11 @@
             share: 0.1,
             extra: 20.0,
             window: time::Duration::from_secs(10),
+            used: 0.75,
         }
     }
 }
 
-/// What of the bound is used. The rest covers VMs that have just come or gone, which others count
-/// differently for a few seconds, and requests on their way at the window's edge.
-const USED: f64 = 0.75;
-
 /// How finely the window slides: in this many steps.
 const STEPS: u32 = 20;
 
@@ -85,7 +85,7 @@
         let requests: f64 = self.counts.iter().map(|c| c.requests).sum();
         let second: f64 = self.counts.iter().map(|c| c.second).sum();
         let own = bound.share * requests + bound.extra / vms.max(1) as f64;
-        if second + 1.0 > own * USED {
+        if second + 1.0 > own * bound.used {
             return false;
         }
         self.count(bound, now).second += 1.0;
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -247,7 +247,7 @@
     ) {
         self.judge_crash(job, &at.name, outcome);
         let (now, id) = (self.now(), &at.id);
-        let cfg = &self.cfg.ejection;
+        let cfg = &self.cfg.thresholds.ejection;
         let mut backends = self.backends.borrow_mut();
         let (members, out) = count_out(&backends, &job.service);
         // What one run did says nothing of the next.
@@ -257,12 +257,12 @@
         let (eject, down) = match outcome {
             attempt::Outcome::Answer { failed: false, .. } => {
                 backend.health.answered(cfg);
-                backend.limit.answered(&self.cfg.limit);
+                backend.limit.answered(&self.cfg.thresholds.limit);
                 (false, false)
             }
             attempt::Outcome::Answer { failed: true, .. } => (backend.health.failed(cfg), false),
             attempt::Outcome::NotRun(attempt::NotRun::Shed) => {
-                backend.limit.shed(&self.cfg.limit, now);
+                backend.limit.shed(&self.cfg.thresholds.limit, now);
                 (false, false)
             }
             attempt::Outcome::NotRun(attempt::NotRun::NoConnection) => {
@@ -289,7 +289,7 @@
     /// A backend server has kept a request beyond all measure.
     pub(super) fn hangs(&self, job: &attempt::Job, id: &id::VmId) {
         let now = self.now();
-        let cfg = &self.cfg.ejection;
+        let cfg = &self.cfg.thresholds.ejection;
         let mut backends = self.backends.borrow_mut();
         let (members, out) = count_out(&backends, &job.service);
         let Some(backend) = backends.get_mut(id) else {
@@ -313,7 +313,7 @@
 
     /// What is due from time to time.
     pub async fn upkeep(self) {
-        let mut every = tokio::time::interval(self.cfg.share.every);
+        let mut every = tokio::time::interval(self.cfg.thresholds.regions.every);
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             every.tick().await;
@@ -349,7 +349,7 @@
             .iter()
             .map(|s| self.with_desk(s, |desk| desk.share))
             .collect();
-        regions::step(&self.cfg.share, &views, &mut shares);
+        regions::step(&self.cfg.thresholds.regions, &views, &mut shares);
         for (service, share) in services.iter().zip(shares) {
             self.with_desk(service, |desk| {
                 desk.share = share;
--- a/src/gateway/carried.rs
+++ b/src/gateway/carried.rs
@@ -35,7 +35,7 @@
             hash: self.own_hash,
             told: (self.cfg.vm.clone(), self.cfg.front),
         });
-        let told = nearby::told(others.chain(own));
+        let told = nearby::told(self.cfg.thresholds.told, others.chain(own));
         told.into_iter().map(|(_, front)| front).collect()
     }
 
@@ -43,7 +43,10 @@
     pub(super) fn told_in(&self, region: Option<&id::RegionId>) -> Vec<u64> {
         let near = |az: &id::AzId| self.cfg.regions.get(az) == region;
         let entries = self.entries.borrow();
-        nearby::told(entries.to_tell(near, |vm, _| affinity::hash(vm.as_str().as_bytes())))
+        nearby::told(
+            self.cfg.thresholds.told,
+            entries.to_tell(near, |vm, _| affinity::hash(vm.as_str().as_bytes())),
+        )
     }
 
     /// Whether this VM has little room for more callers.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod pool;
 mod record;
 pub mod request;
+pub mod thresholds;
 
 use std::cell;
 use std::collections;
@@ -25,9 +26,7 @@
 use tokio::sync::watch;
 
 use crate::coordination::listing;
-use crate::decisions::{
-    affinity, crashes, ejection, limit, nearby, policy, precedence, regions, resend, split,
-};
+use crate::decisions::{affinity, crashes, nearby, policy, precedence, regions, resend, split};
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
 use crate::{id, logging, metrics};
@@ -53,14 +52,8 @@
     pub names: names::Names,
     /// The bound on second sends over all entry VMs.
     pub resend: resend::Bound,
-    /// Thresholds of placement by object.
-    pub affinity: affinity::Config,
-    /// Thresholds of the share that other regions serve.
-    pub share: regions::Config,
-    /// Thresholds of ejection.
-    pub ejection: ejection::Config,
-    /// Thresholds of the limit at a backend server.
-    pub limit: limit::Config,
+    /// Thresholds of decisions about requests.
+    pub thresholds: thresholds::Thresholds,
     /// How long a planned stop may take.
     pub grace: time::Duration,
 }
@@ -75,19 +68,7 @@
             capacity: nearby::Capacity::default(),
             names: names::Names::default(),
             resend: resend::Bound::default(),
-            affinity: affinity::Config::default(),
-            share: regions::Config::default(),
-            ejection: ejection::Config {
-                // An object stays with its backend server, so a broken one is noticed by its own
-                // failures and not by its share of the load: ten answers and no more.
-                in_a_row: 3,
-                broken_in_a_row: 1,
-                share: 0.4,
-                window: 10.0,
-                trial: 3,
-                ..ejection::Config::default()
-            },
-            limit: limit::Config::default(),
+            thresholds: thresholds::Thresholds::default(),
             grace: time::Duration::from_secs(6),
         }
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -109,7 +109,9 @@
         };
         backend.in_flight += 1;
         if backend.health.due(now) {
-            backend.health.probed(&self.cfg.ejection, now, true);
+            backend
+                .health
+                .probed(&self.cfg.thresholds.ejection, now, true);
         }
         if backend.is_cold(now) {
             backend.pace.sent(now, self.cold_rate(need.service));
@@ -169,7 +171,7 @@
             tie: self.jitter().to_bits(),
             behind: need.behind && self.with_desk(need.service, |desk| desk.precedence.yields(now)),
         };
-        affinity::pick(&self.cfg.affinity, &want, &candidates)
+        affinity::pick(&self.cfg.thresholds.placement, &want, &candidates)
             .map(|i| in_order[i].id.clone())
             .ok_or(Nowhere::Full)
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -20,15 +20,6 @@
 /// itself at the time that it was given, and its word is better than ours.
 const AFTER: time::Duration = time::Duration::from_millis(120);
 
-/// How many times the usual time a read takes before it is tried elsewhere as well. Work varies
-/// by a sixth and queues by two or three times the work; beyond four times something is wrong.
-const HEDGE: f64 = 4.0;
-
-/// How many times its aim a read takes at least before it is tried elsewhere as well. Work on a
-/// cold object takes 1.2 to 1.6 times the aim: tried a second time before, it costs two slots and
-/// is no sooner.
-const HEDGE_AIM: f64 = 1.5;
-
 /// When a caller may come back whom this VM no longer takes: at once, to another.
 const ELSEWHERE: time::Duration = time::Duration::from_millis(20);
 
@@ -367,8 +358,9 @@
             return None;
         }
         let usual = self.cx.with_desk(&self.job.service, |desk| desk.work);
-        let usual = time::Duration::from_secs_f64(usual * HEDGE);
-        Some(self.cx.now() + usual.max(self.facts.route.aim.mul_f64(HEDGE_AIM)))
+        let usual = time::Duration::from_secs_f64(usual);
+        let hedge = &self.cx.cfg.thresholds.hedge;
+        Some(self.cx.now() + hedge.after(usual, self.facts.route.aim))
     }
 
     /// Whether one more send is allowed, and then takes it from the budget.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,7 +9,6 @@
 pub mod store;
 
 use std::net;
-use std::path;
 use std::rc;
 use std::time;
 
@@ -25,17 +24,7 @@
 const MARGIN: time::Duration = time::Duration::from_millis(400);
 
 /// Runs an entry VM's process on the platform until it is told to stop.
-///
-/// `metrics_port` is where operators expect metrics, if they said so.
-pub fn run(
-    path: &path::Path,
-    metrics_port: Option<u16>,
-    log: &slog::Logger,
-) -> Result<(), error::Error> {
-    let mut settings = settings::read(path)?;
-    if let Some(port) = metrics_port {
-        settings.metrics.set_port(port);
-    }
+pub fn run(settings: settings::Settings, log: &slog::Logger) -> Result<(), error::Error> {
     let settings = rc::Rc::new(settings);
     let log = log.new(slog::o!("on" => settings.gateway.vm.to_string()));
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -112,6 +112,7 @@
             "budget_window_s",
             defaults.resend.window.as_secs_f64(),
         )),
+        ..defaults.resend
     };
     let grace = bound("grace_s", defaults.grace.as_secs_f64());
     let front = file.listen.front;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,3 +11,4 @@
 #[path = "../support/mod.rs"]
 #[expect(dead_code, reason = "shared with the tests of the platform's adapter")]
 mod support;
+mod thresholds;
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -297,6 +297,7 @@
         share: 0.2,
         extra: 56.0,
         window: secs(10.0),
+        ..resend::Bound::default()
     };
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let vms = 8;
@@ -444,12 +445,12 @@
     ];
     let beyond = (40..60).map(|n| entry(false, &far, 9000, n));
     let all: Vec<_> = small.chain(beyond).chain(large).collect();
-    assert_eq!(nearby::told(all.iter().copied()), [1, 3]);
+    assert_eq!(nearby::told(nearby::LEAST, all.iter().copied()), [1, 3]);
     let only_far = all.iter().copied().filter(|e| !e.near);
-    assert_eq!(nearby::told(only_far), [40, 41]);
+    assert_eq!(nearby::told(nearby::LEAST, only_far), [40, 41]);
     let one_zone = all.iter().copied().filter(|e| *e.az == a);
-    assert_eq!(nearby::told(one_zone), [1, 2]);
-    assert!(nearby::told(std::iter::empty::<nearby::Entry<'_, u64>>()).is_empty());
+    assert_eq!(nearby::told(nearby::LEAST, one_zone), [1, 2]);
+    assert!(nearby::told(nearby::LEAST, std::iter::empty::<nearby::Entry<'_, u64>>()).is_empty());
 }
 
 /// Callers come in numbers that two VMs cannot carry, and leave again. Told no others, they would
@@ -468,7 +469,7 @@
             busy: busy.get(),
             ..entry(true, &az, capacity.requests(), n)
         });
-        let told = nearby::told(all);
+        let told = nearby::told(nearby::LEAST, all);
         let each = crowd / told.len() as f64;
         for (n, busy) in busy.iter_mut().enumerate() {
             let part = if told.contains(&(n as u64)) {
