Let regions of three sizes end up equally loaded: 1.1 of a fair share, not 0.85

Change: the share that the slots alone send elsewhere is worked out with 1.1. The test's bounds on one region's share follow the threshold and are narrower; a new one bounds the loads of all three regions (1.3 between the most and the least, 1.42 before).

Regions weighed by their load instead of their slots: not tried.

--- a/src/decisions/regions.rs
+++ b/src/decisions/regions.rs
@@ -21,7 +21,10 @@
 pub struct Config {
     /// How many times its callers' share of the slots a region must have to serve them all by
     /// itself. Below it some go elsewhere from the start. At 0.65 a region with half of its share
-    /// of the slots stayed twice as loaded as the others, and its backend servers never warmed.
+    /// of the slots stayed twice as loaded as the others, and its backend servers never warmed; with
+    /// 1.1 instead of 0.85 mean worth rose from 0.553 to 0.560 and from 0.641 to 0.647 (20 days
+    /// each), since a region that has its share and no more is full whenever its callers come in
+    /// a wave. With 1.3, objects crossed regions for nothing: 0.612 instead of 0.624.
     pub spare: f64,
     /// The load per slot above which more goes elsewhere: as much waits as runs. Objects that move
     /// are cold where they arrive, so a queue that comes and goes is no reason; from 0.95 to 2,
@@ -40,7 +43,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            spare: 0.85,
+            spare: 1.1,
             high: 2.0,
             low: 0.45,
             step: 0.005,
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -371,7 +371,7 @@
     let mut share = [regions::Share::default()];
     regions::step(&cfg, &[view(6.0, 0.5, 1.0)], &mut share);
     let moved = share[0].get();
-    assert!((0.35..0.5).contains(&moved), "{moved}");
+    assert!((0.5..0.6).contains(&moved), "{moved}");
     let keys = (0..2000_u64).filter(|k| share[0].moves(affinity::hash(&k.to_le_bytes())));
     let fraction = keys.count() as f64 / 2000.0;
     assert!((fraction - moved).abs() < 0.04);
@@ -380,6 +380,32 @@
     assert_eq!(share[0].get(), 0.0);
 }
 
+/// Three regions have the same callers and 6, 12 and 18 slots. The smallest serves twice what its
+/// slots are worth if it keeps its callers, and the middle one has nothing to spare when its callers
+/// come in a wave; both refuse then while the largest stands half idle.
+#[test]
+fn regions_of_three_sizes_end_up_about_equally_loaded() {
+    let (cfg, slots) = (regions::Config::default(), [6.0, 12.0, 18.0]);
+    let away = slots.map(|own| {
+        let mut share = [regions::Share::default()];
+        regions::step(&cfg, &[view(own, 0.5, 1.0)], &mut share);
+        share[0].get()
+    });
+    let load = |n: usize| {
+        let from = |m: usize| match m == n {
+            true => 1.0 - away[m],
+            false => away[m] * slots[n] / (36.0 - slots[m]),
+        };
+        (0..3).map(from).sum::<f64>() * 12.0 / slots[n]
+    };
+    let loads = [load(0), load(1), load(2)];
+    let (least, most) = (
+        loads.iter().copied().reduce(f64::min),
+        loads.iter().copied().reduce(f64::max),
+    );
+    assert!(most.unwrap() / least.unwrap() < 1.3, "{loads:?}");
+}
+
 /// Half of a region's backend servers leave, as when a zone is emptied. If its callers moved at
 /// once, more than operators allow would land on caches elsewhere that are cold.
 #[test]
