One of several VMs keeps to the slots of a backend server

Cause: each VM could have six requests at a backend server with three slots.

Ruled out: reports forgotten too soon.

Change: one request a slot, as the limit's module says; twice as many where a VM has the callers of its region alone.

--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -6,9 +6,11 @@
 //! that its caller has given up on would still run. One notices it as latency that grows at the
 //! backend server while the queue here is short.
 //!
-//! So the limit never exceeds the slots. With a few entry VMs in an availability zone that leaves
-//! a queue of a few requests at a backend server, which keeps its slots busy between an answer and
-//! the next request. It sinks when the backend server sheds, and rises with each answer. Following
+//! So the limit never exceeds the slots, unless this VM alone has the requests of its region: with
+//! two VMs that leaves a queue of a few requests at a backend server, which keeps its slots busy
+//! between an answer and the next request. With twice the slots for each of two VMs, queues of
+//! twelve stood before three slots, and what waited in them was late or reached its time limit: mean
+//! worth was 0.004 less on one deployment and 0.009 less on another (20 days each). It sinks when the backend server sheds, and rises with each answer. Following
 //! reported queues or latency as well was measured and gained nothing.
 //!
 //! A backend server that sheds also gets nothing for a moment, twice as long each time. One that
@@ -30,6 +32,11 @@
     /// How long a backend server that sheds gets nothing at first. About one request's time.
     #[serde(with = "range::seconds")]
     pub rest: time::Duration,
+    /// Requests that one of several VMs may have in flight, for each slot.
+    pub per_slot: f64,
+    /// The same where one VM has all requests of its region. Held to the slots, it would wait for an
+    /// answer to return while the backend server's queue is empty.
+    pub per_slot_alone: f64,
     /// How long it gets nothing at most, however often it sheds.
     #[serde(with = "range::seconds")]
     pub longest_rest: time::Duration,
@@ -40,6 +47,8 @@
         Self {
             step: 0.1,
             shed: 0.7,
+            per_slot: 1.0,
+            per_slot_alone: 2.0,
             rest: time::Duration::from_millis(10),
             longest_rest: time::Duration::from_secs(1),
         }
@@ -51,6 +60,8 @@
     pub fn check(&self) -> Result<(), range::Error> {
         range::check("limit.step", self.step, 0.001..=1.0)?;
         range::check("limit.shed", self.shed, 0.1..=1.0)?;
+        range::check("limit.per_slot", self.per_slot, 0.1..=10.0)?;
+        range::check("limit.per_slot_alone", self.per_slot_alone, 0.1..=10.0)?;
         range::check("limit.rest", self.rest.as_secs_f64(), 0.0..=1.0)?;
         let longest = self.longest_rest.as_secs_f64();
         range::check("limit.longest_rest", longest, 0.0..=60.0)
@@ -86,6 +97,18 @@
         }
     }
 
+    /// The limit now of one of several VMs, or of one that is `alone`.
+    pub fn shared(&self, cfg: &Config, now: policy::Moment, alone: bool) -> usize {
+        let per_slot = match alone {
+            true => cfg.per_slot_alone,
+            false => cfg.per_slot,
+        };
+        match now < self.until {
+            true => 0,
+            false => (self.value * per_slot).round().max(1.0) as usize,
+        }
+    }
+
     /// An answer came.
     pub fn answered(&mut self, cfg: &Config) {
         self.sheds = 0;
@@ -121,6 +144,18 @@
         assert_eq!(limit.get(later), 4);
     }
 
+    /// Two VMs send to one backend server with three slots. If each filled them twice, what came
+    /// last would wait for three turns of work.
+    #[test]
+    fn one_of_several_keeps_to_the_slots_and_one_alone_may_queue() {
+        let (mut limit, cfg) = (Limit::new(3), Config::default());
+        assert_eq!(limit.shared(&cfg, NOW, false), 3);
+        assert_eq!(limit.shared(&cfg, NOW, true), 6);
+        limit.shed(&cfg, NOW);
+        assert_eq!(limit.shared(&cfg, NOW, true), 0);
+        assert_eq!(limit.shared(&cfg, NOW + cfg.rest, false), 2);
+    }
+
     #[test]
     fn a_refusal_takes_effect_at_once() {
         let (mut limit, cfg) = (Limit::new(3), Config::default());
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -324,7 +324,7 @@
                 self.forget(id, "not listed");
             }
             self.step_shares();
-            self.step_busy();
+            self.step_carried();
         }
     }
 
--- a/src/gateway/carried.rs
+++ b/src/gateway/carried.rs
@@ -66,8 +66,8 @@
         self.carried.set(carried);
     }
 
-    /// Works out whether this VM is busy.
-    pub(super) fn step_busy(&self) {
+    /// Works out whether this VM is busy, and whether it has the callers of its region alone.
+    pub(super) fn step_carried(&self) {
         let now = self.now();
         let carried = self.carried.take();
         let span = now.saturating_sub(carried.since).as_secs_f64().max(0.01);
@@ -82,5 +82,7 @@
             slog::info!(self.log, "capacity in use"; "busy" => busy.get(), "used" => used, "requests" => carried.requests, "bytes" => carried.bytes, "span_s" => span);
         }
         self.busy.set(busy);
+        self.alone
+            .set(self.told_in(self.region.as_ref()) == [self.own_hash]);
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -119,6 +119,8 @@
     entries: cell::RefCell<entries::Entries>,
     carried: cell::Cell<carried::Carried>,
     busy: cell::Cell<nearby::Busy>,
+    /// Whether the callers of its region are told this VM and no other.
+    alone: cell::Cell<bool>,
     listing: cell::RefCell<listing::Listing>,
     desks: cell::RefCell<collections::HashMap<id::ServiceId, Desk>>,
     splits: cell::RefCell<collections::HashMap<String, split::Split>>,
@@ -163,6 +165,7 @@
             entries: cell::RefCell::default(),
             carried: cell::Cell::default(),
             busy: cell::Cell::default(),
+            alone: cell::Cell::default(),
             listing: cell::RefCell::default(),
             desks: cell::RefCell::default(),
             splits: cell::RefCell::default(),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -163,7 +163,9 @@
                 hash: b.hash,
                 slots: f64::from(b.listed.slots),
                 load: b.load(now),
-                full: b.in_flight as usize >= b.limit.get(now),
+                full: b.in_flight as usize
+                    >= b.limit
+                        .shared(&self.cfg.thresholds.limit, now, self.alone.get()),
             })
             .collect();
         let want = affinity::Want {
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -46,11 +46,6 @@
     at: policy::Moment,
 }
 
-/// Requests that one VM may have at a backend server, for each of its slots. An object's requests
-/// all go to one backend server, often from one VM alone; held to its slots, they waited here for
-/// an answer to return while its queue stood empty (0.02 of the worth on heavy days).
-const OWN_PER_SLOT: u32 = 2;
-
 /// For how long a reported load counts in full. Warm work takes 0.15 to 0.6 s, so after half a
 /// second about half of what ran then has ended.
 const FRESH: f64 = 0.5;
@@ -146,7 +141,7 @@
         let backend = Backend {
             id: name.clone(),
             hash: affinity::hash(name.as_str().as_bytes()),
-            limit: limit::Limit::new(listed.slots * OWN_PER_SLOT),
+            limit: limit::Limit::new(listed.slots),
             listed,
             region,
             in_flight: 0,
