Keep a slot for what is warm while the rest is warmed

Cause: in the first two seconds, and after losses, all slots work on objects that are cold and late whatever is done; one request of seven was in time though half asked for an object that was warm by then (an object is warm from the moment at which work on it begins, seen in the logs).

Change: each VM lets two of three slots of a backend server work on objects that it has not sent there before; others of these are refused at once. Whether objects that are new to a VM are cold is learnt from how their answers come, so a VM that starts before warm caches holds nothing back after six answers.

Tests: the first seconds of a backend server in virtual time, in time with and without; a VM that knows nothing before warm caches.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -40,6 +40,7 @@
 pub mod split;
 pub mod trust;
 pub mod upkeep;
+pub mod warming;
 
 #[cfg(test)]
 mod tests {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -43,6 +43,8 @@
     pub fingerprint: u64,
     /// When its time is up.
     pub deadline: policy::Moment,
+    /// Within which time its answer counts in full.
+    pub aim: time::Duration,
 }
 
 /// How a send ended.
@@ -98,10 +100,14 @@
         mut payload: upstream::Payload,
         seat: place::Seat,
     ) -> (id::VmId, Outcome) {
-        let run = seat.run.clone();
+        let (run, new) = (seat.run.clone(), seat.new);
         let begun = self.now();
         let outcome = self.send(&job, &mut payload, seat).await;
         self.judge(&job, &run, begun, &outcome);
+        if new && let Outcome::Answer { failed: false, .. } = outcome {
+            let late = self.now().saturating_sub(begun) > job.aim;
+            self.with_desk(&job.service, |desk| desk.late.answered(late));
+        }
         (run.id, outcome)
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,7 +26,9 @@
 use tokio::sync::watch;
 
 use crate::coordination::listing;
-use crate::decisions::{affinity, crashes, nearby, policy, precedence, regions, resend, split};
+use crate::decisions::{
+    affinity, crashes, nearby, policy, precedence, regions, resend, split, warming,
+};
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
 use crate::{id, logging, metrics};
@@ -83,6 +85,8 @@
     pub share: regions::Share,
     /// What its less urgent requests leave to the more urgent.
     pub precedence: precedence::Precedence,
+    /// How often answers for objects that are new to this VM are late.
+    pub late: warming::Late,
     /// Requests since the last step of that share, decaying.
     pub traffic: f64,
     /// How long answers take, in seconds.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -60,6 +60,8 @@
     pub addr: std::net::SocketAddr,
     /// Whether it lies in another region.
     pub far: bool,
+    /// Whether the request's object is new there, as far as this VM knows.
+    pub new: bool,
 }
 
 impl Drop for Seat {
@@ -68,6 +70,9 @@
         let known = backends.get_mut(&self.run.id);
         if let Some(backend) = known.filter(|b| self.run.is_of(b)) {
             backend.in_flight = backend.in_flight.saturating_sub(1);
+            if self.new {
+                backend.warming.ended();
+            }
         }
     }
 }
@@ -79,6 +84,8 @@
     NoBackend,
     /// Those that may have the object warm are full, so that it would be late.
     Full,
+    /// Its object is new there, and others that are hold the slots that these may have.
+    Cold,
 }
 
 impl Nowhere {
@@ -87,6 +94,7 @@
         match self {
             Self::NoBackend => "no usable backend server",
             Self::Full => "all backend servers are full",
+            Self::Cold => "its object is cold and others are before it",
         }
     }
 }
@@ -103,10 +111,18 @@
             self.with_desk(need.service, |desk| desk.precedence.refused(now));
         }
         let chosen = chosen?;
+        let cfg = &self.cfg.thresholds.warming;
+        let cold = self.with_desk(need.service, |desk| desk.late.are_cold(cfg));
         let mut backends = self.backends.borrow_mut();
         let Some(backend) = backends.get_mut(&chosen) else {
             return Err(Nowhere::NoBackend);
         };
+        let slots = f64::from(backend.listed.slots);
+        let takes = |key| backend.warming.takes(cfg, slots, key);
+        if cold && !need.key.is_none_or(takes) {
+            return Err(Nowhere::Cold);
+        }
+        let new = need.key.is_some_and(|key| backend.warming.begun(now, key));
         backend.in_flight += 1;
         if backend.health.due(now) {
             backend
@@ -125,6 +141,7 @@
             },
             addr: backend.listed.addr,
             far: backend.region != self.region,
+            new,
         })
     }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -101,6 +101,7 @@
             idempotent: facts.route.idempotent,
             fingerprint,
             deadline: facts.deadline,
+            aim: facts.route.aim,
         });
         let payload = std::mem::replace(&mut req.payload, upstream::Payload::Whole(Bytes::new()));
         let mut run = Run {
--- a/src/gateway/thresholds.rs
+++ b/src/gateway/thresholds.rs
@@ -6,7 +6,7 @@
 use std::fs;
 use std::path;
 
-use crate::decisions::{affinity, ejection, hedge, limit, nearby, range, regions};
+use crate::decisions::{affinity, ejection, hedge, limit, nearby, range, regions, warming};
 use crate::error;
 
 /// The thresholds.
@@ -25,6 +25,8 @@
     pub ejection: ejection::Config,
     /// The limit at a backend server.
     pub limit: limit::Config,
+    /// Objects that are handled for the first time.
+    pub warming: warming::Config,
     /// Second sends of a read beside the first.
     pub hedge: hedge::Config,
 }
@@ -47,6 +49,7 @@
                 ..ejection::Config::default()
             },
             limit: limit::Config::default(),
+            warming: warming::Config::default(),
             hedge: hedge::Config::default(),
         }
     }
@@ -80,6 +83,7 @@
         self.regions.check()?;
         self.ejection.check()?;
         self.limit.check()?;
+        self.warming.check()?;
         self.hedge.check()
     }
 }
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync;
 
-use crate::decisions::{affinity, cold, ejection, limit, policy};
+use crate::decisions::{affinity, cold, ejection, limit, policy, warming};
 use crate::id;
 
 /// What the platform's list says of a backend server.
@@ -72,6 +72,8 @@
     pub limit: limit::Limit,
     /// How it is paced while cold.
     pub pace: cold::Pace,
+    /// The objects that this VM has sent to it.
+    pub warming: warming::Warming,
     report: Report,
     ended: rc::Rc<sync::Notify>,
 }
@@ -147,6 +149,7 @@
             in_flight: 0,
             health: ejection::Health::default(),
             pace: cold::Pace::default(),
+            warming: warming::Warming::default(),
             report: Report::default(),
             ended: rc::Rc::default(),
         };
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -5,7 +5,7 @@
 
 use bulrushwind::coordination::{listing, mirror};
 use bulrushwind::decisions::{
-    affinity, cold, comeback, crashes, nearby, precedence, regions, resend, split,
+    affinity, cold, comeback, crashes, nearby, precedence, regions, resend, split, warming,
 };
 use bulrushwind::id;
 use rand::{RngExt, SeedableRng};
@@ -515,6 +515,77 @@
     assert_eq!(calm[39].0, nearby::LEAST);
 }
 
+/// Plays one backend server with three slots and cold caches, asked for twelve objects at random.
+/// Returns the share of requests that are answered in time, a refused one coming back once.
+fn play_first_seconds(cfg: &warming::Config) -> f64 {
+    const AIM_S: f64 = 0.5;
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let (mut in_time, mut all) = (0, 0);
+    for _ in 0..40 {
+        let (mut here, mut late) = (warming::Warming::default(), warming::Late::default());
+        let (mut free, mut ends) = ([0.0_f64; 3], Vec::<(f64, bool, bool)>::new());
+        let mut due: collections::VecDeque<(f64, f64, u64, bool)> = (0..45)
+            .map(|n| f64::from(n) / 15.0)
+            .map(|at| (at, at, rng.random_range(0..12), true))
+            .collect();
+        all += due.len();
+        while let Some((at, asked, object, again)) = due.pop_front() {
+            let (over, rest): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(end, ..)| *end <= at);
+            ends = rest;
+            for (_, new, was_late) in over {
+                if new {
+                    here.ended();
+                    late.answered(was_late);
+                }
+            }
+            if late.are_cold(cfg) && !here.takes(cfg, 3.0, object) {
+                if again {
+                    let back = at + 0.3;
+                    let place = due.partition_point(|(other, ..)| *other < back);
+                    due.insert(place, (back, asked, object, false));
+                }
+                continue;
+            }
+            let new = here.begun(secs(at), object);
+            let work = if new { 0.64 } else { 0.192 };
+            free.sort_by(f64::total_cmp);
+            let end = free[0].max(at) + work;
+            free[0] = end;
+            ends.push((end, new, end - at > AIM_S));
+            in_time += u32::from(end - asked <= AIM_S);
+        }
+    }
+    f64::from(in_time) / all as f64
+}
+
+/// All caches are cold and every object is asked for. When the first requests for all of them are
+/// taken, they hold all slots, and users who ask for what is warm by then wait behind work that is
+/// late anyway.
+#[test]
+fn what_is_warm_gets_through_while_the_rest_is_warmed() {
+    let held = play_first_seconds(&warming::Config::default());
+    let free = play_first_seconds(&warming::Config {
+        part: 100.0,
+        ..warming::Config::default()
+    });
+    assert!(held > free + 0.05, "{held} {free}");
+}
+
+/// An entry VM starts anew before caches that are warm. If it took every object for a cold one
+/// because it has not sent it yet, it would refuse requests that are answered in time.
+#[test]
+fn a_vm_that_knows_nothing_learns_that_caches_are_warm() {
+    let cfg = warming::Config::default();
+    let (mut here, mut late) = (warming::Warming::default(), warming::Late::default());
+    assert!(here.begun(secs(0.0), 1) && here.begun(secs(0.0), 2));
+    assert!(late.are_cold(&cfg) && !here.takes(&cfg, 3.0, 3));
+    assert!(here.takes(&cfg, 3.0, 1), "what it sent there is warm");
+    (0..6).for_each(|_| late.answered(false));
+    assert!(!late.are_cold(&cfg));
+    here.ended();
+    assert!(here.takes(&cfg, 3.0, 3));
+}
+
 /// A burst is refused. Told one and the same time, all would come back as the next burst; told a
 /// time beyond what they have left, they would not come back at all.
 #[test]
