Take back what was sent when a send is given up

The first send's connection was then closed in order, so the network kept its bytes and delivered them at 25.7 s, into a zone emptied at 20.2 s.

Change: connections to backend servers are reset when they are closed.

Test: fails on the code before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -303,9 +303,14 @@
 }
 
 async fn connect(seat: &place::Seat) -> Result<socket::Wire, Outcome> {
-    socket::Wire::connect(seat.addr, CONNECT)
+    let wire = socket::Wire::connect(seat.addr, CONNECT)
         .await
-        .map_err(|_| Outcome::NotRun(NotRun::NoConnection))
+        .map_err(|_| Outcome::NotRun(NotRun::NoConnection))?;
+    // A send that is given up may still be on its way, held up by a cut. Closed in order, the
+    // connection delivers it when the cut has ended: a read arrived 7 s late, at a backend server
+    // whose zone had been emptied. A reset takes it back.
+    wire.reset_on_close();
+    Ok(wire)
 }
 
 fn fields_for_caller(fields: &http1::Fields) -> BytesMut {
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -133,3 +133,20 @@
         assert!(caller.is_closed().await);
     });
 }
+
+/// The link to a backend server is cut one way while a read is on its way, and the caller leaves or
+/// is answered by another. Closed in order, the connection would keep the read, and the network
+/// delivers it when the link is whole again: seconds later a backend server of a zone that has been
+/// emptied meanwhile works for nobody. A reset takes back what has not arrived.
+#[test]
+fn a_send_that_is_given_up_leaves_nothing_on_its_way() {
+    play(async || {
+        let stage = Stage::new(1, &[Act::Hang]).await;
+        let mut caller = stage.caller().await;
+        caller.send(&get("/read/a", "r1")).await;
+        stage.until("it runs", |seen| seen.ran.len() == 1).await;
+        drop(caller);
+        stage.until("it is dropped", |seen| seen.dropped == 1).await;
+        assert_eq!(stage.seen.borrow().reset, 1);
+    });
+}
--- a/tests/gateway/stage.rs
+++ b/tests/gateway/stage.rs
@@ -79,6 +79,8 @@
     pub(crate) fields: collections::BTreeMap<String, String>,
     /// Connections that the other side closed while a request was worked on.
     pub(crate) dropped: usize,
+    /// Those of them that it reset.
+    pub(crate) reset: usize,
 }
 
 pub(crate) type Script = rc::Rc<cell::RefCell<collections::VecDeque<Act>>>;
@@ -354,8 +356,10 @@
             }
             Act::Long(n) => (whole(&"x".repeat(n)), true),
             Act::Hang => {
-                let _ = wire.fill().await;
-                self.seen.borrow_mut().dropped += 1;
+                let reset = wire.fill().await.is_err();
+                let mut seen = self.seen.borrow_mut();
+                seen.dropped += 1;
+                seen.reset += usize::from(reset);
                 return false;
             }
         };
