--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -147,7 +147,7 @@
     /// What the list says of a backend server cannot be read, so it names none: whatever wrote
     /// there, what was known before need no longer hold, and requests would go on to an address
     /// that nobody vouches for. Returns whether it was known.
-    pub fn disown_backend(&self, id: &id::VmId, why: &dyn std::fmt::Display) -> bool {
+    pub fn disown_backend(&self, id: &id::VmId, why: &impl std::fmt::Display) -> bool {
         if let Some(left_out) = self.lines.admit("entry", self.now()) {
             slog::warn!(self.log, "backend server's entry cannot be read"; "backend" => %id, "error" => %why, "left_out" => left_out);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod beliefs;
 mod carried;
+mod facts;
 pub mod front;
 pub mod mirror;
 pub mod place;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -3,45 +3,24 @@
 use std::rc;
 use std::time;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use super::{Gateway, attempt, place, record};
-use crate::decisions::{affinity, comeback, policy};
+use super::{Gateway, attempt, facts, place, record};
+use crate::decisions::{comeback, policy};
 use crate::id;
-use crate::protocol::{http1, names, routes};
+use crate::protocol::http1;
 use crate::transport::{callers, upstream};
 
-/// The longest time that a caller who names none is taken to wait.
-const NO_TIMEOUT: time::Duration = time::Duration::from_secs(30);
-
 /// How much longer than the caller's time a backend server's own answer is awaited: it stops by
 /// itself at the time that it was given, and its word is better than ours.
 const AFTER: time::Duration = time::Duration::from_millis(120);
 
-/// When a caller may come back whom this VM no longer takes: at once, to another.
-const ELSEWHERE: time::Duration = time::Duration::from_millis(20);
-
-/// When a caller may come back to a VM that knows no routes yet: it asks for them every quarter
-/// of a second.
-const UNREADY: time::Duration = time::Duration::from_millis(300);
-
 /// When a caller may come back whose request crashes backend servers: it will not be served for a
 /// minute at least.
 const BANNED: time::Duration = time::Duration::from_secs(60);
 
-/// What a request's head and the routes in force say.
-struct Facts {
-    table: rc::Rc<routes::Table>,
-    route: rc::Rc<routes::Route>,
-    key: Option<u64>,
-    id: Bytes,
-    received: policy::Moment,
-    /// When the caller, or the route, gives up.
-    deadline: policy::Moment,
-}
-
 /// Counts the requests in hand, however they end, and tells of those whose callers left.
 struct InHand {
     cx: Gateway,
@@ -81,7 +60,7 @@
                 return answer;
             }
         };
-        let fingerprint = fingerprint(&req);
+        let fingerprint = facts::fingerprint(&req);
         if self.crashes.borrow().is_banned(fingerprint) {
             in_hand.ended = true;
             return self.not_here(&facts.id, BANNED, "it crashes backend servers");
@@ -136,103 +115,6 @@
         });
         answer
     }
-
-    fn facts(&self, req: &callers::Request) -> Result<Facts, callers::Answer> {
-        let fields = &req.head.fields;
-        let received = self.moment(req.received);
-        let id = fields.get(self.cfg.names.id).map(Bytes::copy_from_slice);
-        let refuse = |status| Err(self.own_answer(status, id.as_deref()));
-        let (Some(host), Some(id)) = (fields.text("host"), id.clone()) else {
-            return refuse(400);
-        };
-        if !req.head.target().starts_with('/') {
-            return refuse(400);
-        }
-        if self.is_closed() {
-            return Err(self.not_here(&id, ELSEWHERE, "planned stop"));
-        }
-        let Some(table) = self.table() else {
-            return Err(self.not_here(&id, UNREADY, "no routes yet"));
-        };
-        let Some(route) = table.select(host, req.head.path()) else {
-            slog::trace!(self.log, "no route"; "request" => %String::from_utf8_lossy(&id), "host" => host, "path" => req.head.path(), "version" => table.version);
-            return refuse(404);
-        };
-        let stated = fields.text(self.cfg.names.timeout_ms);
-        let patience = match stated.map(str::parse::<f64>) {
-            Some(Ok(ms)) if ms >= 0.0 && ms.is_finite() => {
-                time::Duration::from_secs_f64((ms / 1000.0).min(3600.0))
-            }
-            Some(_) => return refuse(400),
-            None => NO_TIMEOUT,
-        };
-        let object = fields
-            .text("cookie")
-            .and_then(|field| names::cookie(field, self.cfg.names.object_cookie));
-        let key = object.filter(|_| route.sticky).map(|object| {
-            affinity::mix(
-                affinity::hash(object.as_bytes()),
-                affinity::hash(route.name.as_bytes()),
-            )
-        });
-        Ok(Facts {
-            key,
-            id,
-            received,
-            deadline: received + patience.min(route.timeout),
-            route: route.clone(),
-            table,
-        })
-    }
-
-    fn service_for(&self, facts: &Facts) -> id::ServiceId {
-        let parts = &facts.route.parts;
-        if let [only] = parts.as_slice() {
-            return only.service.clone();
-        }
-        let weights: Vec<f64> = parts.iter().map(|part| part.weight).collect();
-        let mut splits = self.splits.borrow_mut();
-        let split = splits.entry(facts.route.name.clone()).or_default();
-        let point = facts.key.unwrap_or_else(rand::random);
-        parts[split.pick(&weights, point)].service.clone()
-    }
-
-    /// This VM cannot take the request just now; another may.
-    fn not_here(&self, id: &[u8], after: time::Duration, why: &str) -> callers::Answer {
-        if let Some(left_out) = self.lines.admit("not here", self.now()) {
-            slog::info!(self.log, "refused"; "request" => %String::from_utf8_lossy(id), "why" => why, "left_out" => left_out);
-        }
-        let mut answer = self.own_answer(503, Some(id));
-        answer.close = true;
-        put_retry_after(&mut answer.fields, after);
-        answer
-    }
-
-    /// An answer of our own.
-    fn own_answer(&self, status: u16, id: Option<&[u8]>) -> callers::Answer {
-        let mut answer = callers::Answer::bare(status);
-        if let Some(id) = id {
-            http1::put_field(&mut answer.fields, self.cfg.names.id.as_bytes(), id);
-        }
-        answer
-    }
-}
-
-/// What is the same in requests that are sent again: target, object and body.
-fn fingerprint(req: &callers::Request) -> u64 {
-    let head = affinity::hash(req.head.target().as_bytes());
-    let host = affinity::hash(req.head.fields.get("host").unwrap_or_default());
-    let object = affinity::hash(req.head.fields.get("cookie").unwrap_or_default());
-    let body = match &req.payload {
-        upstream::Payload::Whole(body) => affinity::hash(body),
-        upstream::Payload::Pieces { length, .. } => length.unwrap_or_default(),
-    };
-    [host, object, body].into_iter().fold(head, affinity::mix)
-}
-
-fn put_retry_after(fields: &mut BytesMut, after: time::Duration) {
-    let text = format!("{:.3}", after.as_secs_f64());
-    http1::put_field(fields, b"Retry-After", text.as_bytes());
 }
 
 /// What happens next to a request whose sends are out.
@@ -245,7 +127,7 @@
 /// A request on its way.
 struct Run<'a> {
     cx: &'a Gateway,
-    facts: &'a Facts,
+    facts: &'a facts::Facts,
     job: rc::Rc<attempt::Job>,
     away: bool,
     payload: Option<upstream::Payload>,
@@ -460,7 +342,7 @@
         let backlog = time::Duration::from_secs_f64(work);
         let after = comeback::after(backlog, self.left(), self.cx.jitter());
         let mut answer = self.cx.own_answer(503, Some(&self.facts.id));
-        put_retry_after(&mut answer.fields, after);
+        facts::put_retry_after(&mut answer.fields, after);
         answer
     }
 
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -105,7 +105,7 @@
 
     fn apply(&self, record: &mirror::Record) -> bool {
         self.checked(record).unwrap_or_else(|err| {
-            slog::warn!(self.cx.log, "value not taken, what was known stays"; "key" => &record.key, "error" => %err);
+            slog::warn!(self.cx.log, "configuration or registration not taken, the one before stays"; "key" => &record.key, "error" => %err);
             false
         })
     }
