--- a/src/decisions/affinity.rs
+++ b/src/decisions/affinity.rs
@@ -96,6 +96,8 @@
         range::check("affinity.second", self.second, 0.0..=10.0)?;
         range::check("affinity.most", self.most, 0.1..=10.0)?;
         range::check("affinity.spill", self.spill, 0.0..=10.0)?;
+        range::check("affinity.known", self.known, 0.0..=10.0)?;
+        range::check("affinity.further", self.further, 0.0..=10.0)?;
         range::check("affinity.behind", self.behind, 0.1..=1.0)
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod pool;
 mod record;
 pub mod request;
+mod telling;
 pub mod thresholds;
 
 use std::cell;
