Let a call to the store that hung count as its pause

Its leaving came while the store was silent; calls hung for 1.6 s, and then each VM paused for another 0.25 to 1 s before the next. From the logs: calls that began at 33.2 s were given up at 34.8 s, the next began at 35.3 s, and the leaving was known 0.3 s too late on four of six VMs.

Change: the pause counts from when the failed call began.

Ruled out: that the list named it again, or that it was sent to though known to leave: no line of either.

Test first: a call that hung is followed at once, one that was refused is not.

--- a/src/coordination/turns.rs
+++ b/src/coordination/turns.rs
@@ -75,14 +75,16 @@
         self.next = Some(now);
     }
 
-    /// A call to the store failed.
-    pub fn failed(&mut self, now: policy::Moment, place: usize) {
+    /// A call to the store failed that began at this moment. What it took counts as part of the
+    /// pause: with a pause of its own after each call that hung, VMs heard of the store's return up
+    /// to half a second later and sent to backend servers that had left.
+    pub fn failed(&mut self, begun: policy::Moment, place: usize) {
         let [first, longest] = match place < FIRST {
             true => FRONT,
             false => BACK,
         };
         let pause = first * 2_u32.pow(self.failed.min(8));
         self.failed += 1;
-        self.next = Some(now + pause.min(longest));
+        self.next = Some(begun + pause.min(longest));
     }
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -290,6 +290,7 @@
         let mut pause = time::Duration::ZERO;
         slog::debug!(self.cx.log, "reading the store"; "revision" => self.records.borrow().revision());
         loop {
+            let begun = self.cx.now();
             // What was paused is not waited again, so that answers come at a steady pace.
             match self.read_once(source, WAIT.saturating_sub(pause)).await {
                 Ok(next) => pause = next,
@@ -298,7 +299,7 @@
                     if self.cx.lost_store() {
                         slog::warn!(self.cx.log, "store does not serve"; "error" => %err);
                     }
-                    turns.failed(self.cx.now(), self.place());
+                    turns.failed(begun, self.place());
                     return;
                 }
             }
--- a/tests/turns.rs
+++ b/tests/turns.rs
@@ -91,3 +91,22 @@
         assert!(turns.wait(ms(7000), place).is_zero(), "{place}");
     }
 }
+
+/// The store is silent for some seconds, and calls hang until they are given up. One that then pauses
+/// as after a refusal hears of the store's return late: a backend server that has left meanwhile
+/// still gets requests.
+#[test]
+fn after_a_call_that_hung_the_next_follows_at_once() {
+    for place in [0, 1, 10, 100] {
+        let mut turns = turns::Turns::default();
+        turns.wait(ms(1000), place);
+        for n in 0..3 {
+            let begun = ms(5000 + n * 2100);
+            turns.failed(begun, place);
+            assert!(turns.wait(begun + ms(2000), place).is_zero(), "{place}");
+        }
+        let refused = ms(20_000);
+        turns.failed(refused, place);
+        assert!(turns.wait(refused + ms(100), place) >= ms(100), "{place}");
+    }
+}
