Log and count rate limits that backend servers state in answers

Each change of what a backend server's answers state leaves a line, a malformed field too; `explain` shows these lines. Gauge of limited backend servers, counter of sends to them, counter of invalid fields. No decision changes.

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -26,7 +26,7 @@
 
 /// Messages of log lines that record an entry VM's state. If a field is given, the line matters
 /// only if that field names one of the request's backend servers.
-const STATE_MESSAGES: [(&str, Option<&str>); 12] = [
+const STATE_MESSAGES: [(&str, Option<&str>); 14] = [
     ("start", None),
     ("routes", None),
     ("routes not taken", None),
@@ -39,6 +39,11 @@
     ("backend server leaves", Some("backend")),
     ("backend server gone", Some("backend")),
     ("backend server ejected", Some("backend")),
+    ("backend server states a rate limit", Some("backend")),
+    (
+        "backend server no longer states a rate limit",
+        Some("backend"),
+    ),
 ];
 
 impl Line {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -276,6 +276,7 @@
     ) -> Outcome {
         let head = received.head;
         let names = &self.cfg.names;
+        self.note_stated(&reservation.run, &head);
         let refusal = match self.note_load(&reservation.run.id, &head) {
             true => NotRun::Declined,
             false => NotRun::Shed,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod quotas;
 mod record;
 pub mod request;
+mod stated;
 pub mod thresholds;
 
 use std::cell;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -3,11 +3,13 @@
 
 use std::rc;
 
+use metrics::counter;
 use tokio::sync;
 
 use super::Gateway;
 use crate::decisions::{affinity, cold, ejection, policy};
 use crate::id;
+use crate::metrics as metric_names;
 use crate::protocol::routes;
 use crate::state::backends;
 
@@ -136,6 +138,10 @@
             .is_some_and(|key| backend.warming.request_started(now, key));
         let ahead = backend.load(now);
         backend.in_flight += 1;
+        if backend.rate_limit.is_some() {
+            let service = self.labels.label(need.service.as_str());
+            counter!(metric_names::RATE_LIMITED_SENDS, "service" => service).increment(1);
+        }
         if backend.health.probe_due(now) {
             backend
                 .health
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -150,6 +150,12 @@
                 let service = self.labels.label(name.as_str());
                 let in_flight: u32 = backends.of_service(name).map(|b| b.in_flight).sum();
                 let slots: u32 = backends.of_service(name).map(|b| b.listed.slots).sum();
+                let limited = backends
+                    .of_service(name)
+                    .filter(|b| b.rate_limit.is_some())
+                    .count();
+                gauge!(metric_names::RATE_LIMITED, "service" => service.clone())
+                    .set(limited as f64);
                 gauge!(metric_names::IN_FLIGHT, "service" => service.clone())
                     .set(f64::from(in_flight));
                 gauge!(metric_names::SLOTS, "service" => service).set(f64::from(slots));
@@ -184,6 +190,7 @@
             "sends" => sends, "load" => known.map(|b| b.load(now)),
             "load_age_ms" => known.and_then(|b| b.report_age(now)).map(ms),
             "in_flight" => known.map(|b| b.in_flight),
-            "cold" => known.map(|b| b.is_cold(now)), "left_out" => left_out);
+            "cold" => known.map(|b| b.is_cold(now)), "rate_limit" => known.and_then(|b| b.rate_limit),
+            "left_out" => left_out);
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,12 @@
 pub const QUEUED: &str = "bulrushwind_queued";
 /// Slots of the backend servers that accept requests from this VM.
 pub const SLOTS: &str = "bulrushwind_slots";
+/// Backend servers that state a rate limit in their answers.
+pub const RATE_LIMITED: &str = "bulrushwind_rate_limited_backends";
+/// Requests sent to backend servers that state a rate limit.
+pub const RATE_LIMITED_SENDS: &str = "bulrushwind_rate_limited_sends_total";
+/// Fields of answers that could not be read.
+pub const INVALID_STATED: &str = "bulrushwind_invalid_answer_fields_total";
 /// Ejections of backend servers.
 pub const EJECTIONS: &str = "bulrushwind_ejections_total";
 /// Quarantined request fingerprints.
@@ -185,6 +191,24 @@
         &["service"],
         "Slots of the backend servers that take work in this availability zone.",
     ),
+    metric(
+        RATE_LIMITED,
+        Kind::Gauge,
+        &["service"],
+        "Backend servers whose answers to this VM name a limit on requests per second.",
+    ),
+    metric(
+        RATE_LIMITED_SENDS,
+        Kind::Counter,
+        &["service"],
+        "Requests of this VM sent to backend servers whose answers to it name such a limit.",
+    ),
+    metric(
+        INVALID_STATED,
+        Kind::Counter,
+        &["field"],
+        "Fields in answers of backend servers that were malformed and therefore ignored.",
+    ),
     metric(
         EJECTIONS,
         Kind::Counter,
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -11,6 +11,7 @@
     not_run: "Bulrushwind-Not-Run",
     proof: "Bulrushwind-Server-Stamp",
     load: "Bulrushwind-Backend-Load",
+    rate_limit: "Server-Limit",
     object_cookie: "Bulrushwind-Affinity-Key",
     key: "Bulrushwind-Key",
     customer: "Bulrushwind-Tenant",
--- a/src/protocol/http1.rs
+++ b/src/protocol/http1.rs
@@ -84,13 +84,18 @@
             .map(|(name, value)| (&self.bytes[name.range()], &self.bytes[value.range()]))
     }
 
-    /// The value of the first field of this name.
-    pub fn get(&self, name: &str) -> Option<&[u8]> {
+    /// The values of all fields of this name.
+    pub fn all(&self, name: &str) -> impl Iterator<Item = &[u8]> {
         self.iter()
-            .find(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes()))
+            .filter(move |(n, _)| n.eq_ignore_ascii_case(name.as_bytes()))
             .map(|(_, value)| value)
     }
 
+    /// The value of the first field of this name.
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        self.all(name).next()
+    }
+
     /// The value of the first field of this name, trimmed, if it is UTF-8.
     pub fn text(&self, name: &str) -> Option<&str> {
         std::str::from_utf8(self.get(name)?).ok().map(str::trim)
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -14,5 +14,6 @@
 pub mod outcome;
 pub mod peer;
 pub mod routes;
+pub mod stated;
 pub mod ticket;
 pub mod usage;
--- a/src/protocol/names.rs
+++ b/src/protocol/names.rs
@@ -17,6 +17,8 @@
     pub proof: &'static str,
     /// In-flight requests, queued requests and slots, separated by commas.
     pub load: &'static str,
+    /// Requests per second that a backend server accepts from all entry VMs together.
+    pub rate_limit: &'static str,
     /// Name of the cookie that identifies the object of a request.
     pub object_cookie: &'static str,
     /// A customer's key. It is never sent to backend servers.
@@ -34,6 +36,7 @@
             not_run: "bulrushwind-shed",
             proof: headers::REQUEST,
             load: headers::LOAD,
+            rate_limit: "bulrushwind-rate-limit",
             object_cookie: "bulrushwind-object",
             key: "bulrushwind-key",
             customer: "bulrushwind-customer",
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -74,6 +74,8 @@
     pub health: ejection::Health,
     /// The limit on this VM's requests in flight to it.
     pub limit: limit::Limit,
+    /// The requests per second that it accepts from all entry VMs together, by its last answer.
+    pub rate_limit: Option<f64>,
     /// The pacing of requests to it while it is cold.
     pub pace: cold::Pace,
     /// The objects that this VM has sent to it.
@@ -233,6 +235,7 @@
             region,
             in_flight: 0,
             health: ejection::Health::default(),
+            rate_limit: None,
             pace: cold::Pace::default(),
             warming: warming::SentObjects::default(),
             report: Report::default(),
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -26,6 +26,7 @@
     not_run: "x-not-run",
     proof: "x-proof",
     load: "x-load",
+    rate_limit: "x-rate-limit",
     object_cookie: "object",
     key: "x-key",
     customer: "x-customer",
