Add failing tests of rates that backend servers state in answers

One VM: 25 requests reach a backend server that stated 1.5 a second, at once, where 5.05 are allowed.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod customers;
 mod following;
 mod harness;
+mod rate_limits;
 mod restart;
 mod stop;
 #[path = "../support/mod.rs"]
--- /dev/null
+++ b/tests/gateway/rate_limits.rs
@@ -0,0 +1,59 @@
+//! Backend servers that state in their answers how many requests per second they accept from all
+//! entry VMs together.
+
+use std::time;
+
+use super::harness::{Caller, Harness, get_object, run_test};
+
+/// Requests beyond one and a half times the stated rate that a backend server may get.
+const SLACK: f64 = 5.0;
+
+/// Sends one request for each object and expects that all are answered.
+async fn read_objects(caller: &mut Caller, objects: std::ops::Range<usize>) {
+    for object in objects {
+        let id = format!("r{object}");
+        let answer = caller
+            .request(&get_object(&format!("/read/{object}"), &id, object))
+            .await;
+        assert_eq!(answer.status, 200, "object {object}");
+    }
+}
+
+/// Guards against a stated rate that changes nothing on the VM that was told it.
+#[test]
+fn a_vm_keeps_to_the_rate_that_a_backend_server_states() {
+    run_test(async || {
+        let harness = Harness::new(4, &[]).await;
+        harness.state("i-0", "x-rate-limit: 1.5\r\n");
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 0..20).await;
+        let (before, told) = (harness.runs_at("i-0"), time::Instant::now());
+        assert!(before > 0, "no answer has stated the rate");
+        read_objects(&mut caller, 20..120).await;
+        let allowed = 1.5 * 1.5 * told.elapsed().as_secs_f64() + SLACK;
+        let got = harness.runs_at("i-0") - before;
+        assert!(got as f64 <= allowed, "got {got}, allowed {allowed}");
+    });
+}
+
+/// Guards against a stated rate that each of several VMs takes for its own.
+#[test]
+fn several_vms_together_keep_to_the_rate_that_a_backend_server_states() {
+    run_test(async || {
+        let harness = Harness::new(4, &[]).await;
+        let mut callers = harness.callers_of_vms(5).await;
+        harness.state("i-0", "x-rate-limit: 1.5\r\n");
+        for caller in &mut callers {
+            let before = harness.runs_at("i-0");
+            read_objects(caller, 0..20).await;
+            assert!(harness.runs_at("i-0") > before, "a VM was not told");
+        }
+        let (before, told) = (harness.runs_at("i-0"), time::Instant::now());
+        for caller in &mut callers {
+            read_objects(caller, 20..60).await;
+        }
+        let allowed = 1.5 * 1.5 * told.elapsed().as_secs_f64() + SLACK;
+        let got = harness.runs_at("i-0") - before;
+        assert!(got as f64 <= allowed, "got {got}, allowed {allowed}");
+    });
+}
