Keep to the rates that backend servers state, over all VMs together

Callers of the claims platform's status reads got later answers: a backend server in need, which stated in its answers that it takes 1.9 requests a second from all entry VMs together, went on getting 10 a second.

Cause: the field was passed on to callers and read by nothing. There was one mechanism that bounds a backend server's rate over all VMs, for cold ones, and it took its rate from the routes alone. The class: a statement in an answer that bounds what all VMs may send together, and that each VM sees alone.

Change: the rate limit of cold backend servers (decisions::cold, now decisions::backend_rate) takes both rates. A cold backend server gets requests of its owner only, as before. Of a stated rate the owners among the region's VMs use three quarters, one owner for each request a second; all other VMs share the rest, so that each learns from an answer when the limit ends. The sum needs no message, with or without the store and peers. VMs told together begin at random points of their intervals. A value that is no decimal number, or given twice and different, leaves a log line; an earlier rate then holds for 10 s at most. What was stated outlasts the removal of the entry by 60 s, since entries expire in outages of the store while the backend server runs. In virtual time 1 to 200 VMs keep every 4 s below one and a half times the rate and 5, and use 0.7 of it.

Ruled out: an equal part for each VM (callers use two VMs of a region, so most of a small rate would go unused); messages between VMs (not needed for the bound, and a VM that is cut off must keep it too).

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -7,8 +7,8 @@
 
 pub mod admission;
 pub mod affinity;
+pub mod backend_rate;
 pub mod caps;
-pub mod cold;
 pub mod crashes;
 pub mod cross_az;
 pub mod declines;
--- a/src/gateway/advertising.rs
+++ b/src/gateway/advertising.rs
@@ -25,6 +25,8 @@
     inputs: CacheInputs,
     fronts: collections::HashMap<Option<id::RegionId>, rc::Rc<[net::SocketAddr]>>,
     hashes: collections::HashMap<Option<id::RegionId>, rc::Rc<[u64]>>,
+    /// The number of entry VMs advertised to the callers of any region.
+    total: Option<usize>,
 }
 
 /// The inputs from which the cached lists were computed.
@@ -104,6 +106,25 @@
         hashes
     }
 
+    /// The number of entry VMs advertised to the callers of any region.
+    pub(super) fn advertised_total(&self) -> usize {
+        let known = {
+            let mut cache = self.advertised.borrow_mut();
+            cache.refresh(self.cache_inputs());
+            cache.total
+        };
+        known.unwrap_or_else(|| {
+            let vms: collections::HashSet<u64> = self
+                .cfg
+                .regions
+                .values()
+                .flat_map(|region| self.advertised_hashes(Some(region)).to_vec())
+                .collect();
+            self.advertised.borrow_mut().total = Some(vms.len());
+            vms.len()
+        })
+    }
+
     /// Hashes of the advertised entry VMs and of the `more` next ones in the order of selection.
     pub(super) fn selection_hashes(&self, region: Option<&id::RegionId>, more: usize) -> Vec<u64> {
         let near = |az: &id::AzId| self.cfg.regions.get(az) == region;
--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -186,7 +186,7 @@
     }
 
     fn drop_backend(&self, id: &id::VmId, why: &'static str) -> bool {
-        let known = self.backends.borrow_mut().remove(id).is_some();
+        let known = self.backends.borrow_mut().remove_unlisted(id, self.now());
         if known {
             self.pool.borrow_mut().drop_all(id);
             if let Some(left_out) = self.log_limiter.admit("gone", self.now()) {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -7,7 +7,7 @@
 use tokio::sync;
 
 use super::Gateway;
-use crate::decisions::{affinity, cold, ejection, policy};
+use crate::decisions::{affinity, backend_rate, ejection, policy};
 use crate::id;
 use crate::metrics as metric_names;
 use crate::protocol::routes;
@@ -138,7 +138,7 @@
             .is_some_and(|key| backend.warming.request_started(now, key));
         let ahead = backend.load(now);
         backend.in_flight += 1;
-        if backend.rate_limit.is_some() {
+        if backend.rate_limit.get().is_some() {
             let service = self.labels.label(need.service.as_str());
             counter!(metric_names::RATE_LIMITED_SENDS, "service" => service).increment(1);
         }
@@ -147,9 +147,7 @@
                 .health
                 .probed(&self.cfg.thresholds.ejection, now, true);
         }
-        if backend.is_cold(now) {
-            backend.pace.sent(now, self.cold_rate(need.service));
-        }
+        backend.pace.sent(now);
         Ok(Reservation {
             cx: self.clone(),
             run: Run {
@@ -297,24 +295,40 @@
         !out || (b.health.probe_due(now) && need.idempotent)
     }
 
-    /// Whether a backend server can be chosen now. One that is cold or on trial can only if it
-    /// takes the request at once; meanwhile other backend servers serve its objects.
+    /// Whether a backend server can be chosen now. One whose rate is limited or that is on trial
+    /// can only if it takes the request at once; meanwhile other backend servers serve its objects.
     fn is_eligible(&self, b: &backends::Backend, need: &Need<'_>, now: policy::Moment) -> bool {
         let on_trial = b.health.state() != ejection::State::Active;
         if on_trial && (b.in_flight > 0 || !need.idempotent) {
             return false;
         }
-        !b.is_cold(now) || (b.pace.ready(now) && self.sends_to_cold(b))
+        b.pace.ready(now, self.send_frequency(b, now))
     }
 
-    /// Whether this VM is the one that sends to a cold backend server. Only VMs advertised to
-    /// callers of that region have requests for it.
-    fn sends_to_cold(&self, b: &backends::Backend) -> bool {
-        cold::owns(
-            b.hash,
-            self.own_hash,
-            &self.advertised_hashes(b.region.as_ref()),
-        )
+    /// How often this VM may send to a backend server.
+    pub(super) fn send_frequency(
+        &self,
+        b: &backends::Backend,
+        now: policy::Moment,
+    ) -> backend_rate::Frequency {
+        let cold = b
+            .is_cold(now)
+            .then(|| backend_rate::Limit::Cold(self.cold_rate(&b.listed.service)));
+        let stated = b.rate_limit.get().map(backend_rate::Limit::Stated);
+        if cold.is_none() && stated.is_none() {
+            return backend_rate::Frequency::Unlimited;
+        }
+        let local = self.advertised_hashes(b.region.as_ref());
+        let senders = backend_rate::Senders {
+            this_vm: self.own_hash,
+            local: &local,
+            total: self.advertised_total(),
+        };
+        let limits = cold.into_iter().chain(stated);
+        limits
+            .map(|limit| limit.frequency(b.hash, &senders))
+            .max()
+            .unwrap_or(backend_rate::Frequency::Unlimited)
     }
 
     fn cold_rate(&self, service: &id::ServiceId) -> f64 {
--- a/src/gateway/stated.rs
+++ b/src/gateway/stated.rs
@@ -17,17 +17,42 @@
         if rate_limit == stated::Stated::Invalid {
             self.log_invalid_field(run, field, head);
         }
-        let mut backends = self.backends.borrow_mut();
-        let Some(backend) = backends.get_mut(&run.id).filter(|b| run.is_of(b)) else {
+        let Some((before, after)) = self.update_rate_limit(run, rate_limit) else {
             return;
         };
-        let stated = match rate_limit {
-            stated::Stated::Value(rate) => Some(rate),
-            stated::Stated::Absent | stated::Stated::Invalid => None,
-        };
-        let before = std::mem::replace(&mut backend.rate_limit, stated);
-        if before != stated {
-            self.log_rate_limit(run, before, stated);
+        if before.is_none() && after.is_some() {
+            self.begin_pacing(run);
+        }
+        if before != after {
+            self.log_rate_limit(run, before, after);
+        }
+    }
+
+    /// Records the rate that an answer states. Returns the rate in force before and after.
+    fn update_rate_limit(
+        &self,
+        run: &placement::Run,
+        stated: stated::Stated<f64>,
+    ) -> Option<(Option<f64>, Option<f64>)> {
+        let now = self.now();
+        let mut backends = self.backends.borrow_mut();
+        let backend = backends.get_mut(&run.id).filter(|b| run.is_of(b))?;
+        let before = backend.rate_limit.get();
+        match stated {
+            stated::Stated::Value(rate) => backend.rate_limit.stated(now, Some(rate)),
+            stated::Stated::Absent => backend.rate_limit.stated(now, None),
+            stated::Stated::Invalid => backend.rate_limit.invalid(now),
+        }
+        Some((before, backend.rate_limit.get()))
+    }
+
+    /// Starts the pacing of sends to a backend server whose rate limit was just learned. One that
+    /// is cold is paced already.
+    fn begin_pacing(&self, run: &placement::Run) {
+        let now = self.now();
+        let mut backends = self.backends.borrow_mut();
+        if let Some(backend) = backends.get_mut(&run.id).filter(|b| !b.is_cold(now)) {
+            backend.pace.begin(now, self.jitter());
         }
     }
 
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -6,10 +6,11 @@
 use std::collections;
 use std::net;
 use std::rc;
+use std::time;
 
 use tokio::sync;
 
-use crate::decisions::{affinity, cold, ejection, limit, orders, policy, warming};
+use crate::decisions::{affinity, backend_rate, ejection, limit, orders, policy, warming};
 use crate::id;
 
 /// The properties of a backend server in the platform's list.
@@ -74,10 +75,10 @@
     pub health: ejection::Health,
     /// The limit on this VM's requests in flight to it.
     pub limit: limit::Limit,
-    /// The requests per second that it accepts from all entry VMs together, by its last answer.
-    pub rate_limit: Option<f64>,
-    /// The pacing of requests to it while it is cold.
-    pub pace: cold::Pace,
+    /// The rate that it accepts from all entry VMs together, as its answers state it.
+    pub rate_limit: backend_rate::StatedLimit,
+    /// The pacing of requests to it.
+    pub pace: backend_rate::Pace,
     /// The objects that this VM has sent to it.
     pub warming: warming::SentObjects,
     report: Report,
@@ -116,7 +117,7 @@
     }
 
     /// The age of the last load report; `None` before the first report.
-    pub fn report_age(&self, now: policy::Moment) -> Option<std::time::Duration> {
+    pub fn report_age(&self, now: policy::Moment) -> Option<time::Duration> {
         (self.report.at > policy::Moment::ZERO).then(|| now.saturating_sub(self.report.at))
     }
 
@@ -195,12 +196,26 @@
     }
 }
 
+/// How long data on a backend server is kept after its entry is removed.
+const REMOVED_DATA_TTL: time::Duration = time::Duration::from_secs(60);
+
+/// What is kept of a backend server whose entry was removed. Its entry may return while it still
+/// runs, and it expects that what it stated holds.
+#[derive(Clone, Copy, Debug, Default)]
+struct RemovedData {
+    removed_at: policy::Moment,
+    incarnation: Option<id::Incarnation>,
+    rate_limit: backend_rate::StatedLimit,
+    pace: backend_rate::Pace,
+}
+
 /// All backend servers by VM id and by service.
 #[derive(Debug, Default)]
 pub struct Backends {
     local_region: Option<id::RegionId>,
     by_id: collections::HashMap<id::VmId, Backend>,
     by_service: collections::HashMap<id::ServiceId, Group>,
+    removed: collections::HashMap<id::VmId, RemovedData>,
 }
 
 impl Backends {
@@ -220,6 +235,9 @@
             return false;
         }
         self.remove(name);
+        let kept = self.removed.remove(name);
+        let kept = kept.filter(|kept| kept.incarnation == listed.incarnation);
+        let kept = kept.unwrap_or_default();
         let hash = affinity::hash(name.as_str().as_bytes());
         let is_local = self.local_region == region;
         let group = self.by_service.entry(listed.service.clone()).or_default();
@@ -235,8 +253,8 @@
             region,
             in_flight: 0,
             health: ejection::Health::default(),
-            rate_limit: None,
-            pace: cold::Pace::default(),
+            rate_limit: kept.rate_limit,
+            pace: kept.pace,
             warming: warming::SentObjects::default(),
             report: Report::default(),
             ended: rc::Rc::default(),
@@ -276,6 +294,26 @@
         Some(removed)
     }
 
+    /// Removes a backend server whose entry is gone or invalid, and keeps what it stated in case
+    /// the entry returns. Returns whether it was known.
+    pub fn remove_unlisted(&mut self, name: &id::VmId, now: policy::Moment) -> bool {
+        self.removed
+            .retain(|_, kept| now.saturating_sub(kept.removed_at) < REMOVED_DATA_TTL);
+        let Some(backend) = self.remove(name) else {
+            return false;
+        };
+        if backend.rate_limit.get().is_some() {
+            let kept = RemovedData {
+                removed_at: now,
+                incarnation: backend.listed.incarnation,
+                rate_limit: backend.rate_limit,
+                pace: backend.pace,
+            };
+            self.removed.insert(name.clone(), kept);
+        }
+        true
+    }
+
     /// The head of an object's preference order within `scope`, see
     /// [`orders::PreferenceOrders::first`].
     pub fn preferred(
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -57,3 +57,71 @@
         assert!(got as f64 <= allowed, "got {got}, allowed {allowed}");
     });
 }
+
+/// Guards against a limit that outlasts the last answer that states it.
+#[test]
+fn a_rate_that_is_no_longer_stated_no_longer_limits() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        harness.state("i-0", "x-rate-limit: 1000\r\n");
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 0..1).await;
+        harness.state("i-0", "");
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+        read_objects(&mut caller, 1..30).await;
+    });
+}
+
+/// Guards against a malformed or contradictory value that starves a backend server.
+#[test]
+fn invalid_rates_do_not_limit() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        let mut caller = harness.caller().await;
+        for (n, value) in ["-3", "soon", "1\r\nx-rate-limit: 2", "1e-9", ""]
+            .iter()
+            .enumerate()
+        {
+            harness.state("i-0", &format!("x-rate-limit: {value}\r\n"));
+            read_objects(&mut caller, n * 20..n * 20 + 20).await;
+        }
+    });
+}
+
+/// Guards against a limit that is forgotten when the entry of a running backend server expires
+/// during an outage of the store and returns.
+#[test]
+fn a_stated_rate_outlasts_a_removed_entry() {
+    run_test(async || {
+        let harness = Harness::new(0, &[]).await;
+        let listed = harness.start_backend("i-0", None).await;
+        harness.state("i-0", "x-rate-limit: 0.5\r\n");
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 0..1).await;
+        harness.cx.remove_backend(&"i-0".into());
+        harness.cx.update_backend(&"i-0".into(), listed);
+        let told = time::Instant::now();
+        for n in 0..20 {
+            caller
+                .request(&get_object("/read/x", &format!("again{n}"), n))
+                .await;
+        }
+        let allowed = 1.5 * 0.5 * told.elapsed().as_secs_f64() + SLACK;
+        assert!(harness.runs_at("i-0") as f64 <= allowed);
+    });
+}
+
+/// Guards against a request for a backend server at its limit that waits instead of being refused.
+#[test]
+fn requests_beyond_the_rate_of_all_backend_servers_are_refused_at_once() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        harness.state("i-0", "x-rate-limit: 0\r\n");
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 0..1).await;
+        let answer = caller.request(&get_object("/read/x", "refused", 1)).await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.head.fields.get("retry-after").is_some());
+        assert_eq!(harness.runs("refused"), 0);
+    });
+}
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -5,8 +5,8 @@
 
 use bulrushwind::coordination::{mirror, removal_guard};
 use bulrushwind::decisions::{
-    affinity, cold, crashes, entry_selection, precedence, regions, resend, retry_delay, split,
-    warming,
+    affinity, backend_rate, crashes, entry_selection, precedence, regions, resend, retry_delay,
+    split, warming,
 };
 use bulrushwind::{id, protocol};
 use rand::{RngExt, SeedableRng};
@@ -348,13 +348,19 @@
     let rate = 2.9;
     for backend in 0..20_u64 {
         let backend = affinity::hash(&backend.to_le_bytes());
-        let mut paces = vec![cold::Pace::default(); vms.len()];
+        let mut paces = vec![backend_rate::Pace::default(); vms.len()];
         let mut sent = 0;
         for ms in 0..10_000 {
             let now = time::Duration::from_millis(ms);
             for (vm, pace) in vms.iter().zip(&mut paces) {
-                if cold::owns(backend, *vm, &vms) && pace.ready(now) {
-                    pace.sent(now, rate);
+                let senders = backend_rate::Senders {
+                    this_vm: *vm,
+                    local: &vms,
+                    total: vms.len(),
+                };
+                let frequency = backend_rate::Limit::Cold(rate).frequency(backend, &senders);
+                if pace.ready(now, frequency) {
+                    pace.sent(now);
                     sent += 1;
                 }
             }
