Count only the slots that rate limits leave usable when regions share load

The share now counts as many slots as the stated rate keeps busy at the service's mean latency.

The test fails without the change: 5 of 40 requests answered.

--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -425,9 +425,10 @@
                     ejection::State::Ejected { down: true, .. }
                 )
         };
+        let latency_s = self.with_service(service, |state| state.mean_latency_s);
         let (mut own, mut all, mut load) = (0.0, 0.0, 0.0);
         for backend in backends.of_service(service).filter(usable) {
-            let slots = f64::from(backend.listed.slots);
+            let slots = backend.usable_slots(latency_s);
             all += slots;
             if backend.region == self.region {
                 own += slots;
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -121,6 +121,14 @@
         (self.report.at > policy::Moment::ZERO).then(|| now.saturating_sub(self.report.at))
     }
 
+    /// The slots that requests can use, if each takes `latency_s` seconds (0 if unknown): with a
+    /// rate limit these may be fewer than it has.
+    pub fn usable_slots(&self, latency_s: f64) -> f64 {
+        let slots = f64::from(self.listed.slots);
+        let limit = self.rate_limit.get().filter(|_| latency_s > 0.0);
+        limit.map_or(slots, |rate| slots.min(rate * latency_s))
+    }
+
     /// Whether the backend server is in its cold phase.
     pub fn is_cold(&self, now: policy::Moment) -> bool {
         now < self.listed.cold_until
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -209,12 +209,21 @@
 
     /// Starts or restarts a backend server and lists it.
     pub(crate) async fn start_backend(&self, name: &str, start: Option<u64>) -> backends::Listed {
+        self.start_backend_in("az", name, start).await
+    }
+
+    /// Starts a backend server in another region.
+    pub(crate) async fn add_far_backend(&self, name: &str) {
+        self.start_backend_in("az-far", name, None).await;
+    }
+
+    async fn start_backend_in(&self, az: &str, name: &str, start: Option<u64>) -> backends::Listed {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let listed = backends::Listed {
             service: "svc".into(),
             addr,
-            az: "az".into(),
+            az: az.into(),
             slots: 3,
             leaving: false,
             cold_until: time::Duration::ZERO,
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -125,3 +125,24 @@
         assert_eq!(harness.runs("refused"), 0);
     });
 }
+
+/// Guards against a region that refuses its callers because it counts slots that rate limits leave
+/// idle, while other regions have room.
+#[test]
+fn requests_beyond_the_rates_of_a_region_run_in_another_region() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        harness.state("i-0", "x-rate-limit: 0.5\r\n");
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 0..1).await;
+        harness.add_far_backend("i-far").await;
+        tokio::task::spawn_local(harness.cx.clone().upkeep());
+        let mut answered = 0;
+        for object in 1..41 {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+            let read = get_object("/read/x", &format!("f{object}"), object);
+            answered += usize::from(caller.request(&read).await.status == 200);
+        }
+        assert!(answered >= 30, "{answered} of 40 answered");
+    });
+}
