--- a/src/gateway/stated.rs
+++ b/src/gateway/stated.rs
@@ -12,11 +12,12 @@
         if !self.is_from_backend(head) {
             return;
         }
-        let field = self.cfg.names.rate_limit;
-        let rate_limit = stated::parse(&head.fields, field, stated::decimal);
-        if rate_limit == stated::Stated::Invalid {
-            self.log_invalid_field(run, field, head);
-        }
+        self.note_rate_limit(run, head);
+        self.note_leaving(run, head);
+    }
+
+    fn note_rate_limit(&self, run: &placement::Run, head: &http1::ResponseHead) {
+        let rate_limit = self.parse(run, head, self.cfg.names.rate_limit, stated::decimal);
         let Some((before, after)) = self.update_rate_limit(run, rate_limit) else {
             return;
         };
@@ -28,6 +29,38 @@
         }
     }
 
+    fn note_leaving(&self, run: &placement::Run, head: &http1::ResponseHead) {
+        let leaving = self.parse(run, head, self.cfg.names.leaving, stated::flag);
+        if leaving != stated::Stated::Value(()) {
+            return;
+        }
+        let mut backends = self.backends.borrow_mut();
+        let Some(backend) = backends.get_mut(&run.id).filter(|b| run.is_of(b)) else {
+            return;
+        };
+        if std::mem::replace(&mut backend.says_leaving, true) {
+            return;
+        }
+        if let Some(left_out) = self.log_limiter.admit("says leaving", self.now()) {
+            slog::info!(self.log, "backend server says that it leaves"; "backend" => %run.id, "listed_leaving" => backend.listed.leaving, "left_out" => left_out);
+        }
+    }
+
+    /// Parses a field of an answer, and logs it if it is invalid.
+    fn parse<T: PartialEq>(
+        &self,
+        run: &placement::Run,
+        head: &http1::ResponseHead,
+        field: &'static str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> stated::Stated<T> {
+        let value = stated::parse(&head.fields, field, parse);
+        if value == stated::Stated::Invalid {
+            self.log_invalid_field(run, field, head);
+        }
+        value
+    }
+
     /// Records the rate that an answer states. Returns the rate in force before and after.
     fn update_rate_limit(
         &self,
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -12,6 +12,7 @@
     proof: "Bulrushwind-Server-Stamp",
     load: "Bulrushwind-Backend-Load",
     rate_limit: "Server-Limit",
+    leaving: "Server-Leaving",
     object_cookie: "Bulrushwind-Affinity-Key",
     key: "Bulrushwind-Key",
     customer: "Bulrushwind-Tenant",
--- a/src/protocol/names.rs
+++ b/src/protocol/names.rs
@@ -19,6 +19,8 @@
     pub load: &'static str,
     /// Requests per second that a backend server accepts from all entry VMs together.
     pub rate_limit: &'static str,
+    /// `1` in all answers of a backend server that leaves.
+    pub leaving: &'static str,
     /// Name of the cookie that identifies the object of a request.
     pub object_cookie: &'static str,
     /// A customer's key. It is never sent to backend servers.
@@ -37,6 +39,7 @@
             proof: headers::REQUEST,
             load: headers::LOAD,
             rate_limit: "bulrushwind-rate-limit",
+            leaving: "bulrushwind-leaving",
             object_cookie: "bulrushwind-object",
             key: "bulrushwind-key",
             customer: "bulrushwind-customer",
--- a/src/protocol/stated.rs
+++ b/src/protocol/stated.rs
@@ -34,6 +34,11 @@
     stated
 }
 
+/// Parses a field whose only value is `1`.
+pub fn flag(text: &str) -> Option<()> {
+    (text == "1").then_some(())
+}
+
 /// Parses a decimal number without sign and exponent; `None` if it is not one or not finite.
 pub fn decimal(text: &str) -> Option<f64> {
     let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -77,6 +77,8 @@
     pub limit: limit::Limit,
     /// The rate that it accepts from all entry VMs together, as its answers state it.
     pub rate_limit: backend_rate::StatedLimit,
+    /// Whether an answer said that it leaves.
+    pub says_leaving: bool,
     /// The pacing of requests to it.
     pub pace: backend_rate::Pace,
     /// The objects that this VM has sent to it.
@@ -262,6 +264,7 @@
             in_flight: 0,
             health: ejection::Health::default(),
             rate_limit: kept.rate_limit,
+            says_leaving: false,
             pace: kept.pace,
             warming: warming::SentObjects::default(),
             report: Report::default(),
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -27,6 +27,7 @@
     proof: "x-proof",
     load: "x-load",
     rate_limit: "x-rate-limit",
+    leaving: "x-leaving",
     object_cookie: "object",
     key: "x-key",
     customer: "x-customer",
