--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -26,7 +26,7 @@
 
 /// Messages of log lines that record an entry VM's state. If a field is given, the line matters
 /// only if that field names one of the request's backend servers.
-const STATE_MESSAGES: [(&str, Option<&str>); 15] = [
+const STATE_MESSAGES: [(&str, Option<&str>); 16] = [
     ("start", None),
     ("routes", None),
     ("routes not taken", None),
@@ -38,6 +38,7 @@
     ("planned stop", None),
     ("backend server leaves", Some("backend")),
     ("backend server says that it leaves", Some("backend")),
+    ("backend server asks for a pause", Some("backend")),
     ("backend server gone", Some("backend")),
     ("backend server ejected", Some("backend")),
     ("backend server states a rate limit", Some("backend")),
--- a/src/gateway/stated.rs
+++ b/src/gateway/stated.rs
@@ -6,6 +6,9 @@
 use crate::metrics as metric_names;
 use crate::protocol::{http1, stated};
 
+/// The field of a refusal that says how long its backend server wants no requests of this VM.
+const RETRY_AFTER: &str = "Retry-After";
+
 impl Gateway {
     /// Records the fields of an answer that concern the backend server itself.
     pub(super) fn note_stated(&self, run: &placement::Run, head: &http1::ResponseHead) {
@@ -14,6 +17,9 @@
         }
         self.note_rate_limit(run, head);
         self.note_leaving(run, head);
+        if head.status == hyper::StatusCode::SERVICE_UNAVAILABLE {
+            self.note_pause(run, head);
+        }
     }
 
     fn note_rate_limit(&self, run: &placement::Run, head: &http1::ResponseHead) {
@@ -46,6 +52,15 @@
         }
     }
 
+    fn note_pause(&self, run: &placement::Run, head: &http1::ResponseHead) {
+        let seconds = self.parse(run, head, RETRY_AFTER, stated::decimal);
+        if let stated::Stated::Value(seconds) = seconds
+            && let Some(left_out) = self.log_limiter.admit("pause", self.now())
+        {
+            slog::info!(self.log, "backend server asks for a pause"; "backend" => %run.id, "seconds" => seconds, "left_out" => left_out);
+        }
+    }
+
     /// Parses a field of an answer, and logs it if it is invalid.
     fn parse<T: PartialEq>(
         &self,
