Add a failing test of a backend server whose answer says that it leaves

14 of 20 requests still run there, where only the one is allowed whose answer said so; the entry in the store still lists it as ready, as it does while the store is away.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod customers;
 mod following;
 mod harness;
+mod leaving;
 mod rate_limits;
 mod restart;
 mod stop;
