Add failing tests of backend servers that ask for a pause

A backend server that turns a request away and asks for 30 s gets 7 requests within 1.2 s, and 40 where all backend servers of the service do so; 1 each is allowed.

--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -73,6 +73,8 @@
 /// What backend servers have received.
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
+    /// Number of requests that each backend server got.
+    pub(crate) arrived_at: collections::BTreeMap<String, usize>,
     /// Ids of requests that ran, each with its backend server.
     pub(crate) ran: Vec<(String, String)>,
     /// Requests that arrived.
@@ -87,8 +89,17 @@
     pub(crate) reset: usize,
 }
 
-/// Field lines that a backend server adds to all its answers, by its name.
-pub(crate) type ExtraFields = rc::Rc<cell::RefCell<collections::BTreeMap<String, String>>>;
+/// What a backend server does in all its answers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Habits {
+    /// Field lines that it adds.
+    pub(crate) fields: String,
+    /// Whether it turns all requests away.
+    pub(crate) sheds: bool,
+}
+
+/// The habits of backend servers by name.
+pub(crate) type HabitsByName = rc::Rc<cell::RefCell<collections::BTreeMap<String, Habits>>>;
 
 pub(crate) type Script = rc::Rc<cell::RefCell<collections::VecDeque<Reaction>>>;
 
@@ -97,7 +108,7 @@
     pub(crate) caller_addr: net::SocketAddr,
     pub(crate) seen: rc::Rc<cell::RefCell<Seen>>,
     pub(crate) script: Script,
-    pub(crate) extra_fields: ExtraFields,
+    pub(crate) habits: HabitsByName,
     listed: cell::RefCell<Vec<(id::VmId, backends::Listed)>>,
     started: rc::Rc<tokio::sync::Notify>,
 }
@@ -194,7 +205,7 @@
             caller_addr,
             seen: rc::Rc::default(),
             script: rc::Rc::new(cell::RefCell::new(script.iter().cloned().collect())),
-            extra_fields: rc::Rc::default(),
+            habits: rc::Rc::default(),
             listed: cell::RefCell::default(),
             started: rc::Rc::default(),
         };
@@ -234,7 +245,7 @@
         self.listed.borrow_mut().push((name.into(), listed.clone()));
         let (seen, script, started) =
             (self.seen.clone(), self.script.clone(), self.started.clone());
-        let extra_fields = self.extra_fields.clone();
+        let habits = self.habits.clone();
         let name = name.to_owned();
         task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -242,7 +253,7 @@
                     name: name.clone(),
                     seen: seen.clone(),
                     script: script.clone(),
-                    extra_fields: extra_fields.clone(),
+                    habits: habits.clone(),
                     started: started.clone(),
                 };
                 task::spawn_local(backend.serve(stream));
@@ -284,8 +295,20 @@
 
     /// Sets the field lines that a backend server adds to all its answers.
     pub(crate) fn state(&self, backend: &str, fields: &str) {
-        let mut extra = self.extra_fields.borrow_mut();
-        extra.insert(backend.to_owned(), fields.to_owned());
+        let mut habits = self.habits.borrow_mut();
+        habits.entry(backend.to_owned()).or_default().fields = fields.to_owned();
+    }
+
+    /// Sets whether a backend server turns all requests away.
+    pub(crate) fn shed(&self, backend: &str, sheds: bool) {
+        let mut habits = self.habits.borrow_mut();
+        habits.entry(backend.to_owned()).or_default().sheds = sheds;
+    }
+
+    /// Number of requests that a backend server got, whether they ran or not.
+    pub(crate) fn arrived_at(&self, backend: &str) -> usize {
+        let seen = self.seen.borrow();
+        seen.arrived_at.get(backend).copied().unwrap_or_default()
     }
 
     /// Number of requests that a backend server ran.
@@ -318,15 +341,23 @@
     name: String,
     seen: rc::Rc<cell::RefCell<Seen>>,
     script: Script,
-    extra_fields: ExtraFields,
+    habits: HabitsByName,
     started: rc::Rc<tokio::sync::Notify>,
 }
 
 impl Backend {
+    fn habits(&self) -> Habits {
+        let habits = self.habits.borrow().get(&self.name).cloned();
+        habits.unwrap_or_default()
+    }
+
     async fn serve(self, stream: tokio::net::TcpStream) {
         let mut wire = socket::Wire::from(stream);
         while let Some(head) = self.head(&mut wire).await {
-            let act = self.script.borrow_mut().pop_front();
+            let act = match self.habits().sheds {
+                true => Some(Reaction::Shed),
+                false => self.script.borrow_mut().pop_front(),
+            };
             if !self
                 .act(&mut wire, &head, act.unwrap_or(Reaction::Answer("ok")))
                 .await
@@ -341,6 +372,7 @@
             if let Some(head) = http1::RequestHead::take(&mut wire.buf, 64 << 10).unwrap() {
                 let mut seen = self.seen.borrow_mut();
                 seen.arrived += 1;
+                *seen.arrived_at.entry(self.name.clone()).or_default() += 1;
                 seen.fields = head
                     .fields
                     .iter()
@@ -380,8 +412,7 @@
                 .push((id.clone(), self.name.clone()));
         }
         self.started.notify_waiters();
-        let extra = self.extra_fields.borrow().get(&self.name).cloned();
-        let extra = extra.unwrap_or_default();
+        let extra = self.habits().fields;
         let head_of = |status: &str, more: &str| {
             format!(
                 "HTTP/1.1 {status}\r\nx-id: {id}\r\nx-proof: {}\r\n{extra}{more}\r\n",
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod following;
 mod harness;
 mod leaving;
+mod pauses;
 mod rate_limits;
 mod restart;
 mod stop;
