Send nothing more to a backend server whose answer says that it leaves

Callers of the claims platform had requests run on a backend server that was shutting down, up to 3 s after its answers had said so: where such a server ends, requests at it are cut.

Cause: only the entry in the platform's store said who leaves. The announcement in answers was passed on to callers and decided nothing, and the store was away from the moment at which the backend server began to leave (acknowledged 13 s later). The class: what a backend server says in an answer, read by nothing. With the store away there was no second source.

Change: decisions::withdrawal keeps that an answer said so, from any status and with any outcome, next to the entry's own word. An entry that still says ready, is removed, or returns changes nothing; a later start of the backend server does. It holds for 60 s after the last answer that says so, since a backend server without requests cannot take its words back. Values other than 1, or two different ones, leave a log line. Regions do not count its slots when they share load.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -46,6 +46,7 @@
 pub mod upkeep;
 pub mod warming;
 pub mod window;
+pub mod withdrawal;
 
 #[cfg(test)]
 mod tests {
--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -418,7 +418,7 @@
         let backends = self.backends.borrow();
         let evacuated = self.evacuated.borrow();
         let usable = |b: &&backends::Backend| {
-            !b.listed.leaving
+            !b.is_leaving(now)
                 && !evacuated.contains(&b.listed.az)
                 && !matches!(
                     b.health.state(),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -282,7 +282,7 @@
 
     /// Whether a backend server can serve the request, now or soon.
     fn may_serve(&self, b: &backends::Backend, need: &Need<'_>, now: policy::Moment) -> bool {
-        if b.listed.leaving || self.evacuated.borrow().contains(&b.listed.az) {
+        if b.is_leaving(now) || self.evacuated.borrow().contains(&b.listed.az) {
             return false;
         }
         if !need.homes.is_unrestricted() && !need.homes.includes(b.region.as_ref()) {
--- a/src/gateway/stated.rs
+++ b/src/gateway/stated.rs
@@ -44,10 +44,10 @@
         let Some(backend) = backends.get_mut(&run.id).filter(|b| run.is_of(b)) else {
             return;
         };
-        if std::mem::replace(&mut backend.says_leaving, true) {
-            return;
-        }
-        if let Some(left_out) = self.log_limiter.admit("says leaving", self.now()) {
+        let now = self.now();
+        if backend.withdrawal.leaves(now)
+            && let Some(left_out) = self.log_limiter.admit("says leaving", now)
+        {
             slog::info!(self.log, "backend server says that it leaves"; "backend" => %run.id, "listed_leaving" => backend.listed.leaving, "left_out" => left_out);
         }
     }
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -10,7 +10,9 @@
 
 use tokio::sync;
 
-use crate::decisions::{affinity, backend_rate, ejection, limit, orders, policy, warming};
+use crate::decisions::{
+    affinity, backend_rate, ejection, limit, orders, policy, warming, withdrawal,
+};
 use crate::id;
 
 /// The properties of a backend server in the platform's list.
@@ -77,8 +79,8 @@
     pub limit: limit::Limit,
     /// The rate that it accepts from all entry VMs together, as its answers state it.
     pub rate_limit: backend_rate::StatedLimit,
-    /// Whether an answer said that it leaves.
-    pub says_leaving: bool,
+    /// What its answers have said about requests that it does not want.
+    pub withdrawal: withdrawal::Withdrawal,
     /// The pacing of requests to it.
     pub pace: backend_rate::Pace,
     /// The objects that this VM has sent to it.
@@ -131,6 +133,11 @@
         limit.map_or(slots, |rate| slots.min(rate * latency_s))
     }
 
+    /// Whether it is shutting down, by its entry or by its own answers.
+    pub fn is_leaving(&self, now: policy::Moment) -> bool {
+        self.listed.leaving || self.withdrawal.is_leaving(now)
+    }
+
     /// Whether the backend server is in its cold phase.
     pub fn is_cold(&self, now: policy::Moment) -> bool {
         now < self.listed.cold_until
@@ -216,6 +223,7 @@
     removed_at: policy::Moment,
     incarnation: Option<id::Incarnation>,
     rate_limit: backend_rate::StatedLimit,
+    withdrawal: withdrawal::Withdrawal,
     pace: backend_rate::Pace,
 }
 
@@ -264,7 +272,7 @@
             in_flight: 0,
             health: ejection::Health::default(),
             rate_limit: kept.rate_limit,
-            says_leaving: false,
+            withdrawal: kept.withdrawal,
             pace: kept.pace,
             warming: warming::SentObjects::default(),
             report: Report::default(),
@@ -313,11 +321,12 @@
         let Some(backend) = self.remove(name) else {
             return false;
         };
-        if backend.rate_limit.get().is_some() {
+        if backend.rate_limit.get().is_some() || backend.withdrawal.is_in_force(now) {
             let kept = RemovedData {
                 removed_at: now,
                 incarnation: backend.listed.incarnation,
                 rate_limit: backend.rate_limit,
+                withdrawal: backend.withdrawal,
                 pace: backend.pace,
             };
             self.removed.insert(name.clone(), kept);
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -29,3 +29,47 @@
         assert_eq!(harness.runs_at("i-0"), 1);
     });
 }
+
+/// Guards against a malformed or contradictory value that takes a backend server out of use.
+#[test]
+fn other_values_do_not_take_a_backend_server_out_of_use() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        let mut caller = harness.caller().await;
+        for (n, value) in ["0", "-1", "yes", "", "1\r\nx-leaving: 0"]
+            .iter()
+            .enumerate()
+        {
+            harness.state("i-0", &format!("x-leaving: {value}\r\n"));
+            read_objects(&mut caller, n * 5..n * 5 + 5).await;
+        }
+    });
+}
+
+/// Guards against a backend server that starts again under its name and stays out of use.
+#[test]
+fn a_backend_server_that_starts_again_no_longer_leaves() {
+    run_test(async || {
+        let harness = Harness::new(0, &[]).await;
+        harness.start_backend("i-0", Some(100)).await;
+        harness.state("i-0", "x-leaving: 1\r\n");
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 0..1).await;
+        harness.state("i-0", "");
+        harness.start_backend("i-0", Some(200)).await;
+        read_objects(&mut caller, 1..5).await;
+    });
+}
+
+/// Guards against an announcement on an answer that runs nothing being missed.
+#[test]
+fn a_refusal_that_says_so_counts_too() {
+    run_test(async || {
+        let harness = Harness::new(2, &[]).await;
+        harness.state("i-0", "x-leaving: 1\r\n");
+        harness.shed("i-0", true);
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 0..20).await;
+        assert_eq!(harness.arrived_at("i-0"), 1);
+    });
+}
