Send nothing to a backend server for as long as it asks for a pause

Backend servers of the claims platform that turned everything away for 9 s, and asked for 3 s of rest each time, got more and more requests: 8 a second at first, 28 at the end. Each was a resend less for callers whose request another backend server could have answered.

Cause: the time to wait in a refusal was read by nothing. After a refusal a backend server got nothing for 10 ms, doubled to 1 s at most; and where a whole service turned requests away despite free slots, that pause was off. The class is that of the announcement to leave: what a backend server says in an answer, read by nothing.

Change: decisions::withdrawal keeps the pause for each VM alone, as it is asked of each alone, whatever the rest of the service does. A later answer does not shorten it; the removal of the entry does not end it, a later start of the backend server does. Where all usable backend servers of the region are paused or at their rate, callers are told to come back when the first takes requests again.

Ruled out: a longer backoff after each refusal (it would also hold off those that ask for nothing).

--- a/src/decisions/backend_rate.rs
+++ b/src/decisions/backend_rate.rs
@@ -153,12 +153,19 @@
 impl Pace {
     /// Whether a request may be sent now.
     pub fn ready(&self, now: policy::Moment, frequency: Frequency) -> bool {
+        self.wait(now, frequency).is_some_and(|wait| wait.is_zero())
+    }
+
+    /// The time until a request may be sent; `None` if this VM may not send any.
+    pub fn wait(&self, now: policy::Moment, frequency: Frequency) -> Option<time::Duration> {
+        let next = |start: Start, span: time::Duration| start.at + span.mul_f64(start.part);
         match frequency {
-            Frequency::Unlimited => true,
-            Frequency::Every(span) => self
-                .started
-                .is_none_or(|start| now >= start.at + span.mul_f64(start.part)),
-            Frequency::Never => false,
+            Frequency::Unlimited => Some(time::Duration::ZERO),
+            Frequency::Every(span) => {
+                let next = self.started.map_or(now, |start| next(start, span));
+                Some(next.saturating_sub(now))
+            }
+            Frequency::Never => None,
         }
     }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -2,6 +2,7 @@
 //! object go to the few servers that cache it. Full, cold and failing ones get fewer, to recover.
 
 use std::rc;
+use std::time;
 
 use metrics::counter;
 use tokio::sync;
@@ -295,14 +296,43 @@
         !out || (b.health.probe_due(now) && need.idempotent)
     }
 
-    /// Whether a backend server can be chosen now. One whose rate is limited or that is on trial
-    /// can only if it takes the request at once; meanwhile other backend servers serve its objects.
+    /// Whether a backend server can be chosen now. One that is paused, whose rate is limited or that
+    /// is on trial can only if it takes the request at once; meanwhile other backend servers serve
+    /// its objects.
     fn is_eligible(&self, b: &backends::Backend, need: &Need<'_>, now: policy::Moment) -> bool {
         let on_trial = b.health.state() != ejection::State::Active;
         if on_trial && (b.in_flight > 0 || !need.idempotent) {
             return false;
         }
-        b.pace.ready(now, self.send_frequency(b, now))
+        self.wait_for(b, now).is_some_and(|wait| wait.is_zero())
+    }
+
+    /// The time until this VM may send to a backend server, by what that has said and its rate;
+    /// `None` if this VM may not send to it at all.
+    fn wait_for(&self, b: &backends::Backend, now: policy::Moment) -> Option<time::Duration> {
+        let paced = b.pace.wait(now, self.send_frequency(b, now))?;
+        Some(paced.max(b.withdrawal.pause_left(now)))
+    }
+
+    /// The time until this VM may send to one of a service's usable backend servers in its region;
+    /// zero if none is usable.
+    pub(super) fn wait_for_service(&self, service: &id::ServiceId) -> time::Duration {
+        let now = self.now();
+        let backends = self.backends.borrow();
+        let mut shortest = None;
+        for b in backends.in_scope(service, backends::RegionScope::Local) {
+            if b.is_leaving(now) || b.health.state() != ejection::State::Active {
+                continue;
+            }
+            match self.wait_for(b, now) {
+                Some(wait) if wait.is_zero() => return wait,
+                Some(wait) => {
+                    shortest = Some(shortest.map_or(wait, |s: time::Duration| s.min(wait)))
+                }
+                None => {}
+            }
+        }
+        shortest.unwrap_or_default()
     }
 
     /// How often this VM may send to a backend server.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -488,7 +488,8 @@
         self.fate = ("not_run", why);
         let expected_wait = self
             .cx
-            .with_service(&self.job.service, |state| state.expected_wait());
+            .with_service(&self.job.service, |state| state.expected_wait())
+            .max(self.cx.wait_for_service(&self.job.service));
         let after = retry_delay::after(expected_wait, self.time_left(), self.cx.jitter());
         let mut answer = self.cx.gateway_answer(503, Some(&self.facts.id));
         facts::put_retry_after(&mut answer.fields, after);
--- a/src/gateway/stated.rs
+++ b/src/gateway/stated.rs
@@ -54,10 +54,17 @@
 
     fn note_pause(&self, run: &placement::Run, head: &http1::ResponseHead) {
         let seconds = self.parse(run, head, RETRY_AFTER, stated::decimal);
-        if let stated::Stated::Value(seconds) = seconds
-            && let Some(left_out) = self.log_limiter.admit("pause", self.now())
-        {
-            slog::info!(self.log, "backend server asks for a pause"; "backend" => %run.id, "seconds" => seconds, "left_out" => left_out);
+        let stated::Stated::Value(seconds) = seconds else {
+            return;
+        };
+        let now = self.now();
+        let mut backends = self.backends.borrow_mut();
+        let Some(backend) = backends.get_mut(&run.id).filter(|b| run.is_of(b)) else {
+            return;
+        };
+        let kept = backend.withdrawal.asks_for_pause(now, seconds);
+        if let Some(left_out) = self.log_limiter.admit("pause", now) {
+            slog::info!(self.log, "backend server asks for a pause"; "backend" => %run.id, "seconds" => seconds, "kept_ms" => kept.as_millis() as u64, "left_out" => left_out);
         }
     }
 
--- a/tests/gateway/pauses.rs
+++ b/tests/gateway/pauses.rs
@@ -47,3 +47,83 @@
         }
     });
 }
+
+/// Guards against a backend server that is not used again after its pause.
+#[test]
+fn a_backend_server_is_used_again_after_its_pause() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        harness.state("i-0", "Retry-After: 0.3\r\n");
+        harness.shed("i-0", true);
+        let mut caller = harness.caller().await;
+        assert_eq!(read_objects(&mut caller, 0..1).await, 0);
+        harness.shed("i-0", false);
+        tokio::time::sleep(time::Duration::from_millis(350)).await;
+        assert_eq!(read_objects(&mut caller, 1..10).await, 9);
+    });
+}
+
+/// Guards against a pause that is forgotten when the entry of a running backend server expires
+/// during an outage of the store and returns.
+#[test]
+fn a_pause_outlasts_a_removed_entry() {
+    run_test(async || {
+        let harness = Harness::new(0, &[]).await;
+        let listed = harness.start_backend("i-0", None).await;
+        harness.state("i-0", "Retry-After: 30\r\n");
+        harness.shed("i-0", true);
+        let mut caller = harness.caller().await;
+        assert_eq!(read_objects(&mut caller, 0..1).await, 0);
+        harness.cx.remove_backend(&"i-0".into());
+        harness.cx.update_backend(&"i-0".into(), listed);
+        assert_eq!(read_objects(&mut caller, 1..10).await, 0);
+        assert_eq!(harness.arrived_at("i-0"), 1);
+    });
+}
+
+/// Guards against malformed values that take a backend server out of use.
+#[test]
+fn invalid_pauses_are_ignored() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        let mut caller = harness.caller().await;
+        for (n, value) in [
+            "-5",
+            "soon",
+            "Fri, 31 Dec 2027 23:59:59 GMT",
+            "5\r\nRetry-After: 9",
+        ]
+        .iter()
+        .enumerate()
+        {
+            harness.state("i-0", &format!("Retry-After: {value}\r\n"));
+            harness.shed("i-0", true);
+            read_objects(&mut caller, n * 10..n * 10 + 1).await;
+            harness.shed("i-0", false);
+            tokio::time::sleep(time::Duration::from_millis(300)).await;
+            assert_eq!(read_objects(&mut caller, n * 10 + 1..n * 10 + 5).await, 4);
+        }
+    });
+}
+
+/// Guards against callers that are told to come back while no backend server takes requests.
+#[test]
+fn refused_callers_are_told_to_come_back_when_the_pause_is_over() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        harness.state("i-0", "Retry-After: 30\r\n");
+        harness.shed("i-0", true);
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 0..1).await;
+        let answer = caller.request(&get_object("/read/x", "again", 1)).await;
+        assert_eq!(answer.status, 503);
+        let after: f64 = answer
+            .head
+            .fields
+            .text("retry-after")
+            .unwrap()
+            .parse()
+            .unwrap();
+        assert!(after >= 1.0, "told to come back after {after} s");
+    });
+}
