Let more VMs own a stated rate, so that they learn sooner when it ends

One of the two VMs that callers of a region are told was no owner at 1.4 a second: it sent once in 14 s, and so went on sparing a backend server up to 14 s after its limit had ended.

A rate now has two owners for each request a second. The new test fails without the change.

--- a/src/decisions/backend_rate.rs
+++ b/src/decisions/backend_rate.rs
@@ -34,6 +34,10 @@
 /// Share of a stated rate that its owners use; other VMs use the rest.
 const OWNERS_SHARE: f64 = 0.75;
 
+/// Owners for each request per second of a stated rate. With more, each would send too seldom to
+/// learn soon that the limit has ended.
+const OWNERS_PER_RATE: f64 = 2.0;
+
 /// How long a stated limit outlasts its last valid statement while answers state invalid ones.
 const INVALID_HOLD: time::Duration = time::Duration::from_secs(10);
 
@@ -100,7 +104,8 @@
 /// requests to use it.
 fn own_stated_rate(rate: f64, backend: u64, senders: &Senders<'_>) -> f64 {
     let rate = rate.max(MIN_STATED_RATE_PER_S);
-    let owners = (rate as usize).clamp(1, senders.local.len().max(1));
+    let owners = (rate * OWNERS_PER_RATE) as usize;
+    let owners = owners.clamp(1, senders.local.len().max(1));
     let others = senders.total.saturating_sub(owners);
     let owned = if others == 0 { 1.0 } else { OWNERS_SHARE };
     match senders.owns(backend, owners) {
--- a/tests/backend_rate.rs
+++ b/tests/backend_rate.rs
@@ -105,6 +105,19 @@
     }
 }
 
+/// Guards against VMs of a backend server's own region that go on sparing it long after its limit
+/// has ended: callers of the region are refused meanwhile.
+#[test]
+fn both_vms_of_a_small_region_send_every_few_seconds() {
+    let fleet = Fleet::new(6, 2);
+    for backend in 0..50 {
+        for vm in 0..2 {
+            let frequency = fleet.frequency(vm, backend, 1.4);
+            assert!(frequency <= backend_rate::Frequency::Every(time::Duration::from_secs(2)));
+        }
+    }
+}
+
 /// Guards against a huge stated rate that starves a backend server or overflows.
 #[test]
 fn a_huge_stated_rate_does_not_limit() {
