Keep what an answer says when the backend server's entry is missing

An answer that says that its backend server leaves may arrive after the entry was removed, in an outage of the store in which entries expire; when the entry returned, the VM sent there again (test: 2 runs where 1 is allowed). The same held for a pause and a rate.

What is stated is now kept by incarnation, whether there is an entry or not, and for 60 s after the entry was removed. The test fails without the change.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -139,7 +139,7 @@
             .is_some_and(|key| backend.warming.request_started(now, key));
         let ahead = backend.load(now);
         backend.in_flight += 1;
-        if backend.rate_limit.get().is_some() {
+        if backend.stated.rate_limit.get().is_some() {
             let service = self.labels.label(need.service.as_str());
             counter!(metric_names::RATE_LIMITED_SENDS, "service" => service).increment(1);
         }
@@ -148,7 +148,7 @@
                 .health
                 .probed(&self.cfg.thresholds.ejection, now, true);
         }
-        backend.pace.sent(now);
+        backend.stated.pace.sent(now);
         Ok(Reservation {
             cx: self.clone(),
             run: Run {
@@ -310,29 +310,35 @@
     /// The time until this VM may send to a backend server, by what that has said and its rate;
     /// `None` if this VM may not send to it at all.
     fn wait_for(&self, b: &backends::Backend, now: policy::Moment) -> Option<time::Duration> {
-        let paced = b.pace.wait(now, self.send_frequency(b, now))?;
-        Some(paced.max(b.withdrawal.pause_left(now)))
+        let paced = b.stated.pace.wait(now, self.send_frequency(b, now))?;
+        Some(paced.max(b.stated.withdrawal.pause_left(now)))
     }
 
     /// The time until this VM may send to one of a service's usable backend servers in its region;
     /// zero if none is usable.
     pub(super) fn wait_for_service(&self, service: &id::ServiceId) -> time::Duration {
         let now = self.now();
-        let backends = self.backends.borrow();
-        let mut shortest = None;
-        for b in backends.in_scope(service, backends::RegionScope::Local) {
-            if b.is_leaving(now) || b.health.state() != ejection::State::Active {
-                continue;
-            }
-            match self.wait_for(b, now) {
-                Some(wait) if wait.is_zero() => return wait,
-                Some(wait) => {
-                    shortest = Some(shortest.map_or(wait, |s: time::Duration| s.min(wait)))
-                }
-                None => {}
+        let (backends, evacuated) = (self.backends.borrow(), self.evacuated.borrow());
+        let usable = |b: &&backends::Backend| {
+            let active = b.health.state() == ejection::State::Active;
+            active && !b.is_leaving(now) && !evacuated.contains(&b.listed.az)
+        };
+        let mut shortest = time::Duration::MAX;
+        for b in backends
+            .in_scope(service, backends::RegionScope::Local)
+            .filter(usable)
+        {
+            let wait = self.wait_for(b, now).unwrap_or(time::Duration::MAX);
+            shortest = shortest.min(wait);
+            // The rest need not be looked at; there may be a thousand.
+            if shortest.is_zero() {
+                break;
             }
         }
-        shortest.unwrap_or_default()
+        match shortest {
+            time::Duration::MAX => time::Duration::ZERO,
+            wait => wait,
+        }
     }
 
     /// How often this VM may send to a backend server.
@@ -344,7 +350,7 @@
         let cold = b
             .is_cold(now)
             .then(|| backend_rate::Limit::Cold(self.cold_rate(&b.listed.service)));
-        let stated = b.rate_limit.get().map(backend_rate::Limit::Stated);
+        let stated = b.stated.rate_limit.get().map(backend_rate::Limit::Stated);
         if cold.is_none() && stated.is_none() {
             return backend_rate::Frequency::Unlimited;
         }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -152,7 +152,7 @@
                 let slots: u32 = backends.of_service(name).map(|b| b.listed.slots).sum();
                 let limited = backends
                     .of_service(name)
-                    .filter(|b| b.rate_limit.get().is_some())
+                    .filter(|b| b.stated.rate_limit.get().is_some())
                     .count();
                 gauge!(metric_names::RATE_LIMITED, "service" => service.clone())
                     .set(limited as f64);
@@ -190,7 +190,7 @@
             "sends" => sends, "load" => known.map(|b| b.load(now)),
             "load_age_ms" => known.and_then(|b| b.report_age(now)).map(ms),
             "in_flight" => known.map(|b| b.in_flight),
-            "cold" => known.map(|b| b.is_cold(now)), "rate_limit" => known.and_then(|b| b.rate_limit.get()),
+            "cold" => known.map(|b| b.is_cold(now)), "rate_limit" => known.and_then(|b| b.stated.rate_limit.get()),
             "left_out" => left_out);
     }
 }
--- a/src/gateway/stated.rs
+++ b/src/gateway/stated.rs
@@ -23,12 +23,23 @@
     }
 
     fn note_rate_limit(&self, run: &placement::Run, head: &http1::ResponseHead) {
-        let rate_limit = self.parse(run, head, self.cfg.names.rate_limit, stated::decimal);
-        let Some((before, after)) = self.update_rate_limit(run, rate_limit) else {
+        let parsed = self.parse(run, head, self.cfg.names.rate_limit, stated::decimal);
+        let now = self.now();
+        let mut backends = self.backends.borrow_mut();
+        let cold = backends.get(&run.id).is_some_and(|b| b.is_cold(now));
+        let Some(stated) = backends.stated_mut(&run.id, &run.name, now) else {
             return;
         };
-        if before.is_none() && after.is_some() {
-            self.begin_pacing(run);
+        let before = stated.rate_limit.get();
+        match parsed {
+            stated::Stated::Value(rate) => stated.rate_limit.stated(now, Some(rate)),
+            stated::Stated::Absent => stated.rate_limit.stated(now, None),
+            stated::Stated::Invalid => stated.rate_limit.invalid(now),
+        }
+        let after = stated.rate_limit.get();
+        // One that is cold is paced already.
+        if before.is_none() && after.is_some() && !cold {
+            stated.pace.begin(now, self.jitter());
         }
         if before != after {
             self.log_rate_limit(run, before, after);
@@ -40,15 +51,16 @@
         if leaving != stated::Stated::Value(()) {
             return;
         }
+        let now = self.now();
         let mut backends = self.backends.borrow_mut();
-        let Some(backend) = backends.get_mut(&run.id).filter(|b| run.is_of(b)) else {
+        let listed_leaving = backends.get(&run.id).map(|b| b.listed.leaving);
+        let Some(stated) = backends.stated_mut(&run.id, &run.name, now) else {
             return;
         };
-        let now = self.now();
-        if backend.withdrawal.leaves(now)
+        if stated.withdrawal.leaves(now)
             && let Some(left_out) = self.log_limiter.admit("says leaving", now)
         {
-            slog::info!(self.log, "backend server says that it leaves"; "backend" => %run.id, "listed_leaving" => backend.listed.leaving, "left_out" => left_out);
+            slog::info!(self.log, "backend server says that it leaves"; "backend" => %run.id, "listed_leaving" => listed_leaving, "left_out" => left_out);
         }
     }
 
@@ -59,10 +71,10 @@
         };
         let now = self.now();
         let mut backends = self.backends.borrow_mut();
-        let Some(backend) = backends.get_mut(&run.id).filter(|b| run.is_of(b)) else {
+        let Some(stated) = backends.stated_mut(&run.id, &run.name, now) else {
             return;
         };
-        let kept = backend.withdrawal.asks_for_pause(now, seconds);
+        let kept = stated.withdrawal.asks_for_pause(now, seconds);
         if let Some(left_out) = self.log_limiter.admit("pause", now) {
             slog::info!(self.log, "backend server asks for a pause"; "backend" => %run.id, "seconds" => seconds, "kept_ms" => kept.as_millis() as u64, "left_out" => left_out);
         }
@@ -83,34 +95,6 @@
         value
     }
 
-    /// Records the rate that an answer states. Returns the rate in force before and after.
-    fn update_rate_limit(
-        &self,
-        run: &placement::Run,
-        stated: stated::Stated<f64>,
-    ) -> Option<(Option<f64>, Option<f64>)> {
-        let now = self.now();
-        let mut backends = self.backends.borrow_mut();
-        let backend = backends.get_mut(&run.id).filter(|b| run.is_of(b))?;
-        let before = backend.rate_limit.get();
-        match stated {
-            stated::Stated::Value(rate) => backend.rate_limit.stated(now, Some(rate)),
-            stated::Stated::Absent => backend.rate_limit.stated(now, None),
-            stated::Stated::Invalid => backend.rate_limit.invalid(now),
-        }
-        Some((before, backend.rate_limit.get()))
-    }
-
-    /// Starts the pacing of sends to a backend server whose rate limit was just learned. One that
-    /// is cold is paced already.
-    fn begin_pacing(&self, run: &placement::Run) {
-        let now = self.now();
-        let mut backends = self.backends.borrow_mut();
-        if let Some(backend) = backends.get_mut(&run.id).filter(|b| !b.is_cold(now)) {
-            backend.pace.begin(now, self.jitter());
-        }
-    }
-
     /// Whether an answer is the backend server's own: another one may use its address, and an
     /// unsigned success is no answer.
     fn is_from_backend(&self, head: &http1::ResponseHead) -> bool {
--- a/src/state/backends.rs
+++ b/src/state/backends.rs
@@ -60,6 +60,17 @@
 /// least loaded of all, and the cost grows with each sampled server.
 const SAMPLE_SIZE: usize = 16;
 
+/// What a backend server has stated in its answers, and the pacing that follows from it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Stated {
+    /// The rate that it accepts from all entry VMs together.
+    pub rate_limit: backend_rate::StatedLimit,
+    /// The requests that it does not want.
+    pub withdrawal: withdrawal::Withdrawal,
+    /// The pacing of this VM's requests to it.
+    pub pace: backend_rate::Pace,
+}
+
 /// A backend server.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -77,12 +88,8 @@
     pub health: ejection::Health,
     /// The limit on this VM's requests in flight to it.
     pub limit: limit::Limit,
-    /// The rate that it accepts from all entry VMs together, as its answers state it.
-    pub rate_limit: backend_rate::StatedLimit,
-    /// What its answers have said about requests that it does not want.
-    pub withdrawal: withdrawal::Withdrawal,
-    /// The pacing of requests to it.
-    pub pace: backend_rate::Pace,
+    /// What it has stated in its answers.
+    pub stated: Stated,
     /// The objects that this VM has sent to it.
     pub warming: warming::SentObjects,
     report: Report,
@@ -92,10 +99,7 @@
 impl Backend {
     /// Its VM id with its incarnation; unique for each start of the backend server.
     pub fn incarnation_name(&self) -> String {
-        match self.listed.incarnation {
-            Some(incarnation) => format!("{}@{incarnation}", self.id),
-            None => self.id.to_string(),
-        }
+        incarnation_name(&self.id, &self.listed)
     }
 
     /// Notified when this incarnation is known to have ended.
@@ -129,13 +133,13 @@
     /// rate limit these may be fewer than it has.
     pub fn usable_slots(&self, latency_s: f64) -> f64 {
         let slots = f64::from(self.listed.slots);
-        let limit = self.rate_limit.get().filter(|_| latency_s > 0.0);
+        let limit = self.stated.rate_limit.get().filter(|_| latency_s > 0.0);
         limit.map_or(slots, |rate| slots.min(rate * latency_s))
     }
 
     /// Whether it is shutting down, by its entry or by its own answers.
     pub fn is_leaving(&self, now: policy::Moment) -> bool {
-        self.listed.leaving || self.withdrawal.is_leaving(now)
+        self.listed.leaving || self.stated.withdrawal.is_leaving(now)
     }
 
     /// Whether the backend server is in its cold phase.
@@ -144,6 +148,13 @@
     }
 }
 
+fn incarnation_name(id: &id::VmId, listed: &Listed) -> String {
+    match listed.incarnation {
+        Some(incarnation) => format!("{id}@{incarnation}"),
+        None => id.to_string(),
+    }
+}
+
 /// A selection of a service's backend servers by region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RegionScope<'a> {
@@ -213,18 +224,15 @@
     }
 }
 
-/// How long data on a backend server is kept after its entry is removed.
-const REMOVED_DATA_TTL: time::Duration = time::Duration::from_secs(60);
+/// How long what a backend server stated is kept after its entry is removed.
+const UNLISTED_TTL: time::Duration = time::Duration::from_secs(60);
 
-/// What is kept of a backend server whose entry was removed. Its entry may return while it still
-/// runs, and it expects that what it stated holds.
-#[derive(Clone, Copy, Debug, Default)]
-struct RemovedData {
-    removed_at: policy::Moment,
-    incarnation: Option<id::Incarnation>,
-    rate_limit: backend_rate::StatedLimit,
-    withdrawal: withdrawal::Withdrawal,
-    pace: backend_rate::Pace,
+/// What an incarnation without an entry stated. Its entry may return while it still runs.
+#[derive(Clone, Debug)]
+struct Unlisted {
+    since: policy::Moment,
+    incarnation_name: String,
+    stated: Stated,
 }
 
 /// All backend servers by VM id and by service.
@@ -233,7 +241,7 @@
     local_region: Option<id::RegionId>,
     by_id: collections::HashMap<id::VmId, Backend>,
     by_service: collections::HashMap<id::ServiceId, Group>,
-    removed: collections::HashMap<id::VmId, RemovedData>,
+    unlisted: collections::HashMap<id::VmId, Unlisted>,
 }
 
 impl Backends {
@@ -253,9 +261,8 @@
             return false;
         }
         self.remove(name);
-        let kept = self.removed.remove(name);
-        let kept = kept.filter(|kept| kept.incarnation == listed.incarnation);
-        let kept = kept.unwrap_or_default();
+        let kept = self.unlisted.remove(name);
+        let kept = kept.filter(|kept| kept.incarnation_name == incarnation_name(name, &listed));
         let hash = affinity::hash(name.as_str().as_bytes());
         let is_local = self.local_region == region;
         let group = self.by_service.entry(listed.service.clone()).or_default();
@@ -271,9 +278,7 @@
             region,
             in_flight: 0,
             health: ejection::Health::default(),
-            rate_limit: kept.rate_limit,
-            withdrawal: kept.withdrawal,
-            pace: kept.pace,
+            stated: kept.map(|kept| kept.stated).unwrap_or_default(),
             warming: warming::SentObjects::default(),
             report: Report::default(),
             ended: rc::Rc::default(),
@@ -316,24 +321,43 @@
     /// Removes a backend server whose entry is gone or invalid, and keeps what it stated in case
     /// the entry returns. Returns whether it was known.
     pub fn remove_unlisted(&mut self, name: &id::VmId, now: policy::Moment) -> bool {
-        self.removed
-            .retain(|_, kept| now.saturating_sub(kept.removed_at) < REMOVED_DATA_TTL);
+        self.unlisted
+            .retain(|_, kept| now.saturating_sub(kept.since) < UNLISTED_TTL);
         let Some(backend) = self.remove(name) else {
             return false;
         };
-        if backend.rate_limit.get().is_some() || backend.withdrawal.is_in_force(now) {
-            let kept = RemovedData {
-                removed_at: now,
-                incarnation: backend.listed.incarnation,
-                rate_limit: backend.rate_limit,
-                withdrawal: backend.withdrawal,
-                pace: backend.pace,
+        let stated = backend.stated;
+        if stated.rate_limit.get().is_some() || stated.withdrawal.is_in_force(now) {
+            let kept = Unlisted {
+                since: now,
+                incarnation_name: backend.incarnation_name(),
+                stated,
             };
-            self.removed.insert(name.clone(), kept);
+            self.unlisted.insert(name.clone(), kept);
         }
         true
     }
 
+    /// What an incarnation of a backend server has stated, for an update from its answer; `None` if
+    /// a later incarnation is known. The answer may arrive after the entry was removed.
+    pub fn stated_mut(
+        &mut self,
+        id: &id::VmId,
+        incarnation_name: &str,
+        now: policy::Moment,
+    ) -> Option<&mut Stated> {
+        if self.by_id.contains_key(id) {
+            let backend = self.by_id.get_mut(id)?;
+            return (backend.incarnation_name() == incarnation_name).then_some(&mut backend.stated);
+        }
+        let kept = self.unlisted.entry(id.clone()).or_insert_with(|| Unlisted {
+            since: now,
+            incarnation_name: incarnation_name.to_owned(),
+            stated: Stated::default(),
+        });
+        (kept.incarnation_name == incarnation_name).then_some(&mut kept.stated)
+    }
+
     /// The head of an object's preference order within `scope`, see
     /// [`orders::PreferenceOrders::first`].
     pub fn preferred(
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -1,6 +1,6 @@
 //! Backend servers that say in their answers that they leave.
 
-use super::harness::{Caller, Harness, get_object, run_test};
+use super::harness::{Caller, Harness, Reaction, get_object, run_test};
 
 async fn read_objects(caller: &mut Caller, objects: std::ops::Range<usize>) {
     for object in objects {
@@ -73,3 +73,27 @@
         assert_eq!(harness.arrived_at("i-0"), 1);
     });
 }
+
+/// Guards against an announcement that is lost because the entry was removed while the answer was
+/// on its way, and returns.
+#[test]
+fn an_answer_that_arrives_without_an_entry_counts_when_the_entry_returns() {
+    run_test(async || {
+        let harness = Harness::new(0, &[Reaction::AfterNext("late"), Reaction::Answer("ok")]).await;
+        let listed = harness.start_backend("i-0", None).await;
+        harness.state("i-0", "x-leaving: 1\r\n");
+        let mut first = harness.caller().await;
+        first.send(&get_object("/read/first", "first", 0)).await;
+        harness
+            .until("the read runs", |seen| seen.ran.len() == 1)
+            .await;
+        harness.cx.remove_backend(&"i-0".into());
+        harness.add_backend("i-1").await;
+        let mut caller = harness.caller().await;
+        read_objects(&mut caller, 1..2).await;
+        assert_eq!(first.receive().await.unwrap().text(), "late");
+        harness.cx.update_backend(&"i-0".into(), listed);
+        read_objects(&mut caller, 2..20).await;
+        assert_eq!(harness.runs_at("i-0"), 1);
+    });
+}
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -288,5 +288,7 @@
 #[test]
 fn wire_names_match_the_platforms_documentation() {
     assert_eq!(names::FIELDS.id, "Bulrushwind-Try-Id");
+    assert_eq!(names::FIELDS.rate_limit, "Server-Limit");
+    assert_eq!(names::FIELDS.leaving, "Server-Leaving");
     assert_eq!(names::SETTINGS_FILE_VAR, "BULRUSHWIND_SETTINGS");
 }
