--- a/src/decisions/withdrawal.rs
+++ b/src/decisions/withdrawal.rs
@@ -6,12 +6,12 @@
 //! that it leaves, so a VM that got one needs neither the store nor another VM. An entry that still
 //! lists it as ready may be older than the answer and changes nothing.
 //!
-//! A backend server that gets no requests cannot take its words back, so they hold for a time: much
-//! longer than a shutdown takes, and short enough that one which stays is used again.
+//! A backend server that gets no requests cannot answer that it stays after all, so the statement
+//! expires: much later than a shutdown ends, and soon enough that one which stays is used again.
 //!
 //! Load pattern: a backend server in overload turns requests away and says how long it wants none of
-//! this VM. Each request in that time costs it work and the caller a resend of the budget that all
-//! VMs share. The symptom is a backend server that gets more requests the longer it turns all away.
+//! this VM. Each request in that time costs it work, and a resend from the budget that all VMs
+//! share. The symptom is a backend server that gets more requests the longer it turns all away.
 //! The pause holds whatever others do: that a whole service turns requests away is no reason to go
 //! on sending.
 
@@ -22,7 +22,7 @@
 /// How long after its last answer that says so a backend server counts as leaving.
 const LEAVING_HOLD: time::Duration = time::Duration::from_secs(60);
 
-/// Longest pause that is kept. A longer one is more likely a mistake, and nothing could end it.
+/// Longest pause that is kept. A longer one is more likely a mistake, and no answer could end it.
 const MAX_PAUSE: time::Duration = time::Duration::from_secs(60);
 
 /// What a backend server's answers have said about requests that it does not want.
