--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -506,6 +506,12 @@
     get(path, id).replace("object=17", &format!("object={object}"))
 }
 
+/// Reads objects one after the other and expects that all are answered.
+pub(crate) async fn read_all(caller: &mut Caller, objects: std::ops::Range<usize>) {
+    let count = objects.len();
+    assert_eq!(caller.read_objects(objects).await, count);
+}
+
 /// A request with a body.
 pub(crate) fn post(path: &str, id: &str, body: &str) -> String {
     format!(
@@ -521,6 +527,16 @@
         }
     }
 
+    /// Reads objects one after the other. Returns how many reads were answered.
+    pub(crate) async fn read_objects(&mut self, objects: std::ops::Range<usize>) -> usize {
+        let mut answered = 0;
+        for object in objects {
+            let read = get_object(&format!("/read/{object}"), &format!("r{object}"), object);
+            answered += usize::from(self.request(&read).await.status == 200);
+        }
+        answered
+    }
+
     pub(crate) async fn send(&mut self, text: &str) {
         self.wire.send(text.as_bytes()).await.unwrap();
     }
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -1,14 +1,6 @@
 //! Backend servers that say in their answers that they leave.
 
-use super::harness::{Caller, Harness, Reaction, get_object, run_test};
-
-async fn read_objects(caller: &mut Caller, objects: std::ops::Range<usize>) {
-    for object in objects {
-        let id = format!("r{object}");
-        let read = get_object(&format!("/read/{object}"), &id, object);
-        assert_eq!(caller.request(&read).await.status, 200, "object {object}");
-    }
-}
+use super::harness::{Harness, Reaction, get_object, read_all, run_test};
 
 /// Guards against requests to a backend server that leaves while the store, which lists it, is away.
 #[test]
@@ -19,13 +11,13 @@
         harness.add_backend("i-1").await;
         harness.state("i-0", "x-leaving: 1\r\n");
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..20).await;
+        read_all(&mut caller, 0..20).await;
         assert_eq!(harness.runs_at("i-0"), 1);
         harness.cx.update_backend(&"i-0".into(), listed.clone());
-        read_objects(&mut caller, 20..40).await;
+        read_all(&mut caller, 20..40).await;
         harness.cx.remove_backend(&"i-0".into());
         harness.cx.update_backend(&"i-0".into(), listed);
-        read_objects(&mut caller, 40..60).await;
+        read_all(&mut caller, 40..60).await;
         assert_eq!(harness.runs_at("i-0"), 1);
     });
 }
@@ -41,7 +33,7 @@
             .enumerate()
         {
             harness.state("i-0", &format!("x-leaving: {value}\r\n"));
-            read_objects(&mut caller, n * 5..n * 5 + 5).await;
+            read_all(&mut caller, n * 5..n * 5 + 5).await;
         }
     });
 }
@@ -54,10 +46,10 @@
         harness.start_backend("i-0", Some(100)).await;
         harness.state("i-0", "x-leaving: 1\r\n");
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..1).await;
+        read_all(&mut caller, 0..1).await;
         harness.state("i-0", "");
         harness.start_backend("i-0", Some(200)).await;
-        read_objects(&mut caller, 1..5).await;
+        read_all(&mut caller, 1..5).await;
     });
 }
 
@@ -69,7 +61,7 @@
         harness.state("i-0", "x-leaving: 1\r\n");
         harness.shed("i-0", true);
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..20).await;
+        read_all(&mut caller, 0..20).await;
         assert_eq!(harness.arrived_at("i-0"), 1);
     });
 }
@@ -90,10 +82,10 @@
         harness.cx.remove_backend(&"i-0".into());
         harness.add_backend("i-1").await;
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 1..2).await;
+        read_all(&mut caller, 1..2).await;
         assert_eq!(first.receive().await.unwrap().text(), "late");
         harness.cx.update_backend(&"i-0".into(), listed);
-        read_objects(&mut caller, 2..20).await;
+        read_all(&mut caller, 2..20).await;
         assert_eq!(harness.runs_at("i-0"), 1);
     });
 }
--- a/tests/gateway/pauses.rs
+++ b/tests/gateway/pauses.rs
@@ -4,13 +4,12 @@
 
 use super::harness::{Caller, Harness, get_object, run_test};
 
-/// Sends one request for each object; returns the number that was answered.
-async fn read_objects(caller: &mut Caller, objects: std::ops::Range<usize>) -> usize {
+/// Reads objects at a pace at which a short backoff is over before the next read. Returns how many
+/// reads were answered.
+async fn read_slowly(caller: &mut Caller, objects: std::ops::Range<usize>) -> usize {
     let mut answered = 0;
     for object in objects {
-        let id = format!("r{object}");
-        let read = get_object(&format!("/read/{object}"), &id, object);
-        answered += usize::from(caller.request(&read).await.status == 200);
+        answered += caller.read_objects(object..object + 1).await;
         tokio::time::sleep(time::Duration::from_millis(20)).await;
     }
     answered
@@ -24,7 +23,7 @@
         harness.state("i-0", "x-load: 0,0,3\r\nRetry-After: 30\r\n");
         harness.shed("i-0", true);
         let mut caller = harness.caller().await;
-        let answered = read_objects(&mut caller, 0..60).await;
+        let answered = read_slowly(&mut caller, 0..60).await;
         assert_eq!(harness.arrived_at("i-0"), 1);
         assert_eq!(answered, 60);
     });
@@ -41,7 +40,7 @@
             harness.shed(name, true);
         }
         let mut caller = harness.caller().await;
-        assert_eq!(read_objects(&mut caller, 0..60).await, 0);
+        assert_eq!(read_slowly(&mut caller, 0..60).await, 0);
         for name in ["i-0", "i-1"] {
             assert_eq!(harness.arrived_at(name), 1);
         }
@@ -56,10 +55,10 @@
         harness.state("i-0", "Retry-After: 0.3\r\n");
         harness.shed("i-0", true);
         let mut caller = harness.caller().await;
-        assert_eq!(read_objects(&mut caller, 0..1).await, 0);
+        assert_eq!(read_slowly(&mut caller, 0..1).await, 0);
         harness.shed("i-0", false);
         tokio::time::sleep(time::Duration::from_millis(350)).await;
-        assert_eq!(read_objects(&mut caller, 1..10).await, 9);
+        assert_eq!(read_slowly(&mut caller, 1..10).await, 9);
     });
 }
 
@@ -73,10 +72,10 @@
         harness.state("i-0", "Retry-After: 30\r\n");
         harness.shed("i-0", true);
         let mut caller = harness.caller().await;
-        assert_eq!(read_objects(&mut caller, 0..1).await, 0);
+        assert_eq!(read_slowly(&mut caller, 0..1).await, 0);
         harness.cx.remove_backend(&"i-0".into());
         harness.cx.update_backend(&"i-0".into(), listed);
-        assert_eq!(read_objects(&mut caller, 1..10).await, 0);
+        assert_eq!(read_slowly(&mut caller, 1..10).await, 0);
         assert_eq!(harness.arrived_at("i-0"), 1);
     });
 }
@@ -98,10 +97,10 @@
         {
             harness.state("i-0", &format!("Retry-After: {value}\r\n"));
             harness.shed("i-0", true);
-            read_objects(&mut caller, n * 10..n * 10 + 1).await;
+            read_slowly(&mut caller, n * 10..n * 10 + 1).await;
             harness.shed("i-0", false);
             tokio::time::sleep(time::Duration::from_millis(300)).await;
-            assert_eq!(read_objects(&mut caller, n * 10 + 1..n * 10 + 5).await, 4);
+            assert_eq!(read_slowly(&mut caller, n * 10 + 1..n * 10 + 5).await, 4);
         }
     });
 }
@@ -114,7 +113,7 @@
         harness.state("i-0", "Retry-After: 30\r\n");
         harness.shed("i-0", true);
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..1).await;
+        read_slowly(&mut caller, 0..1).await;
         let answer = caller.request(&get_object("/read/x", "again", 1)).await;
         assert_eq!(answer.status, 503);
         let after: f64 = answer
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -3,22 +3,11 @@
 
 use std::time;
 
-use super::harness::{Caller, Harness, get_object, run_test};
+use super::harness::{Harness, get_object, read_all, run_test};
 
 /// Requests beyond one and a half times the stated rate that a backend server may get.
 const SLACK: f64 = 5.0;
 
-/// Sends one request for each object and expects that all are answered.
-async fn read_objects(caller: &mut Caller, objects: std::ops::Range<usize>) {
-    for object in objects {
-        let id = format!("r{object}");
-        let answer = caller
-            .request(&get_object(&format!("/read/{object}"), &id, object))
-            .await;
-        assert_eq!(answer.status, 200, "object {object}");
-    }
-}
-
 /// Guards against a stated rate that changes nothing on the VM that was told it.
 #[test]
 fn a_vm_keeps_to_the_rate_that_a_backend_server_states() {
@@ -26,10 +15,10 @@
         let harness = Harness::new(4, &[]).await;
         harness.state("i-0", "x-rate-limit: 1.5\r\n");
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..20).await;
+        read_all(&mut caller, 0..20).await;
         let (before, told) = (harness.runs_at("i-0"), time::Instant::now());
         assert!(before > 0, "no answer has stated the rate");
-        read_objects(&mut caller, 20..120).await;
+        read_all(&mut caller, 20..120).await;
         let allowed = 1.5 * 1.5 * told.elapsed().as_secs_f64() + SLACK;
         let got = harness.runs_at("i-0") - before;
         assert!(got as f64 <= allowed, "got {got}, allowed {allowed}");
@@ -45,12 +34,12 @@
         harness.state("i-0", "x-rate-limit: 1.5\r\n");
         for caller in &mut callers {
             let before = harness.runs_at("i-0");
-            read_objects(caller, 0..20).await;
+            read_all(caller, 0..20).await;
             assert!(harness.runs_at("i-0") > before, "a VM was not told");
         }
         let (before, told) = (harness.runs_at("i-0"), time::Instant::now());
         for caller in &mut callers {
-            read_objects(caller, 20..60).await;
+            read_all(caller, 20..60).await;
         }
         let allowed = 1.5 * 1.5 * told.elapsed().as_secs_f64() + SLACK;
         let got = harness.runs_at("i-0") - before;
@@ -65,10 +54,10 @@
         let harness = Harness::new(1, &[]).await;
         harness.state("i-0", "x-rate-limit: 1000\r\n");
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..1).await;
+        read_all(&mut caller, 0..1).await;
         harness.state("i-0", "");
         tokio::time::sleep(time::Duration::from_millis(20)).await;
-        read_objects(&mut caller, 1..30).await;
+        read_all(&mut caller, 1..30).await;
     });
 }
 
@@ -83,7 +72,7 @@
             .enumerate()
         {
             harness.state("i-0", &format!("x-rate-limit: {value}\r\n"));
-            read_objects(&mut caller, n * 20..n * 20 + 20).await;
+            read_all(&mut caller, n * 20..n * 20 + 20).await;
         }
     });
 }
@@ -97,7 +86,7 @@
         let listed = harness.start_backend("i-0", None).await;
         harness.state("i-0", "x-rate-limit: 0.5\r\n");
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..1).await;
+        read_all(&mut caller, 0..1).await;
         harness.cx.remove_backend(&"i-0".into());
         harness.cx.update_backend(&"i-0".into(), listed);
         let told = time::Instant::now();
@@ -118,7 +107,7 @@
         let harness = Harness::new(1, &[]).await;
         harness.state("i-0", "x-rate-limit: 0\r\n");
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..1).await;
+        read_all(&mut caller, 0..1).await;
         let mut refused = 0;
         for n in 0..5 {
             let id = format!("beyond{n}");
@@ -141,7 +130,7 @@
         let harness = Harness::new(1, &[]).await;
         harness.state("i-0", "x-rate-limit: 0.5\r\n");
         let mut caller = harness.caller().await;
-        read_objects(&mut caller, 0..1).await;
+        read_all(&mut caller, 0..1).await;
         harness.add_far_backend("i-far").await;
         tokio::task::spawn_local(harness.cx.clone().upkeep());
         let mut answered = 0;
