--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -512,6 +512,17 @@
     assert_eq!(caller.read_objects(objects).await, count);
 }
 
+/// Reads objects at a pace at which a short backoff is over before the next read. Returns how many
+/// reads were answered.
+pub(crate) async fn read_slowly(caller: &mut Caller, objects: std::ops::Range<usize>) -> usize {
+    let mut answered = 0;
+    for object in objects {
+        answered += caller.read_objects(object..object + 1).await;
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    answered
+}
+
 /// A request with a body.
 pub(crate) fn post(path: &str, id: &str, body: &str) -> String {
     format!(
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -1,6 +1,6 @@
 //! Backend servers that say in their answers that they leave.
 
-use super::harness::{Harness, Reaction, get_object, read_all, run_test};
+use super::harness::{Harness, Reaction, get_object, read_all, read_slowly, run_test};
 
 /// Guards against requests to a backend server that leaves while the store, which lists it, is away.
 #[test]
@@ -61,7 +61,7 @@
         harness.state("i-0", "x-leaving: 1\r\n");
         harness.shed("i-0", true);
         let mut caller = harness.caller().await;
-        read_all(&mut caller, 0..20).await;
+        assert_eq!(read_slowly(&mut caller, 0..20).await, 20);
         assert_eq!(harness.arrived_at("i-0"), 1);
     });
 }
--- a/tests/gateway/pauses.rs
+++ b/tests/gateway/pauses.rs
@@ -2,18 +2,7 @@
 
 use std::time;
 
-use super::harness::{Caller, Harness, get_object, run_test};
-
-/// Reads objects at a pace at which a short backoff is over before the next read. Returns how many
-/// reads were answered.
-async fn read_slowly(caller: &mut Caller, objects: std::ops::Range<usize>) -> usize {
-    let mut answered = 0;
-    for object in objects {
-        answered += caller.read_objects(object..object + 1).await;
-        tokio::time::sleep(time::Duration::from_millis(20)).await;
-    }
-    answered
-}
+use super::harness::{Harness, get_object, read_slowly, run_test};
 
 /// Guards against requests to a backend server within the time for which it wants none.
 #[test]
