--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -330,7 +330,7 @@
         {
             let wait = self.wait_for(b, now).unwrap_or(time::Duration::MAX);
             shortest = shortest.min(wait);
-            // The rest need not be looked at; there may be a thousand.
+            // No other can be sooner, and a service may have a thousand.
             if shortest.is_zero() {
                 break;
             }
@@ -342,7 +342,7 @@
     }
 
     /// How often this VM may send to a backend server.
-    pub(super) fn send_frequency(
+    fn send_frequency(
         &self,
         b: &backends::Backend,
         now: policy::Moment,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -91,15 +91,15 @@
 
 /// What a backend server does in all its answers.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Habits {
+pub(crate) struct Behavior {
     /// Field lines that it adds.
     pub(crate) fields: String,
     /// Whether it turns all requests away.
     pub(crate) sheds: bool,
 }
 
-/// The habits of backend servers by name.
-pub(crate) type HabitsByName = rc::Rc<cell::RefCell<collections::BTreeMap<String, Habits>>>;
+/// The behavior of backend servers by name.
+pub(crate) type Behaviors = rc::Rc<cell::RefCell<collections::BTreeMap<String, Behavior>>>;
 
 pub(crate) type Script = rc::Rc<cell::RefCell<collections::VecDeque<Reaction>>>;
 
@@ -108,7 +108,7 @@
     pub(crate) caller_addr: net::SocketAddr,
     pub(crate) seen: rc::Rc<cell::RefCell<Seen>>,
     pub(crate) script: Script,
-    pub(crate) habits: HabitsByName,
+    pub(crate) behaviors: Behaviors,
     listed: cell::RefCell<Vec<(id::VmId, backends::Listed)>>,
     started: rc::Rc<tokio::sync::Notify>,
 }
@@ -205,7 +205,7 @@
             caller_addr,
             seen: rc::Rc::default(),
             script: rc::Rc::new(cell::RefCell::new(script.iter().cloned().collect())),
-            habits: rc::Rc::default(),
+            behaviors: rc::Rc::default(),
             listed: cell::RefCell::default(),
             started: rc::Rc::default(),
         };
@@ -245,7 +245,7 @@
         self.listed.borrow_mut().push((name.into(), listed.clone()));
         let (seen, script, started) =
             (self.seen.clone(), self.script.clone(), self.started.clone());
-        let habits = self.habits.clone();
+        let behaviors = self.behaviors.clone();
         let name = name.to_owned();
         task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -253,7 +253,7 @@
                     name: name.clone(),
                     seen: seen.clone(),
                     script: script.clone(),
-                    habits: habits.clone(),
+                    behaviors: behaviors.clone(),
                     started: started.clone(),
                 };
                 task::spawn_local(backend.serve(stream));
@@ -295,14 +295,14 @@
 
     /// Sets the field lines that a backend server adds to all its answers.
     pub(crate) fn state(&self, backend: &str, fields: &str) {
-        let mut habits = self.habits.borrow_mut();
-        habits.entry(backend.to_owned()).or_default().fields = fields.to_owned();
+        let mut behaviors = self.behaviors.borrow_mut();
+        behaviors.entry(backend.to_owned()).or_default().fields = fields.to_owned();
     }
 
     /// Sets whether a backend server turns all requests away.
     pub(crate) fn shed(&self, backend: &str, sheds: bool) {
-        let mut habits = self.habits.borrow_mut();
-        habits.entry(backend.to_owned()).or_default().sheds = sheds;
+        let mut behaviors = self.behaviors.borrow_mut();
+        behaviors.entry(backend.to_owned()).or_default().sheds = sheds;
     }
 
     /// Number of requests that a backend server got, whether they ran or not.
@@ -341,20 +341,20 @@
     name: String,
     seen: rc::Rc<cell::RefCell<Seen>>,
     script: Script,
-    habits: HabitsByName,
+    behaviors: Behaviors,
     started: rc::Rc<tokio::sync::Notify>,
 }
 
 impl Backend {
-    fn habits(&self) -> Habits {
-        let habits = self.habits.borrow().get(&self.name).cloned();
-        habits.unwrap_or_default()
+    fn behavior(&self) -> Behavior {
+        let behavior = self.behaviors.borrow().get(&self.name).cloned();
+        behavior.unwrap_or_default()
     }
 
     async fn serve(self, stream: tokio::net::TcpStream) {
         let mut wire = socket::Wire::from(stream);
         while let Some(head) = self.head(&mut wire).await {
-            let act = match self.habits().sheds {
+            let act = match self.behavior().sheds {
                 true => Some(Reaction::Shed),
                 false => self.script.borrow_mut().pop_front(),
             };
@@ -412,7 +412,7 @@
                 .push((id.clone(), self.name.clone()));
         }
         self.started.notify_waiters();
-        let extra = self.habits().fields;
+        let extra = self.behavior().fields;
         let head_of = |status: &str, more: &str| {
             format!(
                 "HTTP/1.1 {status}\r\nx-id: {id}\r\nx-proof: {}\r\n{extra}{more}\r\n",
