--- a/tests/gateway/at_most_once.rs
+++ b/tests/gateway/at_most_once.rs
@@ -59,13 +59,7 @@
             .await;
         assert_eq!(answer.status, 503);
         assert_eq!(harness.runs("b1"), 0);
-        let after: f64 = answer
-            .head
-            .fields
-            .text("retry-after")
-            .unwrap()
-            .parse()
-            .unwrap();
+        let after = answer.retry_after();
         assert!(after > 0.0 && after < 8.0 / 3.0);
     });
 }
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -485,6 +485,12 @@
 }
 
 impl CallerAnswer {
+    /// The seconds after which the caller is told to come back.
+    pub(crate) fn retry_after(&self) -> f64 {
+        let text = self.head.fields.text("retry-after").unwrap();
+        text.parse().unwrap()
+    }
+
     pub(crate) fn text(&self) -> &str {
         std::str::from_utf8(&self.body).unwrap()
     }
--- a/tests/gateway/pauses.rs
+++ b/tests/gateway/pauses.rs
@@ -105,13 +105,35 @@
         read_slowly(&mut caller, 0..1).await;
         let answer = caller.request(&get_object("/read/x", "again", 1)).await;
         assert_eq!(answer.status, 503);
-        let after: f64 = answer
-            .head
-            .fields
-            .text("retry-after")
-            .unwrap()
-            .parse()
-            .unwrap();
+        let after = answer.retry_after();
         assert!(after >= 1.0, "told to come back after {after} s");
     });
 }
+
+/// Guards against a pause of an earlier start that holds for a backend server which has started
+/// again.
+#[test]
+fn a_backend_server_that_starts_again_is_not_paused() {
+    run_test(async || {
+        let harness = Harness::new(0, &[]).await;
+        harness.start_backend("i-0", Some(100)).await;
+        harness.state("i-0", "Retry-After: 30\r\n");
+        harness.shed("i-0", true);
+        let mut caller = harness.caller().await;
+        assert_eq!(read_slowly(&mut caller, 0..1).await, 0);
+        harness.shed("i-0", false);
+        harness.start_backend("i-0", Some(200)).await;
+        assert_eq!(read_slowly(&mut caller, 1..5).await, 4);
+    });
+}
+
+/// Guards against a pause that is taken from an answer which turns nothing away.
+#[test]
+fn a_time_to_wait_in_a_success_asks_for_no_pause() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        harness.state("i-0", "Retry-After: 30\r\n");
+        let mut caller = harness.caller().await;
+        assert_eq!(read_slowly(&mut caller, 0..5).await, 5);
+    });
+}
