Log the store's epoch and the revision of each full read; teach the test store to return from a copy

The logs of both incidents show the revision that a VM asks for, not the one that its full read returned, nor whether an answer belongs to another history of the store. So a store that came back from an older copy and one that only dropped its history look alike.

The client reads the epoch that the store states in all its answers; a change is logged with the epoch before, as is a value that is no number (limited, with what was left out), and a gauge has the current one. Each full read logs its revision beside the one held before. The test store states an epoch, can be copied and restored (leases and lease ids too) and refuses a watch from a revision that it does not have. No logic changed.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -417,6 +417,7 @@
     async fn read_all<S: Source>(&self, source: &mut S, stale: bool) -> Result<(), S::Error> {
         let (records, revision) = source.read(stale).await?;
         self.cx.record_store_answer();
+        slog::info!(self.cx.log, "all records read"; "records" => records.len(), "revision" => revision, "before" => self.records.borrow().revision());
         let updates = self.replace_all(source, &records, revision);
         self.publish(updates, revision);
         Ok(())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -173,7 +173,7 @@
     crashes: cell::RefCell<crashes::Crashes>,
     /// Crashes seen here and not yet reported to other entry VMs.
     pending_crashes: cell::RefCell<Vec<cluster_state::Crash>>,
-    log_limiter: logging::Limiter,
+    pub(crate) log_limiter: logging::Limiter,
     labels: metrics::BoundedLabel,
     stop: watch::Sender<bool>,
     /// Notified when the first routes or backend servers are known.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -59,6 +59,8 @@
 pub const STORE_CALLS: &str = "bulrushwind_store_calls_total";
 /// Whether the last call to the platform's store was answered.
 pub const STORE_UP: &str = "bulrushwind_store_up";
+/// Epoch of the platform's store, as its last answer stated it.
+pub const STORE_EPOCH: &str = "bulrushwind_store_epoch";
 /// Live peer entry VMs.
 pub const PEERS: &str = "bulrushwind_peers";
 /// Entry VMs that mirror the platform's store from this one.
@@ -270,6 +272,12 @@
         &[],
         "1 if the last call to the platform's store was answered, else 0.",
     ),
+    metric(
+        STORE_EPOCH,
+        Kind::Gauge,
+        &[],
+        "Epoch of the platform's store; grows when the store returns from an older copy.",
+    ),
     metric(
         PEERS,
         Kind::Gauge,
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -5,6 +5,7 @@
 
 use crate::coordination::registration;
 use crate::gateway::{cluster_state, mirror as store_mirror};
+use crate::metrics as metric_names;
 use crate::protocol::mirror;
 use crate::state::entries;
 use crate::{gateway, id};
@@ -36,6 +37,8 @@
     client: store::Client,
     /// Clients for reading the second and the third prefix in parallel.
     parallel_clients: [store::Client; READ_PREFIXES.len() - 1],
+    /// The store's epoch as last logged.
+    logged_epoch: Option<u64>,
 }
 
 impl Feed {
@@ -45,9 +48,26 @@
             cx,
             client: store::Client::new(addr),
             parallel_clients: std::array::from_fn(|_| store::Client::new(addr)),
+            logged_epoch: None,
         }
     }
 
+    /// Logs a new epoch of the store, and an epoch that cannot be read.
+    fn log_epoch(&mut self) {
+        let stated = self.client.epoch();
+        if let Some(text) = &stated.unreadable
+            && let Some(left_out) = self.cx.log_limiter.admit("epoch", self.cx.now())
+        {
+            slog::warn!(self.cx.log, "store's epoch cannot be read; going by its revisions alone"; "value" => text, "left_out" => left_out);
+        }
+        if stated.known == self.logged_epoch {
+            return;
+        }
+        slog::info!(self.cx.log, "store's epoch"; "epoch" => stated.known, "before" => self.logged_epoch);
+        metrics::gauge!(metric_names::STORE_EPOCH).set(stated.known.unwrap_or_default() as f64);
+        self.logged_epoch = stated.known;
+    }
+
     fn try_apply(&self, record: &mirror::Record) -> Result<bool, decode::Error> {
         let key = record.key.as_str();
         let value = record.value.as_deref();
@@ -116,6 +136,7 @@
         self.parallel_clients
             .iter_mut()
             .for_each(store::Client::close);
+        self.log_epoch();
         let parts: [(Vec<mirror::Record>, u64); 3] = parts?.into();
         // A watch from the oldest revision returns all changes since any of the reads.
         let revision = parts.iter().map(|(_, revision)| *revision).min();
@@ -143,7 +164,9 @@
         after: u64,
         wait: time::Duration,
     ) -> Result<(Vec<mirror::Record>, u64), store_mirror::ReadError<store::Error>> {
-        match self.client.watch(WATCH_PREFIX, after, wait).await {
+        let answer = self.client.watch(WATCH_PREFIX, after, wait).await;
+        self.log_epoch();
+        match answer {
             Ok((records, revision)) => Ok((with_hashed_keys(records), revision)),
             Err(store::Error::Gap) => Err(store_mirror::ReadError::Gap),
             Err(err) => Err(store_mirror::ReadError::Failed(err)),
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -18,6 +18,9 @@
     customer: "Bulrushwind-Tenant",
 };
 
+/// Header field of the store's responses with the epoch of its history.
+pub const STORE_EPOCH: &str = "Store-Era";
+
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_FILE_VAR: &str = "BULRUSHWIND_SETTINGS";
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -130,17 +130,54 @@
     stale: bool,
 }
 
+/// What the store's responses say of its epoch, which grows when the store returns from an older copy.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StatedEpoch {
+    /// The last epoch that could be read.
+    pub known: Option<u64>,
+    /// The last response's value if it is no epoch.
+    pub unreadable: Option<String>,
+}
+
+impl StatedEpoch {
+    /// Takes over what a response states.
+    pub fn update(&mut self, fields: &http1::Fields) {
+        let Some(value) = fields.get(super::names::STORE_EPOCH) else {
+            self.unreadable = None;
+            return;
+        };
+        let text = String::from_utf8_lossy(value);
+        match text.trim().parse() {
+            Ok(epoch) => {
+                self.known = Some(epoch);
+                self.unreadable = None;
+            }
+            Err(_) => self.unreadable = Some(text.into_owned()),
+        }
+    }
+}
+
 /// A connection to the store, which carries one call at a time.
 #[derive(Debug)]
 pub struct Client {
     addr: net::SocketAddr,
     wire: Option<socket::Wire>,
+    epoch: StatedEpoch,
 }
 
 impl Client {
     /// Creates a client that connects on its first call.
     pub fn new(addr: net::SocketAddr) -> Self {
-        Self { addr, wire: None }
+        Self {
+            addr,
+            wire: None,
+            epoch: StatedEpoch::default(),
+        }
+    }
+
+    /// What the responses so far say of the store's epoch.
+    pub fn epoch(&self) -> &StatedEpoch {
+        &self.epoch
     }
 
     /// Connects ahead of the next call. If this fails, the next call tries again and reports the error.
@@ -343,6 +380,7 @@
     ) -> Option<(u16, Bytes)> {
         let response = tokio::time::timeout(limit, self.send(method, target, body)).await;
         let (mut wire, received) = response.ok()??;
+        self.epoch.update(&received.head.fields);
         let response_body =
             tokio::time::timeout(BODY_TIMEOUT, read_body(&mut wire, received.head.framing)).await;
         let response_body = response_body.ok()??;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,3 +7,4 @@
 mod entries;
 mod explaining;
 mod processes;
+mod restored_store;
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -3,9 +3,11 @@
 use std::cell;
 use std::collections;
 use std::net;
+use std::ops;
 use std::rc;
 use std::time;
 
+use bulrushwind::platform::names;
 use bulrushwind::protocol::{http1, routes};
 use bulrushwind::transport::{callers, upstream};
 use bytes::Bytes;
@@ -34,14 +36,15 @@
     lease: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     ttl: time::Duration,
     ends: time::Instant,
 }
 
-#[derive(Debug, Default)]
-struct Inner {
+/// What a restored store gets back: records, history and leases.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Contents {
     items: collections::BTreeMap<String, Item>,
     events: Vec<(u64, String, Option<Item>)>,
     revision: u64,
@@ -49,11 +52,33 @@
     discarded_revision: u64,
     leases: collections::BTreeMap<u64, Lease>,
     next_lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    contents: Contents,
+    epoch: u64,
+    /// Stated in place of the epoch.
+    epoch_text: Option<String>,
     mode: Mode,
     calls: usize,
 }
 
-impl Inner {
+impl ops::Deref for Inner {
+    type Target = Contents;
+
+    fn deref(&self) -> &Contents {
+        &self.contents
+    }
+}
+
+impl ops::DerefMut for Inner {
+    fn deref_mut(&mut self) -> &mut Contents {
+        &mut self.contents
+    }
+}
+
+impl Contents {
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
         let item = Item {
@@ -149,6 +174,25 @@
         self.changed.notify_waiters();
     }
 
+    /// A copy of the present contents.
+    pub(crate) fn copy(&self) -> Contents {
+        self.inner.borrow().contents.clone()
+    }
+
+    /// Returns to a copy: all that was written since is lost, and a new epoch begins.
+    pub(crate) fn restore(&self, copy: Contents) {
+        let mut inner = self.inner.borrow_mut();
+        inner.contents = copy;
+        inner.epoch += 1;
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    /// States a text in place of the epoch.
+    pub(crate) fn state_epoch(&self, text: Option<&str>) {
+        self.inner.borrow_mut().epoch_text = text.map(str::to_owned);
+    }
+
     pub(crate) fn calls(&self) -> usize {
         self.inner.borrow().calls
     }
@@ -190,10 +234,11 @@
         };
         match mode {
             Mode::Silent => return std::future::pending().await,
-            Mode::Busy => return callers::Answer::empty(503),
+            Mode::Busy => return self.with_epoch(callers::Answer::empty(503)),
             Mode::Up | Mode::DropsResponses => {}
         }
         let answer = self.handle(&req).await;
+        let answer = self.with_epoch(answer);
         let write = req.head.method() != b"GET";
         if mode == Mode::DropsResponses && write {
             return std::future::pending().await;
@@ -201,6 +246,15 @@
         answer
     }
 
+    fn with_epoch(&self, mut answer: callers::Answer) -> callers::Answer {
+        let inner = self.inner.borrow();
+        let text = inner.epoch_text.clone();
+        let text = text.unwrap_or_else(|| inner.epoch.to_string());
+        let field = names::STORE_EPOCH.as_bytes();
+        http1::put_field(&mut answer.fields, field, text.as_bytes());
+        answer
+    }
+
     async fn handle(&self, req: &callers::Request) -> callers::Answer {
         let path = req.head.path();
         let target = req.head.target();
@@ -252,7 +306,7 @@
             let changed = self.changed.notified();
             {
                 let inner = self.inner.borrow();
-                if after < inner.discarded_revision {
+                if after < inner.discarded_revision || after > inner.revision {
                     return callers::Answer::empty(410);
                 }
                 let events: Vec<Value> = inner
@@ -316,7 +370,7 @@
 
     fn renew(&self, id: &str) -> callers::Answer {
         let mut inner = self.inner.borrow_mut();
-        match inner.leases.get_mut(&id.parse().unwrap()) {
+        match inner.contents.leases.get_mut(&id.parse().unwrap()) {
             Some(lease) => {
                 lease.ends = time::Instant::now() + lease.ttl;
                 json_answer(&json!({"ttl_s_time": lease.ttl.as_secs_f64()}))
