Failing test: a configuration written after the store returned from a copy is skipped

What callers see: requests are handled by an older configuration until the next one is written. The store is silent, returns from a copy of revision 8 or so and writes version 3 and forty more records before the VM, which holds revision 28 of the lost history, asks for changes again. The watch after 28 is answered without version 3.

--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -2,7 +2,15 @@
 
 use std::time;
 
-use super::processes::{Deployment, TEST_TIMEOUT, run_scenario, wait_for_status};
+use serde_json::json;
+
+use super::processes::{Deployment, TEST_TIMEOUT, config, run_scenario, wait_for_status};
+use super::support::store;
+
+/// Writes records that no VM interprets, which raises the store's revision.
+fn raise_revision(store: &store::Store, writes: usize) {
+    (0..writes).for_each(|n| store.write("op/note", &json!(n)));
+}
 
 /// Waits until a process has logged a line that contains all these texts.
 async fn wait_for_line(deployment: &Deployment, node: &str, texts: &[&str]) {
@@ -37,3 +45,27 @@
         wait_for_status(ports.front, "/read/a", 200).await;
     });
 }
+
+/// Guards against changes that are skipped because they have revisions that an earlier history of the
+/// store had given out.
+#[test]
+fn a_configuration_written_after_the_store_returned_from_a_copy_is_in_force() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let (ports, _gateway) = deployment.start("vm-1", deployment.store.addr, &[]);
+        wait_for_status(ports.ready, "/ready", 200).await;
+        let copy = deployment.store.copy();
+        raise_revision(&deployment.store, 20);
+        deployment.store.write("op/config", &config(2, &["/two/"]));
+        wait_for_status(ports.front, "/two/a", 200).await;
+        deployment.store.set_mode(store::Mode::Silent);
+        wait_for_line(&deployment, "vm-1", &["store does not serve"]).await;
+        deployment.store.restore(copy);
+        deployment
+            .store
+            .write("op/config", &config(3, &["/three/"]));
+        raise_revision(&deployment.store, 40);
+        deployment.store.set_mode(store::Mode::Up);
+        wait_for_status(ports.front, "/three/a", 200).await;
+    });
+}
