Failing test: a follower misses a removal after the store returned from a copy

What callers see: requests reach a backend server that has left, up to the next whole list. Fails on the current code: the first message leaves the removal out.

--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use bulrushwind::protocol::mirror;
+use bulrushwind::transport::mirror as links;
 use serde_json::json;
 
 use super::processes::{Deployment, TEST_TIMEOUT, config, run_scenario, wait_for_status};
@@ -69,3 +71,45 @@
         wait_for_status(ports.front, "/three/a", 200).await;
     });
 }
+
+/// The first message to a follower that holds the records of a revision and states no epoch.
+async fn first_message(addr: std::net::SocketAddr, since: u64) -> mirror::Message {
+    let request =
+        json!({"fresh": true, "wait_ms": TEST_TIMEOUT.as_millis() as u64, "since": since});
+    let mut link = links::Link::open(addr, TEST_TIMEOUT).await.unwrap();
+    link.send(mirror::encode(&request).unwrap().into())
+        .await
+        .unwrap();
+    link.receive(TEST_TIMEOUT).await.unwrap()
+}
+
+/// Guards against a follower that misses a removal, since it and the VM that it follows state the same
+/// revision of an earlier history of the store.
+#[test]
+fn a_follower_with_records_of_an_earlier_history_hears_of_a_removal_since() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let (ports, _gateway) = deployment.start("vm-1", deployment.store.addr, &[]);
+        wait_for_status(ports.ready, "/ready", 200).await;
+        let copy = deployment.store.copy();
+        raise_revision(&deployment.store, 40);
+        let revision = loop {
+            match first_message(ports.control, 0).await {
+                mirror::Message::Snapshot { revision, .. } if revision >= 40 => break revision,
+                _ => tokio::time::sleep(time::Duration::from_millis(50)).await,
+            }
+        };
+        deployment.store.restore(copy);
+        let removed = format!("servers/{}", deployment.backends[0].id);
+        deployment.store.remove(&removed);
+        wait_for_line(&deployment, "vm-1", &["\"backend server gone\""]).await;
+        let is_removed = match first_message(ports.control, revision).await {
+            mirror::Message::Snapshot { records, .. } => records.iter().all(|r| r.key != removed),
+            mirror::Message::Delta { records, .. } => records
+                .iter()
+                .any(|r| r.key == removed && r.value.is_none()),
+            mirror::Message::NotReading => false,
+        };
+        assert!(is_removed, "the follower keeps {removed}");
+    });
+}
