State the store's epoch between entry VMs: a revision alone may be of a lost history

Both held revision 66 of a history that was gone, and had read different lists of revisions far below. The leader, which had removed the server 0.46 s before, answered with no change.

Evidence: 'following' with 31 bytes, whole=false, revision 66, 0.46 s after the leader's 'backend server gone'; no such line ever on the follower.

Change: follower and leader state the epoch of their revisions. A follower of another epoch gets all records; one that has seen a later epoch is told that the VM does not read the store; records of an earlier epoch are not taken. A change that leads into a new epoch moves followers with it, down the whole tree. VMs of an earlier release state no epoch: they get whole lists and are followed as before. Ruled out: the hold for missing servers (it logs) and a removal not yet forwarded (seen before).

--- a/src/coordination/mirror.rs
+++ b/src/coordination/mirror.rs
@@ -192,12 +192,15 @@
         mirror::Message::Snapshot {
             records: records.collect(),
             revision: self.position.revision,
+            epoch: self.position.epoch,
         }
     }
 
-    /// A message with the changes after `revision`; `None` if they are no longer known.
-    pub fn delta_since(&self, revision: u64) -> Option<mirror::Message> {
-        if !self.is_complete() || revision < self.complete_from {
+    /// A message with the changes after `since`; `None` if they are no longer known.
+    pub fn delta_since(&self, since: mirror::Position) -> Option<mirror::Message> {
+        let revision = since.revision;
+        let is_other_history = since.epoch != self.position.epoch;
+        if !self.is_complete() || is_other_history || revision < self.complete_from {
             return None;
         }
         let values = self
@@ -216,6 +219,7 @@
         Some(mirror::Message::Delta {
             records: values.chain(removed).collect(),
             revision: self.position.revision,
+            epoch: self.position.epoch,
         })
     }
 }
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -60,7 +60,7 @@
     }
 
     /// The changes since a revision, or a snapshot if removals since then are no longer known.
-    fn delta_since(&self, since: u64) -> Result<Bytes, mirror::Error> {
+    fn delta_since(&self, since: mirror::Position) -> Result<Bytes, mirror::Error> {
         let delta = self.records.borrow().delta_since(since);
         match delta {
             Some(delta) => Ok(mirror::encode(&delta)?.into()),
@@ -98,13 +98,19 @@
             self.await_current(&mut updates, ask.wait_ms, &mut link)
                 .await;
         }
-        if ask.fresh && !self.is_fresh() {
+        let since = mirror::Position {
+            epoch: ask.epoch,
+            revision: ask.since,
+        };
+        // The follower has seen a later epoch of the store than this VM.
+        let is_behind = since.epoch > self.records.borrow().position().epoch;
+        if ask.fresh && (is_behind || !self.is_fresh()) {
             link.send(mirror::encode(&mirror::Message::NotReading)?.into())
                 .await?;
             link.wait_closed().await;
             return Ok(());
         }
-        link.send(self.delta_since(ask.since)?).await?;
+        link.send(self.delta_since(since)?).await?;
         if !ask.fresh {
             link.wait_closed().await;
             return Ok(());
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -317,6 +317,7 @@
             fresh: true,
             wait_ms: timeouts.first_message.as_millis() as u64,
             since: own.revision,
+            epoch: own.epoch,
         };
         link.send(mirror::encode(&ask)?.into()).await?;
         let mut limit = timeouts.first_message + timeouts.silence;
@@ -326,22 +327,24 @@
             let message: mirror::Message = mirror::decode(&bytes)?;
             let whole = matches!(message, mirror::Message::Snapshot { .. });
             let len = bytes.len();
-            let (updates, position) = match message {
+            let Some(position) = self.position_of(&message) else {
+                return Ok(());
+            };
+            let updates = match message {
                 mirror::Message::NotReading => return Ok(()),
-                mirror::Message::Snapshot { records, revision } => {
-                    let position = mirror::Position { revision, ..own };
+                mirror::Message::Snapshot { records, .. } => {
                     let updates = self.replace_all(source, &records, position);
                     // Cached as received, so that a long list is not encoded again at each hop.
                     *self.snapshot.borrow_mut() = (self.records.borrow().version(), bytes);
-                    (updates, position)
+                    updates
                 }
-                mirror::Message::Delta { records, revision } => {
-                    let position = mirror::Position { revision, ..own };
-                    (self.apply_changes(source, &records, position), position)
+                mirror::Message::Delta { records, .. } => {
+                    self.enter_epoch(position);
+                    self.apply_changes(source, &records, position)
                 }
             };
             if !std::mem::replace(received, true) {
-                slog::info!(self.cx.log, "following"; "vm" => %vm, "revision" => position.revision, "whole" => whole, "bytes" => len);
+                slog::info!(self.cx.log, "following"; "vm" => %vm, "epoch" => position.epoch, "revision" => position.revision, "whole" => whole, "bytes" => len);
             }
             self.current.set(true);
             self.cx.record_store_answer();
@@ -349,6 +352,28 @@
         }
     }
 
+    /// The position that a followed VM's message leads to. `None` if it does not read the store, or
+    /// an earlier epoch of it than this VM has seen.
+    fn position_of(&self, message: &mirror::Message) -> Option<mirror::Position> {
+        let own = self.records.borrow().position();
+        let (epoch, revision) = match message {
+            mirror::Message::NotReading => return None,
+            mirror::Message::Snapshot {
+                epoch, revision, ..
+            }
+            | mirror::Message::Delta {
+                epoch, revision, ..
+            } => (*epoch, *revision),
+        };
+        // VMs of an earlier release state no epoch.
+        let epoch = if epoch == 0 { own.epoch } else { epoch };
+        if epoch < own.epoch {
+            slog::info!(self.cx.log, "records of an earlier epoch not taken"; "epoch" => epoch, "own" => own.epoch);
+            return None;
+        }
+        Some(mirror::Position { epoch, revision })
+    }
+
     /// Moves the records to another history of the store, if `position` belongs to one.
     fn enter_epoch(&self, position: mirror::Position) {
         let mut stored = self.records.borrow_mut();
@@ -523,6 +548,7 @@
         let delta = mirror::Message::Delta {
             records,
             revision: position.revision,
+            epoch: position.epoch,
         };
         match mirror::encode(&delta) {
             // Sending fails if there is no follower.
@@ -555,16 +581,15 @@
         addr: net::SocketAddr,
     ) -> Result<usize, transport::mirror::Error> {
         let mut link = transport::mirror::Link::open(addr, transport::mirror::OPEN_TIMEOUT).await?;
-        let ask = mirror::FollowRequest {
-            fresh: false,
-            wait_ms: 0,
-            since: 0,
-        };
+        let ask = mirror::FollowRequest::default();
         link.send(mirror::encode(&ask)?.into()).await?;
         match link.receive(follow_order::SILENCE_TIMEOUT).await? {
-            mirror::Message::Snapshot { records, revision } => {
-                let own = self.records.borrow().position();
-                let position = mirror::Position { revision, ..own };
+            mirror::Message::Snapshot {
+                records,
+                revision,
+                epoch,
+            } => {
+                let position = mirror::Position { epoch, revision };
                 self.replace_all(source, &records, position);
                 Ok(records.len())
             }
--- a/src/protocol/mirror.rs
+++ b/src/protocol/mirror.rs
@@ -26,6 +26,7 @@
     }
 
     /// The first message on a link, sent by the follower.
+    #[derive(Default)]
     pub struct FollowRequest {
         /// Whether only records read directly from the store are acceptable. A VM that starts
         /// during a store outage accepts any copy.
@@ -36,6 +37,9 @@
         /// The store revision that the follower already has; 0 if it has none.
         #[serde(default)]
         pub since: u64,
+        /// The store's epoch to which that revision belongs.
+        #[serde(default)]
+        pub epoch: u64,
     }
 
     /// The answer to a follower.
@@ -47,6 +51,9 @@
             records: Vec<Record>,
             /// The store's revision that they show.
             revision: u64,
+            /// The store's epoch to which the revision belongs.
+            #[serde(default)]
+            epoch: u64,
         },
         /// A delta since the last message. The sender forwards each answer of the store, also an
         /// empty one, so that followers know that it still reads the store.
@@ -56,6 +63,10 @@
             records: Vec<Record>,
             /// The store's revision that they show.
             revision: u64,
+            /// The store's epoch to which the revision belongs. A new one means that the records
+            /// lead from the last message to the store's restored contents.
+            #[serde(default)]
+            epoch: u64,
         },
         /// The VM does not read the store.
         NotReading,
--- a/tests/gateway/following.rs
+++ b/tests/gateway/following.rs
@@ -55,11 +55,17 @@
 }
 
 async fn follow(addr: std::net::SocketAddr) -> mirror::Message {
+    follow_from(addr, mirror::Position::default()).await
+}
+
+/// The answer to a follower that holds the records of a position.
+async fn follow_from(addr: std::net::SocketAddr, own: mirror::Position) -> mirror::Message {
     let mut link = links::Link::open(addr, LONG).await.unwrap();
     let request = mirror::encode(&mirror::FollowRequest {
         fresh: true,
-        wait_ms: 0,
-        since: 0,
+        since: own.revision,
+        epoch: own.epoch,
+        ..mirror::FollowRequest::default()
     })
     .unwrap();
     link.send(request.into()).await.unwrap();
@@ -95,6 +101,29 @@
     });
 }
 
+/// Guards against a follower that goes back to records of an epoch that it has left.
+#[test]
+fn a_vm_that_has_not_seen_the_followers_epoch_reports_not_reading() {
+    run_test(|| async {
+        let cx = gateway::Gateway::new(gateway::Config::default(), logging::silent());
+        let mirror = following::Mirror::new(cx);
+        let listener = socket::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let addr = listener.local_addr().unwrap();
+        task::spawn_local(mirror.clone().serve(listener));
+        task::spawn_local(mirror.run(SilenceableStore::default(), Vec::new()));
+        let whole = |m: &mirror::Message| matches!(m, mirror::Message::Snapshot { .. });
+        wait_until(addr, "it tells what it reads", whole).await;
+        let at = |epoch, revision| mirror::Position { epoch, revision };
+        let delta = follow_from(addr, at(1, 7)).await;
+        assert!(matches!(delta, mirror::Message::Delta { .. }), "{delta:?}");
+        assert!(whole(&follow_from(addr, at(0, 7)).await));
+        assert_eq!(
+            follow_from(addr, at(2, 3)).await,
+            mirror::Message::NotReading
+        );
+    });
+}
+
 const SILENCE: time::Duration = time::Duration::from_millis(500);
 
 /// Serves frames through a proxy that passes 8 KB at a time with this pause.
@@ -128,6 +157,7 @@
     mirror::Message::Snapshot {
         records: vec![record],
         revision: 7,
+        epoch: 1,
     }
 }
 
@@ -167,6 +197,7 @@
             value: Some(text.clone().into()),
         }],
         revision: 9,
+        epoch: 1,
     };
     let packed = mirror::encode(&message).unwrap();
     assert!(packed.len() < text.len() / 10, "{}", packed.len());
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -868,7 +868,10 @@
 #[test]
 fn a_returning_follower_gets_a_delta() {
     let mut leader = mirror::Records::default();
-    assert!(leader.delta_since(7).is_none(), "there is no snapshot yet");
+    assert!(
+        leader.delta_since(at(7)).is_none(),
+        "there is no snapshot yet"
+    );
     for key in ["a", "b", "c"] {
         leader.put(&record(key, Some("1")), 10);
     }
@@ -878,23 +881,60 @@
     leader.advance_to(at(12));
     leader.put(&record("c", None), 15);
     leader.advance_to(at(16));
-    let changes = |records, revision| Some(protocol::mirror::Message::Delta { records, revision });
+    let changes = |records, revision| {
+        Some(protocol::mirror::Message::Delta {
+            records,
+            revision,
+            epoch: 0,
+        })
+    };
     assert!(
-        leader.delta_since(9).is_none(),
+        leader.delta_since(at(9)).is_none(),
         "earlier removals are not recorded"
     );
     let all = vec![record("b", Some("2")), record("c", None)];
-    assert_eq!(leader.delta_since(10), changes(all, 16));
-    assert_eq!(leader.delta_since(13), changes(vec![record("c", None)], 16));
-    assert_eq!(leader.delta_since(16), changes(Vec::new(), 16));
+    assert_eq!(leader.delta_since(at(10)), changes(all, 16));
+    assert_eq!(
+        leader.delta_since(at(13)),
+        changes(vec![record("c", None)], 16)
+    );
+    assert_eq!(leader.delta_since(at(16)), changes(Vec::new(), 16));
     leader.put(&record("c", Some("3")), 18);
     leader.advance_to(at(18));
     assert_eq!(
-        leader.delta_since(16),
+        leader.delta_since(at(16)),
         changes(vec![record("c", Some("3"))], 18)
     );
 }
 
+/// Guards against a delta from a revision that an earlier history of the store had given out.
+#[test]
+fn a_follower_of_an_earlier_epoch_gets_all_records() {
+    let position = |epoch, revision| protocol::mirror::Position { epoch, revision };
+    let mut leader = mirror::Records::default();
+    leader.put(&record("a", Some("1")), 60);
+    leader.put(&record("b", Some("1")), 61);
+    leader.mark_complete(61);
+    leader.advance_to(position(4, 61));
+    for (epoch, revision) in [(5, 30), (6, 20)] {
+        leader.rebase(position(epoch, revision));
+        leader.put(&record("b", None), revision + 1);
+        leader.advance_to(position(epoch, revision + 1));
+        assert_eq!(leader.position(), position(epoch, revision + 1));
+        for before in [position(epoch - 1, 31), position(epoch - 1, 61), at(61)] {
+            assert!(leader.delta_since(before).is_none(), "{before:?}");
+        }
+        assert!(leader.delta_since(position(epoch, revision - 1)).is_none());
+        let delta = leader.delta_since(position(epoch, revision));
+        let removal = protocol::mirror::Message::Delta {
+            records: vec![record("b", None)],
+            revision: revision + 1,
+            epoch,
+        };
+        assert_eq!(delta, Some(removal));
+    }
+}
+
 /// Guards against memory that grows with every backend server that ever registered.
 #[test]
 fn old_removals_are_dropped() {
@@ -906,6 +946,6 @@
         leader.put(&record(&format!("gone-{n}"), None), 2 + n);
         leader.advance_to(at(2 + n));
     }
-    assert!(leader.delta_since(1).is_none());
-    assert!(leader.delta_since(5_001).is_some());
+    assert!(leader.delta_since(at(1)).is_none());
+    assert!(leader.delta_since(at(5_001)).is_some());
 }
