Keep what was in force until it is written again when the store returns from an older copy

What callers would see: requests in a zone under evacuation, refusals by zones whose evacuation had ended, live backend servers dropped, and look-ups without most entry VMs, until operators, backend servers and VMs have written again. Without the entry VMs, each VM of a region would also take itself for the first of the order and read the whole list.

Both new process tests fail on the commit before: 'backend server gone' at once for two live servers, and requests that run in the evacuated zone.

Change: a new decision (coordination/unconfirmed) lets each difference between the first list of an epoch and what was in force wait: for as long as a live writer needs to write again, 2.2 s for backend servers, the longest lease for entry VMs, 90 s for crashes, 60 s for operators' marks. Ends of leases that a restored store reports within that time wait too, since it does not know of the last renewals. A record written again ends the wait at once; a second return starts it anew. Followers are told what waits, so that one that loses its leader decides like it. Records that are older than what is in force (routes) or cannot be read no longer replace the stored ones, so later followers do not get them either. The hold for missing servers after an outage is unchanged.

--- a/src/coordination/mirror.rs
+++ b/src/coordination/mirror.rs
@@ -110,14 +110,16 @@
     }
 
     /// Continues at a position in another history of the store. Revisions of the earlier history
-    /// mean nothing in this one, so all records held count as written there.
-    pub fn rebase(&mut self, position: mirror::Position) {
+    /// mean nothing in this one, so all records held count as written there. Returns the keys known
+    /// as removed.
+    pub fn rebase(&mut self, position: mirror::Position) -> collections::BTreeSet<String> {
         let values = self.values.values_mut();
         values.for_each(|versioned| versioned.revision = position.revision);
-        self.removed.clear();
+        let removed = std::mem::take(&mut self.removed);
         self.complete_from = position.revision;
         self.position = position;
         self.version += 1;
+        removed.into_keys().collect()
     }
 
     /// Marks the copy as complete: all records of `revision` are applied.
@@ -183,8 +185,8 @@
             .collect()
     }
 
-    /// A message with all records.
-    pub fn snapshot(&self) -> mirror::Message {
+    /// A message with all records, and those that are not in force yet.
+    pub fn snapshot(&self, unconfirmed: Vec<mirror::Record>) -> mirror::Message {
         let records = self.values.iter().map(|(key, versioned)| mirror::Record {
             key: key.clone(),
             value: Some(versioned.value.clone()),
@@ -193,11 +195,17 @@
             records: records.collect(),
             revision: self.position.revision,
             epoch: self.position.epoch,
+            unconfirmed,
         }
     }
 
-    /// A message with the changes after `since`; `None` if they are no longer known.
-    pub fn delta_since(&self, since: mirror::Position) -> Option<mirror::Message> {
+    /// A message with the changes after `since`, and those that are not in force yet. `None` if
+    /// they are no longer known.
+    pub fn delta_since(
+        &self,
+        since: mirror::Position,
+        unconfirmed: &[mirror::Record],
+    ) -> Option<mirror::Message> {
         let revision = since.revision;
         let is_other_history = since.epoch != self.position.epoch;
         if !self.is_complete() || is_other_history || revision < self.complete_from {
@@ -220,6 +228,7 @@
             records: values.chain(removed).collect(),
             revision: self.position.revision,
             epoch: self.position.epoch,
+            unconfirmed: unconfirmed.to_vec(),
         })
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -19,3 +19,4 @@
 pub mod signed_values;
 pub mod store;
 pub mod store_http;
+pub mod unconfirmed;
--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -17,6 +17,26 @@
 /// entries say otherwise: entries lag by a heartbeat and the propagation delay.
 const POST_EVACUATION_COLD_PERIOD: time::Duration = time::Duration::from_secs(3);
 
+/// The effect of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It changed something that other entry VMs need to know.
+    Changed,
+    /// It changed nothing of that kind.
+    None,
+    /// It is invalid or older than what is in force, and was not taken.
+    Rejected,
+}
+
+impl From<bool> for Effect {
+    fn from(changed: bool) -> Self {
+        match changed {
+            true => Self::Changed,
+            false => Self::None,
+        }
+    }
+}
+
 /// A request that was in flight when a backend server crashed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Crash {
@@ -88,15 +108,15 @@
         self.queue_crash_reports(crashed);
     }
 
-    /// Applies a version of the routes. Returns false if it is not newer than the one in force.
-    pub fn update_routes(&self, table: routes::Table) -> bool {
+    /// Applies a version of the routes, unless it is older than the one in force.
+    pub fn update_routes(&self, table: routes::Table) -> Effect {
         let known = self.table().map(|t| t.version);
         if known == Some(table.version) {
-            return false;
+            return Effect::None;
         }
         if known.is_some_and(|version| version > table.version) {
             slog::warn!(self.log, "routes not taken"; "version" => table.version, "in force" => known, "why" => "older than those in force");
-            return false;
+            return Effect::Rejected;
         }
         slog::info!(self.log, "routes"; "version" => table.version, "before" => known, "routes" => table.len(),
             "customers" => table.customers.len(), "keys" => table.customers.key_count(), "homed" => table.customers.region_bound().to_text());
@@ -104,18 +124,18 @@
         if known.is_none() {
             self.data_arrived.notify_one();
         }
-        true
+        Effect::Changed
     }
 
-    /// Applies a backend server's entry. Returns whether it is more than a heartbeat.
-    pub fn update_backend(&self, id: &id::VmId, listed: backends::Listed) -> bool {
+    /// Applies a backend server's entry. A heartbeat changes nothing.
+    pub fn update_backend(&self, id: &id::VmId, listed: backends::Listed) -> Effect {
         self.removal_guard.borrow_mut().record_present(id);
         let region = self.cfg.regions.get(&listed.az).cloned();
         let service = listed.service.clone();
         let mut before = self.backends.borrow().get(id).map(|b| b.listed.clone());
         if before.as_ref().is_some_and(|b| b.started_after(&listed)) {
             slog::debug!(self.log, "backend server's entry ignored"; "backend" => %id, "why" => "it is of an earlier start");
-            return false;
+            return Effect::Rejected;
         }
         if before.take_if(|b| listed.started_after(b)).is_some() {
             self.end_run(id);
@@ -144,7 +164,7 @@
         if leaving {
             slog::info!(self.log, "backend server leaves"; "backend" => %id, "service" => %service);
         }
-        changed
+        changed.into()
     }
 
     /// Handles the removal of a backend server's entry.
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -61,7 +61,8 @@
 
     /// The changes since a revision, or a snapshot if removals since then are no longer known.
     fn delta_since(&self, since: mirror::Position) -> Result<Bytes, mirror::Error> {
-        let delta = self.records.borrow().delta_since(since);
+        let unconfirmed = self.unconfirmed.borrow().records();
+        let delta = self.records.borrow().delta_since(since, &unconfirmed);
         match delta {
             Some(delta) => Ok(mirror::encode(&delta)?.into()),
             None => self.snapshot(),
@@ -71,13 +72,12 @@
     /// All records, encoded once for all followers until the next change: when all VMs start at
     /// once, a copy per follower would fill a small VM's memory.
     fn snapshot(&self) -> Result<Bytes, mirror::Error> {
-        let records = self.records.borrow();
+        let version = self.snapshot_version();
         let mut snapshot = self.snapshot.borrow_mut();
-        if snapshot.0 != records.version() || snapshot.1.is_empty() {
-            *snapshot = (
-                records.version(),
-                mirror::encode(&records.snapshot())?.into(),
-            );
+        if snapshot.0 != version || snapshot.1.is_empty() {
+            let unconfirmed = self.unconfirmed.borrow().records();
+            let message = self.records.borrow().snapshot(unconfirmed);
+            *snapshot = (version, mirror::encode(&message)?.into());
         }
         Ok(snapshot.1.clone())
     }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -2,6 +2,7 @@
 //! reads it and the others follow that VM, directly or through one another.
 
 use std::cell;
+use std::collections;
 use std::net;
 use std::rc;
 use std::time;
@@ -10,8 +11,9 @@
 use tokio::sync::broadcast;
 
 use super::Gateway;
+use super::cluster_state::Effect;
 use crate::coordination::mirror as follow_order;
-use crate::coordination::read_schedule;
+use crate::coordination::{read_schedule, unconfirmed};
 use crate::decisions::policy;
 use crate::id;
 use crate::metrics as metric_names;
@@ -64,8 +66,11 @@
         wait: time::Duration,
     ) -> impl Future<Output = Result<Changes, ReadError<Self::Error>>>;
 
-    /// Applies a record to the gateway's state. Returns whether it changed anything.
-    fn apply(&self, record: &mirror::Record) -> bool;
+    /// Applies a record to the gateway's state.
+    fn apply(&self, record: &mirror::Record) -> Effect;
+
+    /// How the record of a key behaves when the store returns from an older copy.
+    fn hold(&self, key: &str) -> unconfirmed::Hold;
 }
 
 /// Timeouts for following one entry VM.
@@ -101,6 +106,8 @@
 pub struct Mirror {
     pub(super) cx: Gateway,
     pub(super) records: rc::Rc<cell::RefCell<follow_order::Records>>,
+    /// Differences to a restored store that are not in force yet.
+    pub(super) unconfirmed: rc::Rc<cell::RefCell<unconfirmed::Unconfirmed>>,
     pub(super) updates: broadcast::Sender<Bytes>,
     /// Whether the records come from the store, read here or by the followed VM.
     pub(super) current: rc::Rc<cell::Cell<bool>>,
@@ -108,7 +115,7 @@
     needs_list: rc::Rc<cell::Cell<bool>>,
     /// The entry VMs of the region, and the version of the list that they were computed from.
     region_entries: rc::Rc<cell::RefCell<(u64, rc::Rc<[follow_order::Candidate]>)>>,
-    /// An encoded snapshot, and the version of the records in it.
+    /// An encoded snapshot, and its [`Mirror::snapshot_version`].
     pub(super) snapshot: rc::Rc<cell::RefCell<(u64, Bytes)>>,
 }
 
@@ -118,6 +125,7 @@
         Self {
             cx,
             records: rc::Rc::default(),
+            unconfirmed: rc::Rc::default(),
             updates: broadcast::channel(MAX_QUEUED_MESSAGES).0,
             current: rc::Rc::default(),
             needs_list: rc::Rc::default(),
@@ -131,9 +139,14 @@
         self.records.borrow().position().revision == 0
     }
 
-    /// Whether the records contain a key.
+    /// Whether the store has a key, as far as this VM knows.
     pub fn has(&self, key: &str) -> bool {
-        self.records.borrow().has(key)
+        self.records.borrow().has(key) && !self.unconfirmed.borrow().contains(key)
+    }
+
+    /// A counter that grows with each change of a snapshot's contents.
+    pub(super) fn snapshot_version(&self) -> u64 {
+        self.records.borrow().version() + self.unconfirmed.borrow().version()
     }
 
     /// Keeps the records current until the process ends: follows a VM, or else reads the store.
@@ -344,15 +357,29 @@
             };
             let updates = match message {
                 mirror::Message::NotReading => return Ok(()),
-                mirror::Message::Snapshot { records, .. } => {
-                    let updates = self.replace_all(source, &records, position);
-                    // Cached as received, so that a long list is not encoded again at each hop.
-                    *self.snapshot.borrow_mut() = (self.records.borrow().version(), bytes);
+                mirror::Message::Snapshot {
+                    records,
+                    unconfirmed,
+                    ..
+                } => {
+                    let restored = self.enter_epoch(position);
+                    let updates = self.replace_all(source, &records, position, restored.as_ref());
+                    self.await_confirmation(source, unconfirmed);
+                    if restored.is_none() && self.unconfirmed.borrow().is_empty() {
+                        // Cached as received, so that a long list is not encoded again at each hop.
+                        *self.snapshot.borrow_mut() = (self.snapshot_version(), bytes);
+                    }
                     updates
                 }
-                mirror::Message::Delta { records, .. } => {
+                mirror::Message::Delta {
+                    records,
+                    unconfirmed,
+                    ..
+                } => {
                     self.enter_epoch(position);
-                    self.apply_changes(source, &records, position)
+                    let updates = self.apply_changes(source, &records, position);
+                    self.await_confirmation(source, unconfirmed);
+                    updates
                 }
             };
             if !std::mem::replace(received, true) {
@@ -362,6 +389,7 @@
             self.needs_list.set(false);
             self.cx.record_store_answer();
             self.publish(updates, position);
+            self.apply_due(source);
         }
     }
 
@@ -387,15 +415,45 @@
         Some(mirror::Position { epoch, revision })
     }
 
-    /// Moves the records to another history of the store, if `position` belongs to one.
-    fn enter_epoch(&self, position: mirror::Position) {
+    /// Moves the records to another history of the store, if `position` belongs to one. Returns the
+    /// keys that were known as removed.
+    fn enter_epoch(&self, position: mirror::Position) -> Option<collections::BTreeSet<String>> {
+        let stored = self.records.borrow();
+        let is_other = stored.is_complete() && position.epoch != stored.position().epoch;
+        drop(stored);
+        is_other.then(|| self.rebase(position))
+    }
+
+    fn rebase(&self, position: mirror::Position) -> collections::BTreeSet<String> {
         let mut stored = self.records.borrow_mut();
         let own = stored.position();
-        if !stored.is_complete() || position.epoch == own.epoch {
+        slog::warn!(self.cx.log, "store returned from an older copy"; "epoch" => position.epoch, "revision" => position.revision, "own_epoch" => own.epoch, "own_revision" => own.revision);
+        self.unconfirmed.borrow_mut().begin_epoch(self.cx.now());
+        stored.rebase(position)
+    }
+
+    /// Lets the differences to a restored store that a followed VM reports wait here too.
+    fn await_confirmation<S: Source>(&self, source: &S, records: Vec<mirror::Record>) {
+        let now = self.cx.now();
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        for record in records {
+            if !unconfirmed.contains(&record.key) {
+                let hold = source.hold(&record.key);
+                unconfirmed.wait(now, record, hold);
+            }
+        }
+    }
+
+    /// Applies the differences to a restored store whose writers had time to write again.
+    fn apply_due<S: Source>(&self, source: &S) {
+        let due = self.unconfirmed.borrow_mut().take_due(self.cx.now());
+        if due.is_empty() {
             return;
         }
-        slog::warn!(self.cx.log, "store returned from an older copy"; "epoch" => position.epoch, "revision" => position.revision, "own_epoch" => own.epoch, "own_revision" => own.revision);
-        stored.rebase(position);
+        slog::info!(self.cx.log, "records not written again; taking over the restored store's"; "records" => due.len());
+        let position = self.records.borrow().position();
+        let updates = self.apply_changes(source, &due, position);
+        self.publish(updates, position);
     }
 
     /// Reads the store until a call fails, until it is another VM's turn, or until another VM may be followed.
@@ -474,8 +532,10 @@
                 };
                 self.cx.record_store_answer();
                 self.current.set(true);
+                let records = self.without_unknown_leases(source, records);
                 let updates = self.apply_changes(source, &records, position);
                 self.publish(updates, position);
+                self.apply_due(source);
                 Ok(NextRead::After(pause))
             }
             Err(ReadError::Gap) => {
@@ -496,77 +556,126 @@
         self.cx.record_store_answer();
         let own = self.records.borrow().position();
         slog::info!(self.cx.log, "all records read"; "records" => records.len(), "epoch" => position.epoch, "revision" => position.revision, "before" => own.revision);
-        if position.epoch == own.epoch && position.revision < own.revision {
-            // The store states no epoch, or it could not be read.
-            slog::warn!(self.cx.log, "store's revision went back"; "revision" => position.revision, "own_revision" => own.revision);
-            self.records.borrow_mut().rebase(position);
-        }
-        let updates = self.replace_all(source, &records, position);
+        // Where the store states no epoch that can be read, only the revision tells.
+        let restored = match position.epoch == own.epoch && position.revision < own.revision {
+            true => Some(self.rebase(position)),
+            false => self.enter_epoch(position),
+        };
+        let updates = self.replace_all(source, &records, position, restored.as_ref());
         self.current.set(!stale);
         self.needs_list.set(false);
         self.publish(updates, position);
         Ok(())
     }
 
-    /// Applies changed records. Returns those that changed the gateway's state.
+    /// The changes without removals that may only show that the restored store does not know of the
+    /// last renewals of a lease. These wait.
+    fn without_unknown_leases<S: Source>(
+        &self,
+        source: &S,
+        mut records: Vec<mirror::Record>,
+    ) -> Vec<mirror::Record> {
+        let now = self.cx.now();
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        records.retain(|record| {
+            record.value.is_some()
+                || unconfirmed.admits_removal(now, &record.key, source.hold(&record.key))
+        });
+        records
+    }
+
+    /// Applies changed records. Returns those that followers need.
     fn apply_changes<S: Source>(
         &self,
         source: &S,
         records: &[mirror::Record],
         position: mirror::Position,
     ) -> Vec<mirror::Record> {
-        let mut stored = self.records.borrow_mut();
-        records
+        let needed = records
             .iter()
-            .for_each(|record| stored.put(record, position.revision));
-        stored.advance_to(position);
-        drop(stored);
-        self.apply_records(source, records)
+            .filter(|record| self.apply_record(source, record, position));
+        let updates = needed.cloned().collect();
+        self.records.borrow_mut().advance_to(position);
+        updates
     }
 
-    /// Applies records to the gateway. Returns those that changed its state.
-    fn apply_records<S: Source>(
+    /// Applies and stores a record, unless it is older than what is in force. Returns whether
+    /// followers need it.
+    fn apply_record<S: Source>(
         &self,
         source: &S,
-        records: &[mirror::Record],
-    ) -> Vec<mirror::Record> {
-        let updates = records.iter().filter(|record| source.apply(record));
-        updates.cloned().collect()
+        record: &mirror::Record,
+        position: mirror::Position,
+    ) -> bool {
+        let waited = self.unconfirmed.borrow_mut().confirm(&record.key);
+        let effect = source.apply(record);
+        let mut stored = self.records.borrow_mut();
+        if effect != Effect::Rejected && !stored.contains(record) {
+            stored.put(record, position.revision);
+        }
+        waited || effect == Effect::Changed
     }
 
-    /// Replaces all records. Returns the changes for followers; a VM without records has none.
+    /// Replaces all records. `restored` holds the keys known as removed if this is the first list of
+    /// an epoch. Returns the changes for followers; a VM without records has none.
     fn replace_all<S: Source>(
         &self,
         source: &S,
         records: &[mirror::Record],
         position: mirror::Position,
+        restored: Option<&collections::BTreeSet<String>>,
     ) -> Vec<mirror::Record> {
-        self.enter_epoch(position);
-        let removed = self.records.borrow().removals_missing_from(records);
-        let mut stored = self.records.borrow_mut();
-        let was_incomplete = !stored.is_complete();
+        let was_incomplete = !self.records.borrow().is_complete();
+        let missing = self.records.borrow().removals_missing_from(records);
+        self.forget_withheld(records);
+        let now = self.cx.now();
+        let is_back = |key: &str| restored.is_some_and(|removed| removed.contains(key));
+        let mut updates = Vec::new();
         for record in records {
-            if !stored.contains(record) {
-                stored.put(record, position.revision);
+            let key = record.key.as_str();
+            let hold = source.hold(key);
+            let mut unconfirmed = self.unconfirmed.borrow_mut();
+            let is_back = is_back(key) || (restored.is_some() && unconfirmed.withholds(key));
+            let admitted = unconfirmed.admits(now, record, is_back, hold);
+            drop(unconfirmed);
+            if admitted && self.apply_record(source, record, position) {
+                updates.push(record.clone());
             }
         }
+        for removal in missing {
+            let key = removal.key.as_str();
+            let (hold, is_restored) = (source.hold(key), restored.is_some());
+            let mut unconfirmed = self.unconfirmed.borrow_mut();
+            let admitted = unconfirmed.admits_absence(now, key, is_restored, hold);
+            drop(unconfirmed);
+            if admitted && self.apply_record(source, &removal, position) {
+                updates.push(removal);
+            }
+        }
+        let mut stored = self.records.borrow_mut();
         stored.mark_complete(position.revision);
         stored.advance_to(position);
         drop(stored);
         if was_incomplete {
             slog::info!(self.cx.log, "list taken"; "records" => records.len(), "revision" => position.revision);
-        }
-        let mut updates = self.apply_records(source, records);
-        updates.extend(self.apply_changes(source, &removed, position));
-        if was_incomplete {
             updates.clear();
         }
         updates
     }
 
+    /// Forgets records that were not in force yet and that the store no longer has.
+    fn forget_withheld(&self, listed: &[mirror::Record]) {
+        let withheld = self.unconfirmed.borrow().withheld();
+        for key in withheld {
+            if listed.iter().all(|record| record.key != key) {
+                self.unconfirmed.borrow_mut().confirm(&key);
+            }
+        }
+    }
+
     fn publish(&self, records: Vec<mirror::Record>, position: mirror::Position) {
         let mut snapshot = self.snapshot.borrow_mut();
-        if snapshot.0 != self.records.borrow().version() {
+        if snapshot.0 != self.snapshot_version() {
             // The cached snapshot is outdated and may be large.
             *snapshot = Default::default();
         }
@@ -576,6 +685,7 @@
             records,
             revision: position.revision,
             epoch: position.epoch,
+            unconfirmed: self.unconfirmed.borrow_mut().take_untold(),
         };
         match mirror::encode(&delta) {
             // Sending fails if there is no follower.
@@ -615,9 +725,11 @@
                 records,
                 revision,
                 epoch,
+                ..
             } => {
                 let position = mirror::Position { epoch, revision };
-                self.replace_all(source, &records, position);
+                let restored = self.enter_epoch(position);
+                self.replace_all(source, &records, position, restored.as_ref());
                 Ok(records.len())
             }
             mirror::Message::Delta { .. } | mirror::Message::NotReading => Ok(0),
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -3,7 +3,7 @@
 use std::rc;
 use std::time;
 
-use crate::coordination::registration;
+use crate::coordination::{registration, removal_guard, unconfirmed};
 use crate::gateway::{cluster_state, mirror as store_mirror};
 use crate::metrics as metric_names;
 use crate::protocol::mirror;
@@ -11,11 +11,15 @@
 use crate::{gateway, id};
 
 use super::{decode, names, settings, store};
+use cluster_state::Effect;
 
 /// TTL of a crash record, which counts against the requests that were in flight: longer than callers
 /// retry, and short enough that a repaired service soon gets these requests again.
 const CRASH_RECORD_TTL: time::Duration = time::Duration::from_secs(90);
 
+/// How long what operators wrote stays in force without being written again to a restored store.
+const OPERATOR_HOLD: time::Duration = time::Duration::from_secs(60);
+
 /// Pause between attempts while this VM is not registered.
 const REGISTRATION_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
 
@@ -39,16 +43,24 @@
     parallel_clients: [store::Client; READ_PREFIXES.len() - 1],
     /// The store's epoch as last stated.
     epoch: Option<u64>,
+    /// The longest lease of an entry VM's registration.
+    entry_lease: time::Duration,
 }
 
 impl Feed {
-    /// Creates a feed from the store at `addr`.
-    pub fn new(cx: gateway::Gateway, addr: std::net::SocketAddr) -> Self {
+    /// Creates a feed from the store at `addr`. Callers may be given the address of a dead entry VM
+    /// for `dead_vm_ttl`.
+    pub fn new(
+        cx: gateway::Gateway,
+        addr: std::net::SocketAddr,
+        dead_vm_ttl: time::Duration,
+    ) -> Self {
         Self {
             cx,
             client: store::Client::new(addr),
             parallel_clients: std::array::from_fn(|_| store::Client::new(addr)),
             epoch: None,
+            entry_lease: registration::lease_ttl(true, dead_vm_ttl),
         }
     }
 
@@ -77,14 +89,14 @@
         }
     }
 
-    fn try_apply(&self, record: &mirror::Record) -> Result<bool, decode::Error> {
+    fn try_apply(&self, record: &mirror::Record) -> Result<Effect, decode::Error> {
         let key = record.key.as_str();
         let value = record.value.as_deref();
         if let Some(name) = key.strip_prefix(names::BACKEND_PREFIX) {
             return self.apply_backend(&name.into(), value);
         }
         if let Some(az) = key.strip_prefix(names::EVACUATION_PREFIX) {
-            return Ok(self.cx.evacuate(&az.into(), value.is_some()));
+            return Ok(self.cx.evacuate(&az.into(), value.is_some()).into());
         }
         if let Some(entry) = key.strip_prefix(names::REGISTRATION_PREFIX) {
             let vm = entry.rsplit('/').next().unwrap_or(entry);
@@ -94,32 +106,39 @@
             .strip_prefix(names::CRASH_PREFIX)
             .and_then(decode::crash)
         {
-            return Ok(self.cx.apply_crash_report(&crash, value.is_some()));
+            return Ok(self.cx.apply_crash_report(&crash, value.is_some()).into());
         }
         match value {
             Some(value) if key == names::CONFIG_KEY => {
                 Ok(self.cx.update_routes(decode::config(value)?))
             }
-            _ => Ok(false),
+            // Routes stay in force until there are newer ones.
+            None if key == names::CONFIG_KEY => Ok(Effect::Rejected),
+            _ => Ok(Effect::None),
         }
     }
 
-    fn apply_backend(&self, name: &id::VmId, value: Option<&[u8]>) -> Result<bool, decode::Error> {
+    fn apply_backend(
+        &self,
+        name: &id::VmId,
+        value: Option<&[u8]>,
+    ) -> Result<Effect, decode::Error> {
         let Some(value) = value else {
             self.cx.remove_backend(name);
-            return Ok(true);
+            return Ok(Effect::Changed);
         };
         Ok(match decode::backend(value, self.cx.now()) {
             Ok(listed) => self.cx.update_backend(name, listed),
-            Err(err) => self.cx.remove_unreadable_backend(name, &err),
+            Err(err) => self.cx.remove_unreadable_backend(name, &err).into(),
         })
     }
 
-    fn apply_entry(&self, vm: &id::VmId, value: Option<&[u8]>) -> Result<bool, decode::Error> {
-        match value {
-            Some(value) => Ok(self.cx.update_entry(vm, decode::entry(value)?)),
-            None => Ok(self.cx.remove_entry(vm)),
-        }
+    fn apply_entry(&self, vm: &id::VmId, value: Option<&[u8]>) -> Result<Effect, decode::Error> {
+        let changed = match value {
+            Some(value) => self.cx.update_entry(vm, decode::entry(value)?),
+            None => self.cx.remove_entry(vm),
+        };
+        Ok(changed.into())
     }
 }
 
@@ -191,12 +210,32 @@
         }
     }
 
-    fn apply(&self, record: &mirror::Record) -> bool {
+    fn apply(&self, record: &mirror::Record) -> Effect {
         self.try_apply(record).unwrap_or_else(|err| {
             slog::warn!(self.cx.log, "record from the store rejected; keeping the previous value"; "key" => &record.key, "error" => %err);
-            false
+            Effect::Rejected
         })
     }
+
+    fn hold(&self, key: &str) -> unconfirmed::Hold {
+        let is_of = |prefix: &str| key.starts_with(prefix);
+        if is_of(names::OPERATOR_PREFIX) {
+            return unconfirmed::Hold {
+                lasts: OPERATOR_HOLD,
+                leased: false,
+            };
+        }
+        let lasts = match () {
+            () if is_of(names::BACKEND_PREFIX) => removal_guard::REMOVAL_HOLD,
+            () if is_of(names::REGISTRATION_PREFIX) => self.entry_lease,
+            () if is_of(names::CRASH_PREFIX) => CRASH_RECORD_TTL,
+            () => return unconfirmed::Hold::default(),
+        };
+        unconfirmed::Hold {
+            lasts,
+            leased: true,
+        }
+    }
 }
 
 /// Keeps this VM's registration in the store.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -67,7 +67,7 @@
             Err(err) => slog::warn!(log, "no usage socket; quotas are not shared"; "error" => %err),
         }
     }
-    let feed = feed::Feed::new(cx.clone(), settings.store);
+    let feed = feed::Feed::new(cx.clone(), settings.store, settings.dead_vm_ttl);
     task::spawn_local(mirror.clone().run(feed, settings.seeds.clone()));
     let registration = feed::Registration {
         cx: cx.clone(),
--- a/src/protocol/mirror.rs
+++ b/src/protocol/mirror.rs
@@ -54,6 +54,9 @@
             /// The store's epoch to which the revision belongs.
             #[serde(default)]
             epoch: u64,
+            /// Differences to a restored store that are not in force yet.
+            #[serde(default, skip_serializing_if = "Vec::is_empty")]
+            unconfirmed: Vec<Record>,
         },
         /// A delta since the last message. The sender forwards each answer of the store, also an
         /// empty one, so that followers know that it still reads the store.
@@ -67,6 +70,9 @@
             /// lead from the last message to the store's restored contents.
             #[serde(default)]
             epoch: u64,
+            /// Differences to a restored store that are not in force yet, new since the last message.
+            #[serde(default, skip_serializing_if = "Vec::is_empty")]
+            unconfirmed: Vec<Record>,
         },
         /// The VM does not read the store.
         NotReading,
--- a/tests/gateway/at_most_once.rs
+++ b/tests/gateway/at_most_once.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use bulrushwind::gateway::cluster_state;
 use bulrushwind::protocol::routes;
 
 use super::harness::{Harness, Reaction, get, post, route, run_test, table};
@@ -100,16 +101,12 @@
 fn an_operators_older_configuration_changes_nothing() {
     run_test(|| async {
         let harness = Harness::new(1, &[]).await;
-        assert!(
-            harness
-                .cx
-                .update_routes(table(5, vec![route("/new/", true)]))
-        );
-        assert!(
-            !harness
-                .cx
-                .update_routes(table(4, vec![route("/read/", true)]))
-        );
+        let update = |version, prefix| {
+            let routes = table(version, vec![route(prefix, true)]);
+            harness.cx.update_routes(routes)
+        };
+        assert_eq!(update(5, "/new/"), cluster_state::Effect::Changed);
+        assert_eq!(update(4, "/read/"), cluster_state::Effect::Rejected);
         let mut caller = harness.caller().await;
         assert_eq!(caller.request(&get("/new/a", "r1")).await.status, 200);
         assert_eq!(caller.request(&get("/read/a", "r2")).await.status, 404);
--- a/tests/gateway/following.rs
+++ b/tests/gateway/following.rs
@@ -5,7 +5,8 @@
 use std::rc;
 use std::time;
 
-use bulrushwind::gateway::{self, mirror as following};
+use bulrushwind::coordination::unconfirmed;
+use bulrushwind::gateway::{self, cluster_state, mirror as following};
 use bulrushwind::logging;
 use bulrushwind::protocol::mirror;
 use bulrushwind::transport::{mirror as links, socket};
@@ -49,8 +50,12 @@
         Ok((Vec::new(), after))
     }
 
-    fn apply(&self, _record: &mirror::Record) -> bool {
-        true
+    fn apply(&self, _record: &mirror::Record) -> cluster_state::Effect {
+        cluster_state::Effect::Changed
+    }
+
+    fn hold(&self, _key: &str) -> unconfirmed::Hold {
+        unconfirmed::Hold::default()
     }
 }
 
@@ -158,6 +163,7 @@
         records: vec![record],
         revision: 7,
         epoch: 1,
+        unconfirmed: Vec::new(),
     }
 }
 
@@ -198,6 +204,7 @@
         }],
         revision: 9,
         epoch: 1,
+        unconfirmed: Vec::new(),
     };
     let packed = mirror::encode(&message).unwrap();
     assert!(packed.len() < text.len() / 10, "{}", packed.len());
--- a/tests/gateway/restart.rs
+++ b/tests/gateway/restart.rs
@@ -1,6 +1,6 @@
 //! Backend servers that restart under the same name.
 
-use bulrushwind::gateway::placement;
+use bulrushwind::gateway::{cluster_state, placement};
 use bulrushwind::id;
 use tokio::net::TcpListener;
 
@@ -67,7 +67,8 @@
         let harness = Harness::new(0, &[]).await;
         let before = harness.start_backend("i-0", Some(100)).await;
         let after = harness.start_backend("i-0", Some(200)).await;
-        assert!(!harness.cx.update_backend(&"i-0".into(), before));
+        let effect = harness.cx.update_backend(&"i-0".into(), before);
+        assert_eq!(effect, cluster_state::Effect::Rejected);
         let reservation = reserve(&harness);
         assert_eq!(reservation.addr, after.addr);
         assert_eq!(reservation.run.name, "i-0@c8");
--- a/tests/platform/entries.rs
+++ b/tests/platform/entries.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use bulrushwind::gateway::cluster_state::Effect;
 use bulrushwind::gateway::{self, mirror as store_mirror, placement};
 use bulrushwind::id;
 use bulrushwind::logging;
@@ -58,7 +59,7 @@
             store.write(&format!("servers/{name}"), &entry());
         }
         let cx = gateway::Gateway::new(gateway::Config::default(), logging::silent());
-        let source = feed::Feed::new(cx.clone(), store.addr);
+        let source = feed::Feed::new(cx.clone(), store.addr, time::Duration::from_secs(6));
         task::spawn_local(store_mirror::Mirror::new(cx.clone()).run(source, Vec::new()));
         wait_until("all are known", || is_selectable(&cx, "i-2")).await;
         store.write_text("servers/i-0", "%%%".to_owned());
@@ -81,17 +82,22 @@
 #[test]
 fn an_unreadable_record_counts_as_a_change_for_followers() {
     let cx = gateway::Gateway::new(gateway::Config::default(), logging::silent());
-    let source = feed::Feed::new(cx.clone(), "127.0.0.1:1".parse().unwrap());
+    let source = feed::Feed::new(
+        cx.clone(),
+        "127.0.0.1:1".parse().unwrap(),
+        time::Duration::ZERO,
+    );
     let record = |value: &str| mirror::Record {
         key: "servers/i-0".to_owned(),
         value: Some(value.to_owned().into()),
     };
     let apply = |value: &str| store_mirror::Source::apply(&source, &record(value));
-    assert!(apply(&entry().to_string()));
-    assert!(
-        !apply(&entry().to_string()),
+    assert_eq!(apply(&entry().to_string()), Effect::Changed);
+    assert_eq!(
+        apply(&entry().to_string()),
+        Effect::None,
         "an unchanged record is not a change"
     );
-    assert!(apply("{}"));
+    assert_eq!(apply("{}"), Effect::Changed);
     assert!(!is_selectable(&cx, "i-0"));
 }
--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -48,6 +48,105 @@
     });
 }
 
+/// Waits until no further VM logs that the store has returned from a copy.
+async fn wait_for_return(deployment: &Deployment, node: &str, epoch: u64) {
+    let epoch = format!("\"epoch\":{epoch}");
+    wait_for_line(deployment, node, &["returned from an older copy", &epoch]).await;
+}
+
+/// Number of lines of a process's log that contain all these texts.
+fn count_lines(deployment: &Deployment, node: &str, texts: &[&str]) -> usize {
+    let file = deployment.dir.path().join(format!("{node}.log"));
+    let log = std::fs::read_to_string(file).unwrap();
+    let contains = |line: &&str| texts.iter().all(|text| line.contains(text));
+    log.lines().filter(contains).count()
+}
+
+/// Guards against an evacuation that lapses, or comes back, until operators write again.
+#[test]
+fn evacuations_stay_as_they_were_when_the_store_returns_from_copies() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let store = &deployment.store;
+        store.write("op/evacuate/az-b", &json!({}));
+        let (ports, _gateway) = deployment.start("vm-1", store.addr, &[]);
+        wait_for_status(ports.ready, "/ready", 200).await;
+        let evacuation = |az: &str, evacuated: bool| {
+            [
+                "\"evacuation\"".to_owned(),
+                format!("\"az\":\"{az}\""),
+                format!("\"evacuated\":{evacuated}"),
+            ]
+        };
+        let wait = async |az: &str, evacuated: bool| {
+            let texts = evacuation(az, evacuated);
+            wait_for_line(&deployment, "vm-1", &texts.each_ref().map(String::as_str)).await;
+        };
+        wait("az-b", true).await;
+        let copy = store.copy();
+        store.remove("op/evacuate/az-b");
+        store.write("op/evacuate/az-c", &json!({}));
+        wait("az-b", false).await;
+        wait("az-c", true).await;
+        for epoch in [1, 2] {
+            store.restore(copy.clone());
+            wait_for_return(&deployment, "vm-1", epoch).await;
+        }
+        let runs: Vec<u32> = deployment.backends.iter().map(|b| b.runs()).collect();
+        for n in 0..40 {
+            super::processes::get(ports.front, "/read/a", &format!("r{n}")).await;
+        }
+        assert_eq!(deployment.backends[2].runs(), runs[2]);
+        assert!(deployment.backends[0].runs() + deployment.backends[1].runs() > runs[0] + runs[1]);
+        store.remove("op/evacuate/az-b");
+        store.write("op/evacuate/az-c", &json!({}));
+        raise_revision(store, 1);
+        store.remove("op/evacuate/az-c");
+        wait("az-c", false).await;
+        let back = evacuation("az-b", true);
+        let back = back.each_ref().map(String::as_str);
+        assert_eq!(count_lines(&deployment, "vm-1", &back), 1);
+    });
+}
+
+/// Guards against live backend servers that are dropped because a restored store has not got them yet
+/// or lets their leases end, and against dead ones that are kept.
+#[test]
+fn backend_servers_stay_until_they_had_time_to_register_again() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let [first, second, _] = &deployment.backends[..] else {
+            panic!("three backend servers");
+        };
+        let all = deployment.store.copy();
+        for backend in [first, second] {
+            deployment.store.remove(&format!("servers/{}", backend.id));
+        }
+        let copy = deployment.store.copy();
+        deployment.store.restore(all);
+        let (ports, _gateway) = deployment.start("vm-1", deployment.store.addr, &[]);
+        wait_for_status(ports.ready, "/ready", 200).await;
+        deployment.store.restore(copy);
+        wait_for_return(&deployment, "vm-1", 2).await;
+        assert_eq!(
+            count_lines(&deployment, "vm-1", &["\"backend server gone\""]),
+            0
+        );
+        second.register(&deployment.store, "ready");
+        let texts = ["\"backend server gone\"", &format!("\"{}\"", first.id)];
+        wait_for_line(&deployment, "vm-1", &texts).await;
+        assert_eq!(
+            count_lines(&deployment, "vm-1", &["\"backend server gone\""]),
+            1
+        );
+        first.register(&deployment.store, "ready");
+        let runs = first.runs();
+        while first.runs() == runs {
+            super::processes::get(ports.front, "/read/a", "again").await;
+        }
+    });
+}
+
 /// Guards against changes that are skipped because they have revisions that an earlier history of the
 /// store had given out.
 #[test]
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -869,7 +869,7 @@
 fn a_returning_follower_gets_a_delta() {
     let mut leader = mirror::Records::default();
     assert!(
-        leader.delta_since(at(7)).is_none(),
+        leader.delta_since(at(7), &[]).is_none(),
         "there is no snapshot yet"
     );
     for key in ["a", "b", "c"] {
@@ -886,23 +886,24 @@
             records,
             revision,
             epoch: 0,
+            unconfirmed: Vec::new(),
         })
     };
     assert!(
-        leader.delta_since(at(9)).is_none(),
+        leader.delta_since(at(9), &[]).is_none(),
         "earlier removals are not recorded"
     );
     let all = vec![record("b", Some("2")), record("c", None)];
-    assert_eq!(leader.delta_since(at(10)), changes(all, 16));
+    assert_eq!(leader.delta_since(at(10), &[]), changes(all, 16));
     assert_eq!(
-        leader.delta_since(at(13)),
+        leader.delta_since(at(13), &[]),
         changes(vec![record("c", None)], 16)
     );
-    assert_eq!(leader.delta_since(at(16)), changes(Vec::new(), 16));
+    assert_eq!(leader.delta_since(at(16), &[]), changes(Vec::new(), 16));
     leader.put(&record("c", Some("3")), 18);
     leader.advance_to(at(18));
     assert_eq!(
-        leader.delta_since(at(16)),
+        leader.delta_since(at(16), &[]),
         changes(vec![record("c", Some("3"))], 18)
     );
 }
@@ -922,14 +923,19 @@
         leader.advance_to(position(epoch, revision + 1));
         assert_eq!(leader.position(), position(epoch, revision + 1));
         for before in [position(epoch - 1, 31), position(epoch - 1, 61), at(61)] {
-            assert!(leader.delta_since(before).is_none(), "{before:?}");
+            assert!(leader.delta_since(before, &[]).is_none(), "{before:?}");
         }
-        assert!(leader.delta_since(position(epoch, revision - 1)).is_none());
-        let delta = leader.delta_since(position(epoch, revision));
+        assert!(
+            leader
+                .delta_since(position(epoch, revision - 1), &[])
+                .is_none()
+        );
+        let delta = leader.delta_since(position(epoch, revision), &[]);
         let removal = protocol::mirror::Message::Delta {
             records: vec![record("b", None)],
             revision: revision + 1,
             epoch,
+            unconfirmed: Vec::new(),
         };
         assert_eq!(delta, Some(removal));
     }
@@ -946,6 +952,6 @@
         leader.put(&record(&format!("gone-{n}"), None), 2 + n);
         leader.advance_to(at(2 + n));
     }
-    assert!(leader.delta_since(at(1)).is_none());
-    assert!(leader.delta_since(at(5_001)).is_some());
+    assert!(leader.delta_since(at(1), &[]).is_none());
+    assert!(leader.delta_since(at(5_001), &[]).is_some());
 }
