Write a registration again if the restored store has an older one

A VM watched only whether its key is in the store. After the store's return from a copy the key may be there with an older entry, under a lease that the VM goes on renewing: other VMs then take it for busy, or for not busy, until its entry happens to change. The VM now compares the entry with the one that it wrote and, as for a missing key, writes it after two renewals without it. Spread by the VMs' own renewals; only VMs whose entry differs write.

--- a/src/coordination/mirror.rs
+++ b/src/coordination/mirror.rs
@@ -134,11 +134,6 @@
         self.complete_from != 0
     }
 
-    /// Whether a key is there.
-    pub fn has(&self, key: &str) -> bool {
-        self.values.contains_key(key)
-    }
-
     /// Applies a record of this revision.
     pub fn put(&mut self, record: &mirror::Record, revision: u64) {
         self.version += 1;
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -139,9 +139,9 @@
         self.records.borrow().position().revision == 0
     }
 
-    /// Whether the store has a key, as far as this VM knows.
-    pub fn has(&self, key: &str) -> bool {
-        self.records.borrow().has(key) && !self.unconfirmed.borrow().contains(key)
+    /// Whether the store has exactly this record, as far as this VM knows.
+    pub fn confirms(&self, record: &mirror::Record) -> bool {
+        self.records.borrow().contains(record) && !self.unconfirmed.borrow().contains(&record.key)
     }
 
     /// A counter that grows with each change of a snapshot's contents.
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -255,15 +255,15 @@
     lease: u64,
     /// TTL of the lease.
     ttl: time::Duration,
-    /// Consecutive renewals at which the key was absent from the local copy of the store.
-    renewals_without_key: u32,
+    /// Consecutive renewals at which the local copy of the store lacked this entry.
+    unconfirmed_renewals: u32,
     /// The entry that was written.
     entry: entries::Entry,
 }
 
-/// Consecutive renewals without the key in the local copy of the store before it is written again.
+/// Consecutive renewals without the entry in the local copy of the store before it is written again.
 /// The copy lags by less than two renewals.
-const MAX_RENEWALS_WITHOUT_KEY: u32 = 2;
+const MAX_UNCONFIRMED_RENEWALS: u32 = 2;
 
 impl Registration {
     /// Registers this VM once it is ready, and ends the registration on a planned stop.
@@ -308,21 +308,21 @@
         if ttl < active.ttl {
             return self.register(client).await.or(Some(active));
         }
-        let key_present = self.mirror.has(&self.key());
-        let renewals_without_key = match key_present {
+        let unconfirmed_renewals = match self.is_confirmed(&active.entry) {
             true => 0,
-            false => active.renewals_without_key + 1,
+            false => active.unconfirmed_renewals + 1,
         };
         match client.renew(active.lease).await {
-            // The store also renews a lease whose key was removed, without reporting that.
-            Ok(()) if renewals_without_key > MAX_RENEWALS_WITHOUT_KEY => {
+            // The store also renews a lease whose key was removed, without reporting that. After its
+            // return from a copy, it may also have an older entry.
+            Ok(()) if unconfirmed_renewals > MAX_UNCONFIRMED_RENEWALS => {
                 self.register(client).await
             }
             Ok(()) if active.entry != self.entry() => {
                 self.publish_entry(client, active.lease, active.ttl).await
             }
             Ok(()) => Some(ActiveRegistration {
-                renewals_without_key,
+                unconfirmed_renewals,
                 ..active
             }),
             Err(store::Error::Condition(_)) => self.register(client).await,
@@ -368,6 +368,19 @@
         }
     }
 
+    /// Whether the store has this entry, as far as this VM knows.
+    fn is_confirmed(&self, entry: &entries::Entry) -> bool {
+        let value = match decode::encode_entry(entry) {
+            Ok(value) => Some(value.into()),
+            Err(err) => {
+                slog::error!(self.cx.log, "cannot encode the registration"; "error" => %err);
+                return true;
+            }
+        };
+        let key = self.key();
+        self.mirror.confirms(&mirror::Record { key, value })
+    }
+
     fn key(&self) -> String {
         format!(
             "{}{}",
@@ -405,7 +418,7 @@
                 Some(ActiveRegistration {
                     lease,
                     ttl,
-                    renewals_without_key: 0,
+                    unconfirmed_renewals: 0,
                     entry,
                 })
             }
--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -147,6 +147,42 @@
     });
 }
 
+/// Guards against an entry VM that others take for busy, or miss, because the restored store has an
+/// older entry of it or none.
+#[test]
+fn an_entry_vm_writes_its_registration_again() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let store = &deployment.store;
+        let without = store.copy();
+        let (ports, _gateway) = deployment.start("vm-1", store.addr, &[]);
+        wait_for_status(ports.ready, "/ready", 200).await;
+        let key = "bulrushwind/entry/az-a/vm-1";
+        let begun = time::Instant::now();
+        let wait_for = async |what: &str, holds: &dyn Fn() -> bool| {
+            while !holds() {
+                assert!(begun.elapsed() < TEST_TIMEOUT, "never: {what}");
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        };
+        wait_for("registered", &|| store.value(key).is_some()).await;
+        let own = store.value(key).unwrap();
+        let mut older = own.clone();
+        older["busy"] = json!(true);
+        let mut copy = store.copy();
+        copy.replace_value(key, &older);
+        store.restore(copy);
+        assert_eq!(store.value(key), Some(older));
+        wait_for("written again", &|| store.value(key).as_ref() == Some(&own)).await;
+        store.restore(without);
+        assert_eq!(store.value(key), None);
+        wait_for("registered again", &|| {
+            store.value(key).as_ref() == Some(&own)
+        })
+        .await;
+    });
+}
+
 /// Guards against changes that are skipped because they have revisions that an earlier history of the
 /// store had given out.
 #[test]
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -79,6 +79,12 @@
 }
 
 impl Contents {
+    /// Puts another value in place of a record's, without a trace in the history.
+    pub(crate) fn replace_value(&mut self, key: &str, value: &Value) {
+        let text = data_encoding::BASE64.encode(value.to_string().as_bytes());
+        self.items.get_mut(key).expect("the record exists").value = text;
+    }
+
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
         let item = Item {
@@ -197,6 +203,14 @@
         self.inner.borrow().calls
     }
 
+    /// The value of a record.
+    pub(crate) fn value(&self, key: &str) -> Option<Value> {
+        let inner = self.inner.borrow();
+        let text = &inner.items.get(key)?.value;
+        let bytes = data_encoding::BASE64.decode(text.as_bytes()).unwrap();
+        Some(serde_json::from_slice(&bytes).unwrap())
+    }
+
     pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
         let inner = self.inner.borrow();
         inner
