--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod pool;
 mod quotas;
 mod record;
+pub mod registering;
 pub mod request;
 mod stated;
 pub mod thresholds;
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -1,28 +1,19 @@
-//! Applies the store's records to the gateway, registers this VM and publishes observed crashes.
+//! Applies the store's records to the gateway.
 
-use std::rc;
 use std::time;
 
 use crate::coordination::{registration, removal_guard, unconfirmed};
-use crate::gateway::{cluster_state, mirror as store_mirror};
+use crate::gateway::cluster_state::Effect;
+use crate::gateway::{mirror as store_mirror, registering};
 use crate::metrics as metric_names;
 use crate::protocol::mirror;
-use crate::state::entries;
 use crate::{gateway, id};
 
-use super::{decode, names, settings, store};
-use cluster_state::Effect;
-
-/// TTL of a crash record, which counts against the requests that were in flight: longer than callers
-/// retry, and short enough that a repaired service soon gets these requests again.
-const CRASH_RECORD_TTL: time::Duration = time::Duration::from_secs(90);
+use super::{decode, names, store};
 
 /// How long what operators wrote stays in force without being written again to a restored store.
 const OPERATOR_HOLD: time::Duration = time::Duration::from_secs(60);
 
-/// Pause between attempts while this VM is not registered.
-const REGISTRATION_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
-
 /// Prefix of the watch. All keys in the store concern entry VMs, so a single watch covers them.
 const WATCH_PREFIX: &str = "";
 
@@ -219,224 +210,13 @@
 
     fn hold(&self, key: &str) -> unconfirmed::Hold {
         let is_of = |prefix: &str| key.starts_with(prefix);
-        if is_of(names::OPERATOR_PREFIX) {
-            return unconfirmed::Hold {
-                lasts: OPERATOR_HOLD,
-                leased: false,
-            };
-        }
-        let lasts = match () {
-            () if is_of(names::BACKEND_PREFIX) => removal_guard::REMOVAL_HOLD,
-            () if is_of(names::REGISTRATION_PREFIX) => self.entry_lease,
-            () if is_of(names::CRASH_PREFIX) => CRASH_RECORD_TTL,
+        let (lasts, leased) = match () {
+            () if is_of(names::OPERATOR_PREFIX) => (OPERATOR_HOLD, false),
+            () if is_of(names::BACKEND_PREFIX) => (removal_guard::REMOVAL_HOLD, true),
+            () if is_of(names::REGISTRATION_PREFIX) => (self.entry_lease, true),
+            () if is_of(names::CRASH_PREFIX) => (registering::CRASH_RECORD_TTL, true),
             () => return unconfirmed::Hold::default(),
         };
-        unconfirmed::Hold {
-            lasts,
-            leased: true,
-        }
-    }
-}
-
-/// Keeps this VM's registration in the store.
-#[derive(Debug)]
-pub struct Registration {
-    /// The gateway.
-    pub cx: gateway::Gateway,
-    /// Local copy of the store's records.
-    pub mirror: store_mirror::Mirror,
-    /// The process's settings.
-    pub settings: rc::Rc<settings::Settings>,
-}
-
-/// A registration that was written to the store.
-#[derive(Clone, Debug)]
-struct ActiveRegistration {
-    lease: u64,
-    /// TTL of the lease.
-    ttl: time::Duration,
-    /// Consecutive renewals at which the local copy of the store lacked this entry.
-    unconfirmed_renewals: u32,
-    /// The entry that was written.
-    entry: entries::Entry,
-}
-
-/// Consecutive renewals without the entry in the local copy of the store before it is written again.
-/// The copy lags by less than two renewals.
-const MAX_UNCONFIRMED_RENEWALS: u32 = 2;
-
-impl Registration {
-    /// Registers this VM once it is ready, and ends the registration on a planned stop.
-    pub async fn maintain(self) {
-        let mut client = store::Client::new(self.settings.store);
-        let mut stop = self.cx.subscribe_stop();
-        let mut active = None;
-        while !self.cx.is_stopping() {
-            active = self.renew_or_register(&mut client, active).await;
-            self.publish_crashes(&mut client).await;
-            let pause = match &active {
-                Some(active) => registration::renewal_interval(active.ttl),
-                None => REGISTRATION_RETRY_DELAY,
-            };
-            tokio::select! {
-                () = tokio::time::sleep(pause) => {}
-                () = self.cx.wait_for_data(), if active.is_none() => {}
-                _ = stop.changed() => {}
-            }
-        }
-        if let Some(active) = active
-            && let Err(err) = client.end_lease(active.lease).await
-        {
-            slog::warn!(self.cx.log, "cannot end the registration; its lease expires by itself"; "error" => %err);
-        }
-    }
-
-    async fn renew_or_register(
-        &self,
-        client: &mut store::Client,
-        active: Option<ActiveRegistration>,
-    ) -> Option<ActiveRegistration> {
-        // On the system's first start a VM registers early: no caller is sent to it until it is ready.
-        let first_start = self.cx.cfg.first_start && self.cx.table().is_none();
-        if !first_start && !self.cx.is_ready() {
-            return active;
-        }
-        let Some(active) = active else {
-            return self.register(client).await;
-        };
-        let ttl = self.lease_ttl();
-        if ttl < active.ttl {
-            return self.register(client).await.or(Some(active));
-        }
-        let unconfirmed_renewals = match self.is_confirmed(&active.entry) {
-            true => 0,
-            false => active.unconfirmed_renewals + 1,
-        };
-        match client.renew(active.lease).await {
-            // The store also renews a lease whose key was removed, without reporting that. After its
-            // return from a copy, it may also have an older entry.
-            Ok(()) if unconfirmed_renewals > MAX_UNCONFIRMED_RENEWALS => {
-                self.register(client).await
-            }
-            Ok(()) if active.entry != self.entry() => {
-                self.publish_entry(client, active.lease, active.ttl).await
-            }
-            Ok(()) => Some(ActiveRegistration {
-                unconfirmed_renewals,
-                ..active
-            }),
-            Err(store::Error::Condition(_)) => self.register(client).await,
-            Err(_) => Some(active),
-        }
-    }
-
-    /// Publishes the crashes that this VM has observed to all entry VMs.
-    async fn publish_crashes(&self, client: &mut store::Client) {
-        let pending = self.cx.take_crash_reports();
-        if pending.is_empty() {
-            return;
-        }
-        if let Err(err) = self.write_crashes(client, &pending).await {
-            slog::info!(self.cx.log, "cannot publish crashes; will retry"; "crashes" => pending.len(), "error" => %err);
-            self.cx.queue_crash_reports(pending);
-        }
-    }
-
-    async fn write_crashes(
-        &self,
-        client: &mut store::Client,
-        crashes: &[cluster_state::Crash],
-    ) -> Result<(), store::Error> {
-        let lease = client.lease(CRASH_RECORD_TTL).await?;
-        let keys: Vec<String> = crashes.iter().map(decode::crash_key).collect();
-        for batch in keys.chunks(store::MAX_PUTS_PER_CALL) {
-            client.put_all(batch, b"", lease).await?;
-        }
-        Ok(())
-    }
-
-    fn entry(&self) -> entries::Entry {
-        let capacity = &self.cx.cfg.capacity;
-        entries::Entry {
-            caller_addr: self.settings.gateway.front,
-            peer_addr: self.settings.peers,
-            az: self.settings.gateway.az.clone(),
-            link_mbps: capacity.link_mbps as u32,
-            requests_per_s: capacity.requests_per_s(),
-            busy: self.cx.is_busy(),
-            near_limits: self.cx.near_limits(),
-        }
-    }
-
-    /// Whether the store has this entry, as far as this VM knows.
-    fn is_confirmed(&self, entry: &entries::Entry) -> bool {
-        let value = match decode::encode_entry(entry) {
-            Ok(value) => Some(value.into()),
-            Err(err) => {
-                slog::error!(self.cx.log, "cannot encode the registration"; "error" => %err);
-                return true;
-            }
-        };
-        let key = self.key();
-        self.mirror.confirms(&mirror::Record { key, value })
-    }
-
-    fn key(&self) -> String {
-        format!(
-            "{}{}",
-            names::registration_prefix(&self.cx.cfg.az),
-            self.cx.cfg.vm
-        )
-    }
-
-    fn lease_ttl(&self) -> time::Duration {
-        registration::lease_ttl(self.cx.is_spare(), self.settings.dead_vm_ttl)
-    }
-
-    async fn register(&self, client: &mut store::Client) -> Option<ActiveRegistration> {
-        let ttl = self.lease_ttl();
-        match client.lease(ttl).await {
-            Ok(lease) => self.publish_entry(client, lease, ttl).await,
-            Err(err) => {
-                slog::info!(self.cx.log, "registration in the store failed; will retry"; "error" => %err);
-                None
-            }
-        }
-    }
-
-    /// Writes this VM's current entry under a lease.
-    async fn publish_entry(
-        &self,
-        client: &mut store::Client,
-        lease: u64,
-        ttl: time::Duration,
-    ) -> Option<ActiveRegistration> {
-        let entry = self.entry();
-        match self.write(client, &entry, lease).await {
-            Ok(()) => {
-                slog::info!(self.cx.log, "registered"; "vm" => %self.cx.cfg.vm, "lease" => lease, "lasts_s" => ttl.as_secs_f64());
-                Some(ActiveRegistration {
-                    lease,
-                    ttl,
-                    unconfirmed_renewals: 0,
-                    entry,
-                })
-            }
-            Err(err) => {
-                slog::info!(self.cx.log, "registration in the store failed; will retry"; "error" => %err);
-                None
-            }
-        }
-    }
-
-    async fn write(
-        &self,
-        client: &mut store::Client,
-        entry: &entries::Entry,
-        lease: u64,
-    ) -> Result<(), store::Error> {
-        let value = decode::encode_entry(entry)?;
-        client.put(&self.key(), &value, lease).await?;
-        Ok(())
+        unconfirmed::Hold { lasts, leased }
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod endpoints;
 pub mod feed;
 pub mod names;
+pub mod registry;
 pub mod settings;
 pub mod store;
 
@@ -18,7 +19,7 @@
 use tokio::signal::unix;
 use tokio::task;
 
-use crate::gateway::{front, mirror};
+use crate::gateway::{front, mirror, registering};
 use crate::transport::{callers, socket};
 use crate::{error, gateway, metrics};
 
@@ -69,10 +70,12 @@
     }
     let feed = feed::Feed::new(cx.clone(), settings.store, settings.dead_vm_ttl);
     task::spawn_local(mirror.clone().run(feed, settings.seeds.clone()));
-    let registration = feed::Registration {
+    let registration = registering::Registration {
+        registry: registry::Registry::new(settings.store, &cx.cfg.az, &cx.cfg.vm),
         cx: cx.clone(),
         mirror,
-        settings: settings.clone(),
+        peers: settings.peers,
+        dead_vm_ttl: settings.dead_vm_ttl,
     };
     let registration_task = task::spawn_local(registration.maintain());
     task::spawn_local(cx.clone().upkeep());
