Publish crash reports again when the store has returned from an older copy

VMs keep the crashes that they know of for 90 s, but the store may have lost the reports. A VM that starts then admits a request that crashes backend servers. Each VM writes its own reports of the last 90 s again, once for each epoch, with its next renewal.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -144,6 +144,11 @@
         self.records.borrow().contains(record) && !self.unconfirmed.borrow().contains(&record.key)
     }
 
+    /// The store's epoch that the records belong to.
+    pub fn epoch(&self) -> u64 {
+        self.records.borrow().position().epoch
+    }
+
     /// A counter that grows with each change of a snapshot's contents.
     pub(super) fn snapshot_version(&self) -> u64 {
         self.records.borrow().version() + self.unconfirmed.borrow().version()
--- a/src/gateway/registering.rs
+++ b/src/gateway/registering.rs
@@ -6,6 +6,7 @@
 use super::Gateway;
 use super::{cluster_state, mirror as store_mirror};
 use crate::coordination::registration;
+use crate::decisions::policy;
 use crate::protocol::mirror;
 use crate::state::entries;
 
@@ -48,6 +49,38 @@
     ) -> impl Future<Output = Result<(), Self::Error>>;
 }
 
+/// Crashes that this VM has published, within the TTL of their records.
+#[derive(Debug, Default)]
+pub struct PublishedCrashes {
+    /// The store's epoch to which they were written.
+    epoch: u64,
+    crashes: Vec<(policy::Moment, cluster_state::Crash)>,
+}
+
+impl PublishedCrashes {
+    /// Records published crashes.
+    pub fn add(&mut self, now: policy::Moment, crashes: &[cluster_state::Crash]) {
+        self.drop_expired(now);
+        let published = crashes.iter().map(|crash| (now, crash.clone()));
+        self.crashes.extend(published);
+    }
+
+    /// Takes the crashes that the store may have lost, once for each epoch.
+    pub fn take_lost(&mut self, now: policy::Moment, epoch: u64) -> Vec<cluster_state::Crash> {
+        if std::mem::replace(&mut self.epoch, epoch) == epoch {
+            return Vec::new();
+        }
+        self.drop_expired(now);
+        let lost = std::mem::take(&mut self.crashes).into_iter();
+        lost.map(|(_, crash)| crash).collect()
+    }
+
+    fn drop_expired(&mut self, now: policy::Moment) {
+        self.crashes
+            .retain(|(published, _)| now < *published + CRASH_RECORD_TTL);
+    }
+}
+
 /// Keeps this VM's registration in the store.
 #[derive(Debug)]
 pub struct Registration<R> {
@@ -61,6 +94,8 @@
     pub peers: Option<net::SocketAddr>,
     /// How long callers may be given the address of an entry VM that died.
     pub dead_vm_ttl: time::Duration,
+    /// Crashes that may have to be published again.
+    pub published: PublishedCrashes,
 }
 
 /// A registration that was written to the store.
@@ -140,15 +175,21 @@
         }
     }
 
-    /// Publishes the crashes that this VM has observed to all entry VMs.
+    /// Publishes the crashes that this VM has observed to all entry VMs, and again those that the
+    /// store may have lost when it returned from a copy.
     async fn publish_crashes(&mut self) {
-        let pending = self.cx.take_crash_reports();
+        let now = self.cx.now();
+        let mut pending = self.cx.take_crash_reports();
+        pending.extend(self.published.take_lost(now, self.mirror.epoch()));
         if pending.is_empty() {
             return;
         }
-        if let Err(err) = self.write_crashes(&pending).await {
-            slog::info!(self.cx.log, "cannot publish crashes; will retry"; "crashes" => pending.len(), "error" => %err);
-            self.cx.queue_crash_reports(pending);
+        match self.write_crashes(&pending).await {
+            Ok(()) => self.published.add(now, &pending),
+            Err(err) => {
+                slog::info!(self.cx.log, "cannot publish crashes; will retry"; "crashes" => pending.len(), "error" => %err);
+                self.cx.queue_crash_reports(pending);
+            }
         }
     }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -76,6 +76,7 @@
         mirror,
         peers: settings.peers,
         dead_vm_ttl: settings.dead_vm_ttl,
+        published: registering::PublishedCrashes::default(),
     };
     let registration_task = task::spawn_local(registration.maintain());
     task::spawn_local(cx.clone().upkeep());
--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -2,9 +2,13 @@
 
 use std::time;
 
+use bulrushwind::gateway::{self, cluster_state, mirror as following, registering};
+use bulrushwind::logging;
+use bulrushwind::platform::{feed, names, registry};
 use bulrushwind::protocol::mirror;
 use bulrushwind::transport::mirror as links;
 use serde_json::json;
+use tokio::task;
 
 use super::processes::{Deployment, TEST_TIMEOUT, config, run_scenario, wait_for_status};
 use super::support::store;
@@ -183,6 +187,47 @@
     });
 }
 
+/// Guards against a request that crashes backend servers and is admitted again by VMs that start
+/// after the store has lost the reports of its crashes.
+#[test]
+fn crash_reports_are_written_again() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let store = &deployment.store;
+        let cx = gateway::Gateway::new(gateway::Config::default(), logging::silent());
+        let mirror = following::Mirror::new(cx.clone());
+        let (addr, ttl) = (store.addr, time::Duration::from_secs(6));
+        let feed = feed::Feed::new(cx.clone(), addr, ttl);
+        task::spawn_local(mirror.clone().run(feed, Vec::new()));
+        let registration = registering::Registration {
+            registry: registry::Registry::new(addr, &cx.cfg.az, &cx.cfg.vm),
+            cx: cx.clone(),
+            mirror,
+            peers: None,
+            dead_vm_ttl: ttl,
+            published: registering::PublishedCrashes::default(),
+        };
+        task::spawn_local(registration.maintain());
+        let begun = time::Instant::now();
+        let wait_for_report = async || {
+            while store.keys(names::CRASH_PREFIX).is_empty() {
+                assert!(begun.elapsed() < TEST_TIMEOUT, "no crash report");
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        };
+        let without = store.copy();
+        cx.queue_crash_reports(vec![cluster_state::Crash {
+            fingerprint: 7,
+            run: "i-0".to_owned(),
+        }]);
+        wait_for_report().await;
+        for _ in 0..2 {
+            store.restore(without.clone());
+            wait_for_report().await;
+        }
+    });
+}
+
 /// Guards against changes that are skipped because they have revisions that an earlier history of the
 /// store had given out.
 #[test]
