Do not take a leaving backend server back into use because of an older entry

A store that returns from a copy lists a backend server as ready that had said it leaves, until the server writes again; requests would reach it after its time.

--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -140,9 +140,14 @@
         if before.take_if(|b| listed.started_after(b)).is_some() {
             self.end_run(id);
         }
-        let start = listed.incarnation;
-        let leaving = listed.leaving && before.as_ref().is_none_or(|b| !b.leaving);
         let now = self.now();
+        let was_leaving = before.as_ref().is_some_and(|b| b.leaving);
+        if was_leaving && !listed.leaving && self.said_it_leaves(id, now) {
+            slog::info!(self.log, "backend server's entry ignored"; "backend" => %id, "why" => "a later one said that it leaves");
+            return Effect::Rejected;
+        }
+        let start = listed.incarnation;
+        let leaving = listed.leaving && !was_leaving;
         let cold = listed.cold_until > now;
         let changed = before.as_ref().is_none_or(|b| {
             let same = backends::Listed {
@@ -151,7 +156,13 @@
             };
             cold || b.cold_until > now || same != *b
         });
-        self.backends.borrow_mut().put(id, listed, region);
+        let says_it_leaves = listed.leaving;
+        let mut backends = self.backends.borrow_mut();
+        backends.put(id, listed, region);
+        if let Some(backend) = backends.get_mut(id).filter(|_| says_it_leaves) {
+            backend.stated.withdrawal.leaves(now);
+        }
+        drop(backends);
         if self.backends.borrow().len() == 1 {
             self.data_arrived.notify_one();
         }
@@ -167,6 +178,13 @@
         changed.into()
     }
 
+    /// Whether a backend server has said not long ago that it leaves.
+    fn said_it_leaves(&self, id: &id::VmId, now: policy::Moment) -> bool {
+        let backends = self.backends.borrow();
+        let backend = backends.get(id);
+        backend.is_some_and(|b| b.stated.withdrawal.is_leaving(now))
+    }
+
     /// Handles the removal of a backend server's entry.
     pub fn remove_backend(&self, id: &id::VmId) {
         let at_once = self
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -1,5 +1,8 @@
 //! Backend servers that say in their answers that they leave.
 
+use bulrushwind::gateway::cluster_state;
+use bulrushwind::state::backends;
+
 use super::harness::{Harness, Reaction, get_object, read_all, read_slowly, run_test};
 
 /// Guards against requests to a backend server that leaves while the store, which lists it, is away.
@@ -89,3 +92,30 @@
         assert_eq!(harness.runs_at("i-0"), 1);
     });
 }
+
+/// Guards against an older entry, from a restored copy of the store, that puts a backend server that
+/// leaves back into use.
+#[test]
+fn an_entry_that_said_so_is_not_taken_back_by_an_older_one() {
+    run_test(async || {
+        let harness = Harness::new(0, &[]).await;
+        let listed = harness.start_backend("i-0", Some(100)).await;
+        harness.add_backend("i-1").await;
+        let leaving = backends::Listed {
+            leaving: true,
+            ..listed.clone()
+        };
+        harness.cx.update_backend(&"i-0".into(), leaving.clone());
+        let effect = harness.cx.update_backend(&"i-0".into(), listed.clone());
+        assert_eq!(effect, cluster_state::Effect::Rejected);
+        let mut caller = harness.caller().await;
+        read_all(&mut caller, 0..20).await;
+        harness.cx.remove_backend(&"i-0".into());
+        harness.cx.update_backend(&"i-0".into(), listed);
+        read_all(&mut caller, 20..40).await;
+        assert_eq!(harness.runs_at("i-0"), 0);
+        harness.start_backend("i-0", Some(200)).await;
+        read_all(&mut caller, 40..80).await;
+        assert!(harness.runs_at("i-0") > 0);
+    });
+}
