Keep the cold phase of a backend server when the store returns from a copy that does not know of it

A backend server that became cold right before the store's return is listed without its cold phase until it writes again, and would get more requests than it bears.

--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -128,7 +128,7 @@
     }
 
     /// Applies a backend server's entry. A heartbeat changes nothing.
-    pub fn update_backend(&self, id: &id::VmId, listed: backends::Listed) -> Effect {
+    pub fn update_backend(&self, id: &id::VmId, mut listed: backends::Listed) -> Effect {
         self.removal_guard.borrow_mut().record_present(id);
         let region = self.cfg.regions.get(&listed.az).cloned();
         let service = listed.service.clone();
@@ -146,6 +146,11 @@
             slog::info!(self.log, "backend server's entry ignored"; "backend" => %id, "why" => "a later one said that it leaves");
             return Effect::Rejected;
         }
+        if let Some(before) = &before
+            && self.is_store_restoring(now)
+        {
+            listed.cold_until = listed.cold_until.max(before.cold_until);
+        }
         let start = listed.incarnation;
         let leaving = listed.leaving && !was_leaving;
         let cold = listed.cold_until > now;
@@ -185,6 +190,17 @@
         backend.is_some_and(|b| b.stated.withdrawal.is_leaving(now))
     }
 
+    /// Notes that the store has returned from an older copy.
+    pub fn record_restored_store(&self) {
+        self.store_restored_at.set(Some(self.now()));
+    }
+
+    /// Whether entries in the store may still be those of an older copy.
+    fn is_store_restoring(&self, now: policy::Moment) -> bool {
+        let is_recent = |at: policy::Moment| now < at + removal_guard::REMOVAL_HOLD;
+        self.store_restored_at.get().is_some_and(is_recent)
+    }
+
     /// Handles the removal of a backend server's entry.
     pub fn remove_backend(&self, id: &id::VmId) {
         let at_once = self
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -434,6 +434,7 @@
         let own = stored.position();
         slog::warn!(self.cx.log, "store returned from an older copy"; "epoch" => position.epoch, "revision" => position.revision, "own_epoch" => own.epoch, "own_revision" => own.revision);
         self.unconfirmed.borrow_mut().begin_epoch(self.cx.now());
+        self.cx.record_restored_store();
         stored.rebase(position)
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -170,6 +170,8 @@
     /// When the process started, in milliseconds since the Unix epoch. It orders this process's
     /// reports after those of its predecessor.
     started_ms: u64,
+    /// When this VM last learnt that the store had returned from an older copy.
+    store_restored_at: cell::Cell<Option<policy::Moment>>,
     departures: cell::RefCell<departures::Departures>,
     crashes: cell::RefCell<crashes::Crashes>,
     /// Crashes seen here and not yet reported to other entry VMs.
@@ -235,6 +237,7 @@
             peer_usage: cell::RefCell::default(),
             usage_sent: cell::Cell::default(),
             started_ms,
+            store_restored_at: cell::Cell::default(),
             departures: cell::RefCell::default(),
             crashes: cell::RefCell::default(),
             pending_crashes: cell::RefCell::default(),
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -119,3 +119,27 @@
         assert!(harness.runs_at("i-0") > 0);
     });
 }
+
+/// Guards against an older entry that says nothing of a cold phase, for as long as backend servers
+/// need to write again.
+#[test]
+fn a_cold_backend_server_stays_so_when_the_store_returns_from_a_copy() {
+    run_test(async || {
+        let harness = Harness::new(0, &[]).await;
+        let listed = harness.start_backend("i-0", Some(100)).await;
+        let cold = backends::Listed {
+            cold_until: harness.cx.now() + std::time::Duration::from_secs(60),
+            ..listed.clone()
+        };
+        let id = "i-0".into();
+        harness.cx.update_backend(&id, cold);
+        harness.cx.record_restored_store();
+        harness.cx.update_backend(&id, listed);
+        let mut answered = 0;
+        for object in 0..30 {
+            let mut caller = harness.caller().await;
+            answered += caller.read_objects(object..object + 1).await;
+        }
+        assert!(answered < 30, "{answered} reads were answered");
+    });
+}
