Soak: let the store return from older copies, also in a row, and check that leaving is kept

In a series of its own (other draws, so that the seeds' earlier faults stay): a copy of the store is taken, up to 4 s later the store is silent for up to 0.9 s and returns from it, once or twice; operators and backend servers write again within 1.5 s, entry VMs have to do so by themselves. At the end, a backend server leaves, the store forgets that and hears it again 1.5 s later: no request may reach it after its grace period.

--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -187,9 +187,11 @@
         field: Some((FIELDS.leaving, "1")),
         sheds: false,
     });
+    scene.leaving.borrow_mut().push(leaving.clone());
     leaving.register(&scene.store, "draining");
     tokio::time::sleep(backend::DRAIN_GRACE + ms(500)).await;
-    scene.store.remove(&format!("servers/{}", leaving.id));
+    scene.leaving.borrow_mut().retain(|b| b.id != leaving.id);
+    scene.store.remove(&leaving.key());
     scene.backend_fault.set(Some(time::Instant::now()));
     leaving.close();
 }
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -11,6 +11,7 @@
 
 mod callers;
 mod faults;
+mod restores;
 mod scene;
 
 #[path = "../../tests/support/mod.rs"]
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -15,7 +15,7 @@
 use tokio::task;
 
 use super::support::{backend, process, proxy, store};
-use super::{callers, faults};
+use super::{callers, faults, restores};
 
 /// Parameters of one seed's run.
 #[derive(Clone, Debug)]
@@ -93,6 +93,8 @@
     pub(crate) store: store::Store,
     pub(crate) vms: Vec<Vm>,
     pub(crate) backends: cell::RefCell<Vec<backend::Backend>>,
+    /// Backend servers that leave and still serve.
+    pub(crate) leaving: cell::RefCell<Vec<backend::Backend>>,
     pub(crate) log: rc::Rc<cell::RefCell<backend::Log>>,
     pub(crate) version: cell::Cell<u64>,
     pub(crate) violations: cell::RefCell<Vec<String>>,
@@ -109,6 +111,8 @@
     pub(crate) refused: u64,
     pub(crate) unknown: u64,
     pub(crate) faults: u64,
+    /// Number of times that the store returned from an older copy.
+    pub(crate) restores: u64,
     /// Number of calls to the store.
     pub(crate) calls: usize,
 }
@@ -126,9 +130,10 @@
         let counts = &self.counts;
         write!(
             f,
-            "seed {}: {} faults, sent {} answered {} refused {} unknown {}, store calls {}",
+            "seed {}: {} faults, {} restores, sent {} answered {} refused {} unknown {}, store calls {}",
             self.seed,
             counts.faults,
+            counts.restores,
             counts.sent,
             counts.answered,
             counts.refused,
@@ -193,6 +198,7 @@
             store,
             vms,
             backends: cell::RefCell::default(),
+            leaving: cell::RefCell::default(),
             log: rc::Rc::default(),
             version: cell::Cell::new(1),
             violations: cell::RefCell::default(),
@@ -299,14 +305,17 @@
         .collect();
     // Draws of its own, so that a seed's faults stay the same.
     let mut statement_rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut restore_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) | 1);
     tokio::join!(
         faults::inject(&scene, &mut rng),
         faults::state_values(&scene, &mut statement_rng),
+        restores::inject(&scene, &mut restore_rng),
     );
     scene.check_no_exits();
     scene.check_all_serve().await;
     scene.log.borrow_mut().late_requests.clear();
     scene.check_drain().await;
+    restores::check_leaving_is_kept(&scene).await;
     tasks.iter().for_each(task::JoinHandle::abort);
     let registered = scene.store.keys("bulrushwind/entry/").len();
     if registered != scene.vms.len() {
--- a/tests/platform/processes.rs
+++ b/tests/platform/processes.rs
@@ -364,7 +364,7 @@
         let (ports, _gateway) = deployment.start("vm-1", store_proxy.addr, &[]);
         wait_for_status(ports.front, "/read/a", 200).await;
         let removed = &deployment.backends[0];
-        deployment.store.remove(&format!("servers/{}", removed.id));
+        deployment.store.remove(&removed.key());
         let log =
             || std::fs::read_to_string(deployment.dir.path().join("vm-1.log")).unwrap_or_default();
         let begun = time::Instant::now();
--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -124,7 +124,7 @@
         };
         let all = deployment.store.copy();
         for backend in [first, second] {
-            deployment.store.remove(&format!("servers/{}", backend.id));
+            deployment.store.remove(&backend.key());
         }
         let copy = deployment.store.copy();
         deployment.store.restore(all);
@@ -280,7 +280,7 @@
             }
         };
         deployment.store.restore(copy);
-        let removed = format!("servers/{}", deployment.backends[0].id);
+        let removed = deployment.backends[0].key();
         deployment.store.remove(&removed);
         wait_for_line(&deployment, "vm-1", &["\"backend server gone\""]).await;
         let is_removed = match first_message(ports.control, revision).await {
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -36,7 +36,7 @@
     running: rc::Rc<cell::Cell<u32>>,
     log: rc::Rc<cell::RefCell<Log>>,
     /// When draining began.
-    drain_started: rc::Rc<cell::Cell<Option<time::Instant>>>,
+    pub(crate) drain_started: rc::Rc<cell::Cell<Option<time::Instant>>>,
     /// Whether responses are dropped.
     pub(crate) drops_responses: rc::Rc<cell::Cell<bool>>,
     /// What it states in all answers.
@@ -96,14 +96,19 @@
         backend
     }
 
+    /// Key of the server's record in the store.
+    pub(crate) fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
     /// Writes the server's record with a state to the store.
     pub(crate) fn register(&self, store: &store::Store, state: &str) {
         let entry = json!({
             "service": self.service, "addr": self.addr, "zone": self.zone, "version": "v1",
             "slots": SLOTS, "state": state, "cold_left_s": 0.0, "seq": 1,
         });
-        store.write(&format!("servers/{}", self.id), &entry);
-        if state != "ready" {
+        store.write(&self.key(), &entry);
+        if state != "ready" && self.drain_started.get().is_none() {
             self.drain_started.set(Some(time::Instant::now()));
         }
     }
