Test returns of the store on VMs that read, follow, lose their leader or are cut off

In memory, with a store that can be copied and restored: two returns in a row with one VM cut off from the store and from the others; a leader that dies while records wait; leases that end right after the return; and the number of whole lists that a return costs three VMs (one).

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod pauses;
 mod rate_limits;
 mod restart;
+mod restored;
 mod stop;
 #[path = "../support/mod.rs"]
 #[expect(dead_code, reason = "shared with the tests of the platform's adapter")]
