--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod facts;
 mod fanout;
 pub mod front;
+mod merge;
 pub mod mirror;
 pub mod placement;
 pub mod pool;
