Waiting records: three faults found while reading the change

A record that is back in the copy and removed again (a dead VM whose lease ends there) came into force when its time was over, since its removal was taken for a lost renewal. Time in which the store is away counted as time to write again, so what waited lapsed at the first answer. A VM that loads its records from a seed did not take over which of them wait. Followers now also hear of a record that was back and is gone from the next list.

The test of the times now gives the answers of the store that the decision counts on (at most a second apart); its bounds are the same.

--- a/src/coordination/unconfirmed.rs
+++ b/src/coordination/unconfirmed.rs
@@ -18,6 +18,10 @@
 use crate::decisions::policy;
 use crate::protocol::mirror;
 
+/// The longest time between two answers of the store that counts as time to write again. Readers hear
+/// it every 0.6 s, or every 0.9 s if it is slow.
+const MAX_ANSWER_GAP: time::Duration = time::Duration::from_millis(1000);
+
 /// How records of one kind behave when the store returns from a copy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Hold {
@@ -41,6 +45,8 @@
     /// When this VM learnt of the store's present epoch; `None` while it has known only one.
     epoch_began: Option<policy::Moment>,
     waiting: collections::BTreeMap<String, Waiting>,
+    /// When the store was last heard.
+    heard: Option<policy::Moment>,
     /// Changes that wait and have not been told to followers.
     untold: Vec<mirror::Record>,
     version: u64,
@@ -116,7 +122,7 @@
 
     /// Whether a removal that the store reports takes effect now.
     pub fn admits_removal(&mut self, now: policy::Moment, key: &str, hold: Hold) -> bool {
-        if !self.is_lease_unknown(now, hold) {
+        if self.withholds(key) || !self.is_lease_unknown(now, hold) {
             return true;
         }
         if !self.contains(key) {
@@ -158,8 +164,10 @@
         waited
     }
 
-    /// Takes the changes whose time is over.
+    /// Takes the changes whose time is over. Called with each answer of the store: its writers cannot
+    /// write while it is away.
     pub fn take_due(&mut self, now: policy::Moment) -> Vec<mirror::Record> {
+        self.skip_silence(now);
         let due = self.waiting.iter().filter(|(_, w)| now >= w.until);
         let due: Vec<mirror::Record> = due
             .map(|(key, waiting)| mirror::Record {
@@ -173,6 +181,21 @@
         due
     }
 
+    /// Extends all waits by a time in which the store was not heard.
+    fn skip_silence(&mut self, now: policy::Moment) {
+        let heard = self.heard.replace(now).unwrap_or(now);
+        let silence = now.saturating_sub(heard);
+        if silence <= MAX_ANSWER_GAP {
+            return;
+        }
+        if let Some(began) = &mut self.epoch_began {
+            *began += silence;
+        }
+        for waiting in self.waiting.values_mut() {
+            waiting.until += silence;
+        }
+    }
+
     /// All changes that wait.
     pub fn records(&self) -> Vec<mirror::Record> {
         let records = self.waiting.iter().map(|(key, waiting)| mirror::Record {
--- a/src/gateway/merge.rs
+++ b/src/gateway/merge.rs
@@ -36,6 +36,7 @@
         is_other.then(|| self.rebase(position))
     }
 
+    /// Moves the records to another history of the store. Returns the keys that were known as removed.
     pub(super) fn rebase(&self, position: mirror::Position) -> collections::BTreeSet<String> {
         let mut stored = self.records.borrow_mut();
         let own = stored.position();
@@ -128,10 +129,9 @@
     ) -> Vec<mirror::Record> {
         let was_incomplete = !self.records.borrow().is_complete();
         let missing = self.records.borrow().removals_missing_from(records);
-        self.forget_withheld(records);
+        let mut updates = self.forget_withheld(records);
         let now = self.cx.now();
         let is_back = |key: &str| restored.is_some_and(|removed| removed.contains(key));
-        let mut updates = Vec::new();
         for record in records {
             let key = record.key.as_str();
             let hold = source.hold(key);
@@ -164,16 +164,19 @@
         updates
     }
 
-    /// Forgets records that were not in force yet and that the store no longer has.
-    fn forget_withheld(&self, listed: &[mirror::Record]) {
-        let withheld = self.unconfirmed.borrow().withheld();
-        for key in withheld {
-            if listed.iter().all(|record| record.key != key) {
-                self.unconfirmed.borrow_mut().confirm(&key);
-            }
+    /// Forgets records that were not in force yet and that the store no longer has. Returns their
+    /// removals for followers.
+    fn forget_withheld(&self, listed: &[mirror::Record]) -> Vec<mirror::Record> {
+        let mut gone = self.unconfirmed.borrow().withheld();
+        gone.retain(|key| listed.iter().all(|record| record.key != *key));
+        for key in &gone {
+            self.unconfirmed.borrow_mut().confirm(key);
         }
+        let removal = |key| mirror::Record { key, value: None };
+        gone.into_iter().map(removal).collect()
     }
 
+    /// Sends changes, also none, to the followers.
     pub(super) fn publish(&self, records: Vec<mirror::Record>, position: mirror::Position) {
         let mut snapshot = self.snapshot.borrow_mut();
         if snapshot.0 != self.snapshot_version() {
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -544,11 +544,12 @@
                 records,
                 revision,
                 epoch,
-                ..
+                unconfirmed,
             } => {
                 let position = mirror::Position { epoch, revision };
                 let restored = self.enter_epoch(position);
                 self.replace_all(source, &records, position, restored.as_ref());
+                self.await_confirmation(source, unconfirmed);
                 Ok(records.len())
             }
             mirror::Message::Delta { .. } | mirror::Message::NotReading => Ok(0),
--- a/tests/unconfirmed.rs
+++ b/tests/unconfirmed.rs
@@ -41,10 +41,14 @@
     assert!(!unconfirmed.admits_absence(ms(1000), "az", true, EVACUATION));
     // A second list of the same epoch changes nothing.
     assert!(!unconfirmed.admits_absence(ms(3000), "i-0", false, BACKEND));
-    assert!(unconfirmed.take_due(ms(3199)).is_empty());
+    for now in [1000, 1600, 2500, 3199] {
+        assert!(unconfirmed.take_due(ms(now)).is_empty(), "{now}");
+    }
     assert_eq!(unconfirmed.take_due(ms(3200)), [record("i-0", None)]);
     assert!(unconfirmed.contains("az"));
-    assert!(unconfirmed.take_due(ms(60_999)).is_empty());
+    for now in (4000..61_000).step_by(999).chain([60_999]) {
+        assert!(unconfirmed.take_due(ms(now)).is_empty(), "{now}");
+    }
     assert_eq!(unconfirmed.take_due(ms(61_000)), [record("az", None)]);
     assert!(unconfirmed.is_empty());
 }
@@ -88,6 +92,28 @@
     assert!(unconfirmed.admits(ms(0), &other, false, BACKEND));
 }
 
+/// Guards against a dead VM that is back in the copy and comes into force although its lease ends there.
+#[test]
+fn a_removed_record_that_is_back_and_removed_again_does_not_come_into_force() {
+    let mut unconfirmed = restored_at(ms(0));
+    assert!(!unconfirmed.admits(ms(0), &record("vm", Some("1")), true, BACKEND));
+    assert!(unconfirmed.admits_removal(ms(500), "vm", BACKEND));
+    assert!(unconfirmed.confirm("vm"));
+    assert!(unconfirmed.take_due(ms(9000)).is_empty());
+}
+
+/// Guards against records that lapse because their writers could not write while the store was away.
+#[test]
+fn time_in_which_the_store_is_not_heard_does_not_count() {
+    let mut unconfirmed = restored_at(ms(0));
+    assert!(!unconfirmed.admits_absence(ms(0), "i-0", true, BACKEND));
+    for now in [0, 600, 1200, 9200, 9900] {
+        assert!(unconfirmed.take_due(ms(now)).is_empty(), "{now}");
+    }
+    assert!(!unconfirmed.admits_removal(ms(9900), "i-1", BACKEND));
+    assert_eq!(unconfirmed.take_due(ms(10_200)), [record("i-0", None)]);
+}
+
 /// Guards against a second return of the store that cuts the time for writing again short.
 #[test]
 fn a_second_return_in_a_row_starts_the_time_anew() {
