--- a/tests/unconfirmed.rs
+++ b/tests/unconfirmed.rs
@@ -114,6 +114,23 @@
     assert_eq!(unconfirmed.take_due(ms(10_200)), [record("i-0", None)]);
 }
 
+/// Guards against requests to a backend server that left shortly after the return, for longer than
+/// those that are still there need to write again.
+#[test]
+fn a_removal_after_the_return_waits_no_longer_than_the_return_calls_for() {
+    let mut unconfirmed = unconfirmed::Unconfirmed::default();
+    assert!(unconfirmed.take_due(ms(0)).is_empty());
+    // The store is away for 5 s before it returns.
+    unconfirmed.begin_epoch(ms(5000));
+    assert!(unconfirmed.take_due(ms(5600)).is_empty());
+    assert!(!unconfirmed.admits_removal(ms(7000), "i-0", BACKEND));
+    assert!(unconfirmed.admits_removal(ms(7200), "i-1", BACKEND));
+    for now in [6200, 7100] {
+        assert!(unconfirmed.take_due(ms(now)).is_empty(), "{now}");
+    }
+    assert_eq!(unconfirmed.take_due(ms(7200)), [record("i-0", None)]);
+}
+
 /// Guards against a second return of the store that cuts the time for writing again short.
 #[test]
 fn a_second_return_in_a_row_starts_the_time_anew() {
