Count the time to write again from the store's return, without the outage before it

Two faults in the waits for a restored store: the outage before the return was added to them at the second answer after it, 3 to 4 s; and a removal within the time waited for the whole time from then on instead of what was left of it.

The start of an epoch now counts as an answer, and every wait ends at the return's time plus the hold.

--- a/src/coordination/unconfirmed.rs
+++ b/src/coordination/unconfirmed.rs
@@ -56,6 +56,7 @@
     /// Begins an epoch of the store.
     pub fn begin_epoch(&mut self, now: policy::Moment) {
         self.epoch_began = Some(now);
+        self.heard = Some(now);
     }
 
     /// A counter that grows with each change of the records that wait.
@@ -146,13 +147,13 @@
         self.wait(now, removal, hold);
     }
 
-    /// Lets a change wait from now on.
+    /// Lets a change wait until writers had time to write again since the store's return.
     pub fn wait(&mut self, now: policy::Moment, record: mirror::Record, hold: Hold) {
         self.version += 1;
         self.untold.push(record.clone());
         let waiting = Waiting {
             value: record.value,
-            until: now + hold.lasts,
+            until: self.epoch_began.unwrap_or(now) + hold.lasts,
         };
         self.waiting.insert(record.key, waiting);
     }
