Register at once if a restored store may have given the own lease to another VM

An entry that is not confirmed after the store's epoch has changed is now written under a new lease with the next renewal. The new test fails on the commit before (3 renewals of the foreign lease).

--- a/src/gateway/registering.rs
+++ b/src/gateway/registering.rs
@@ -106,6 +106,8 @@
     ttl: time::Duration,
     /// Consecutive renewals at which the local copy of the store lacked this entry.
     unconfirmed_renewals: u32,
+    /// The store's epoch in which the entry was last confirmed or written.
+    epoch: u64,
     /// The entry that was written.
     entry: entries::Entry,
 }
@@ -155,8 +157,11 @@
         if ttl < active.ttl {
             return self.register().await.or(Some(active));
         }
+        let epoch = self.mirror.epoch();
         let unconfirmed_renewals = match self.is_confirmed(&active.entry) {
             true => 0,
+            // A restored store may have given the lease's id to another VM.
+            false if epoch != active.epoch => return self.register().await.or(Some(active)),
             false => active.unconfirmed_renewals + 1,
         };
         match self.registry.renew(active.lease).await {
@@ -168,6 +173,7 @@
             }
             Ok(true) => Some(ActiveRegistration {
                 unconfirmed_renewals,
+                epoch,
                 ..active
             }),
             Ok(false) => self.register().await,
@@ -251,6 +257,7 @@
                     lease,
                     ttl,
                     unconfirmed_renewals: 0,
+                    epoch: self.mirror.epoch(),
                     entry,
                 })
             }
--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -187,6 +187,36 @@
     });
 }
 
+/// Guards against an entry VM that renews a lease which the restored store has given to another VM, and
+/// is not registered meanwhile.
+#[test]
+fn a_lease_id_that_is_given_out_again_does_not_pass_for_the_own_one() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let store = &deployment.store;
+        let without = store.copy();
+        let (ports, _gateway) = deployment.start("vm-1", store.addr, &[]);
+        wait_for_status(ports.ready, "/ready", 200).await;
+        let key = "bulrushwind/entry/az-a/vm-1";
+        let begun = time::Instant::now();
+        let wait_for_key = async || {
+            while store.value(key).is_none() {
+                assert!(begun.elapsed() < TEST_TIMEOUT, "never registered");
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+        };
+        wait_for_key().await;
+        store.restore(without);
+        for _ in 0..8 {
+            store.take_lease(TEST_TIMEOUT);
+        }
+        let renewals = store.renewals();
+        wait_for_key().await;
+        let taken_for_own = store.renewals() - renewals;
+        assert!(taken_for_own <= 2, "{taken_for_own} renewals");
+    });
+}
+
 /// Guards against a request that crashes backend servers and is admitted again by VMs that start
 /// after the store has lost the reports of its crashes.
 #[test]
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -62,6 +62,8 @@
     epoch_text: Option<String>,
     mode: Mode,
     calls: usize,
+    /// Renewals of leases that exist.
+    renewals: usize,
 }
 
 impl ops::Deref for Inner {
@@ -194,6 +196,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes a lease, as another VM does. Returns its id.
+    pub(crate) fn take_lease(&self, ttl: time::Duration) -> u64 {
+        let mut inner = self.inner.borrow_mut();
+        inner.next_lease += 1;
+        let id = inner.next_lease;
+        let ends = time::Instant::now() + ttl;
+        inner.leases.insert(id, Lease { ttl, ends });
+        id
+    }
+
+    pub(crate) fn renewals(&self) -> usize {
+        self.inner.borrow().renewals
+    }
+
     /// States a text in place of the epoch.
     pub(crate) fn state_epoch(&self, text: Option<&str>) {
         self.inner.borrow_mut().epoch_text = text.map(str::to_owned);
@@ -374,17 +390,15 @@
 
     fn lease(&self, body: &Value) -> callers::Answer {
         let ttl = time::Duration::from_secs_f64(body["ttl_s_time"].as_f64().unwrap());
-        let mut inner = self.inner.borrow_mut();
-        inner.next_lease += 1;
-        let id = inner.next_lease;
-        let ends = time::Instant::now() + ttl;
-        inner.leases.insert(id, Lease { ttl, ends });
+        let id = self.take_lease(ttl);
         json_answer(&json!({"lease": id, "ttl_s_time": ttl.as_secs_f64()}))
     }
 
     fn renew(&self, id: &str) -> callers::Answer {
         let mut inner = self.inner.borrow_mut();
-        match inner.contents.leases.get_mut(&id.parse().unwrap()) {
+        let id: u64 = id.parse().unwrap();
+        inner.renewals += usize::from(inner.leases.contains_key(&id));
+        match inner.leases.get_mut(&id) {
             Some(lease) => {
                 lease.ends = time::Instant::now() + lease.ttl;
                 json_answer(&json!({"ttl_s_time": lease.ttl.as_secs_f64()}))
