--- a/examples/soak/restores.rs
+++ b/examples/soak/restores.rs
@@ -9,7 +9,7 @@
 use tokio::task;
 
 use super::scene::{self, Scene};
-use super::support::store;
+use super::support::{backend, store};
 
 fn ms(n: u64) -> time::Duration {
     time::Duration::from_millis(n)
@@ -87,9 +87,30 @@
     restore(scene, copy, ms(300)).await;
     write_again(scene.clone(), ms(1500)).await;
     tokio::time::sleep(ms(2000)).await;
-    for id in &scene.log.borrow().late_requests {
-        scene.add_violation(format!(
-            "request {id} reached a backend server whose leaving a restored store forgot"
-        ));
+    report_late_requests(scene, "whose leaving a restored store forgot");
+}
+
+/// Checks that a backend server whose entry is removed shortly after the store's return gets no
+/// requests after its grace period.
+pub(crate) async fn check_removal_after_a_return(scene: &rc::Rc<Scene>) {
+    /// Time after the return within which backend servers have written again.
+    const SETTLED_AFTER: time::Duration = time::Duration::from_millis(3100);
+    let copy = scene.store.copy();
+    restore(scene, copy, ms(3000)).await;
+    let returned_at = time::Instant::now();
+    write_again(scene.clone(), ms(1000)).await;
+    tokio::time::sleep(SETTLED_AFTER.saturating_sub(returned_at.elapsed())).await;
+    let Some(leaving) = scene.backends.borrow_mut().pop() else {
+        return;
+    };
+    leaving.drain_started.set(Some(time::Instant::now()));
+    scene.store.remove(&leaving.key());
+    tokio::time::sleep(backend::DRAIN_GRACE + ms(1500)).await;
+    report_late_requests(scene, "that was removed after the store's return");
+}
+
+fn report_late_requests(scene: &Scene, what: &str) {
+    for id in scene.log.borrow_mut().late_requests.drain(..) {
+        scene.add_violation(format!("request {id} reached a backend server {what}"));
     }
 }
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -315,6 +315,8 @@
     scene.check_all_serve().await;
     scene.log.borrow_mut().late_requests.clear();
     scene.check_drain().await;
+    scene.log.borrow_mut().late_requests.clear();
+    restores::check_removal_after_a_return(&scene).await;
     restores::check_leaving_is_kept(&scene).await;
     tasks.iter().for_each(task::JoinHandle::abort);
     let registered = scene.store.keys("bulrushwind/entry/").len();
