Log why a connection to a backend server failed, and count ejected backend servers

`connect_error` names the case; the gauge bulrushwind_ejected_backends shows a VM that has ejected all of a service. No decision changes.

--- a/src/decisions/ejection.rs
+++ b/src/decisions/ejection.rs
@@ -138,6 +138,11 @@
         self.state
     }
 
+    /// Whether it gets no requests.
+    pub fn is_ejected(&self) -> bool {
+        matches!(self.state, State::Ejected { .. })
+    }
+
     /// Records an answer. Returns whether it ended a trial.
     pub fn answered(&mut self, cfg: &Config) -> bool {
         self.failure_ratio -= self.failure_ratio / cfg.window_answers;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one backend server: it is answered, has not run, or may have run.
 
+use std::io;
 use std::rc;
 use std::time;
 
@@ -75,8 +76,8 @@
 /// Why a request has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotRun {
-    /// The connection failed.
-    NoConnection,
+    /// The connection could not be opened, or broke before the first byte was sent.
+    NoConnection(ConnectError),
     /// The backend server refused it because it is full or leaving.
     Shed,
     /// The backend server refused it although it reported free slots and an empty queue.
@@ -85,13 +86,58 @@
     Misdirected,
 }
 
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectError {
+    /// The address refused or reset it.
+    Refused,
+    /// Nothing answered within [`CONNECT_TIMEOUT`].
+    TimedOut,
+    /// It broke after it was opened.
+    Broke,
+    /// This VM could not open it, for example for lack of file descriptors.
+    Local,
+}
+
+impl ConnectError {
+    /// The error as a log value.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::TimedOut => "timed out",
+            Self::Broke => "broke before the send",
+            Self::Local => "not opened by this VM",
+        }
+    }
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(err: io::Error) -> Self {
+        match err.kind() {
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Self::Refused,
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable => Self::TimedOut,
+            _ => Self::Local,
+        }
+    }
+}
+
 impl Outcome {
+    /// Why there was no connection, as a log value; empty for any other outcome.
+    pub fn connect_error(&self) -> &'static str {
+        match self {
+            Self::NotRun(NotRun::NoConnection(err)) => err.as_str(),
+            _ => "",
+        }
+    }
+
     /// The outcome as a log and metric value.
     pub fn as_str(&self) -> &'static str {
         match self {
             Self::Answer { failed: false, .. } => "answered",
             Self::Answer { failed: true, .. } => "failed",
-            Self::NotRun(NotRun::NoConnection) => "no connection",
+            Self::NotRun(NotRun::NoConnection(_)) => "no connection",
             Self::NotRun(NotRun::Shed) => "shed",
             Self::NotRun(NotRun::Declined) => "declined",
             Self::NotRun(NotRun::Misdirected) => "misdirected",
@@ -158,7 +204,9 @@
         };
         match received {
             Ok(received) => self.finish(wire, received, reservation).await,
-            Err(upstream::Failure::Unsent) => Outcome::NotRun(NotRun::NoConnection),
+            Err(upstream::Failure::Unsent) => {
+                Outcome::NotRun(NotRun::NoConnection(ConnectError::Broke))
+            }
             Err(failure) => Outcome::Unknown(failure),
         }
     }
@@ -388,7 +436,7 @@
 async fn connect(reservation: &placement::Reservation) -> Result<socket::Wire, Outcome> {
     let wire = socket::Wire::connect(reservation.addr, CONNECT_TIMEOUT)
         .await
-        .map_err(|_| Outcome::NotRun(NotRun::NoConnection))?;
+        .map_err(|err| Outcome::NotRun(NotRun::NoConnection(err.into())))?;
     // The bytes of an abandoned send may still be in transit behind a network partition. After an
     // orderly close they arrive when the partition heals: 7 s late in one case, at a backend server
     // whose availability zone was evacuated. A reset discards them.
--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -82,7 +82,7 @@
                 let mut crashes = self.crashes.borrow_mut();
                 crashes.connection_broke(self.now(), job.fingerprint, run);
             }
-            attempt::Outcome::NotRun(attempt::NotRun::NoConnection) => {
+            attempt::Outcome::NotRun(attempt::NotRun::NoConnection(_)) => {
                 let crashed = self
                     .crashes
                     .borrow_mut()
@@ -341,7 +341,7 @@
                 backend.limit.shed(&self.cfg.thresholds.limit, now);
                 (false, false)
             }
-            attempt::Outcome::NotRun(attempt::NotRun::NoConnection) => {
+            attempt::Outcome::NotRun(attempt::NotRun::NoConnection(_)) => {
                 (backend.health.broke(cfg), true)
             }
             attempt::Outcome::NotRun(attempt::NotRun::Misdirected) => (true, true),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -292,8 +292,7 @@
         if need.tried.contains(&b.id) {
             return false;
         }
-        let out = matches!(b.health.state(), ejection::State::Ejected { .. });
-        !out || (b.health.probe_due(now) && need.idempotent)
+        !b.health.is_ejected() || (b.health.probe_due(now) && need.idempotent)
     }
 
     /// Whether a backend server can be chosen now. One that is paused, whose rate is limited or that
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -55,6 +55,19 @@
     pub(super) deadline: policy::Moment,
 }
 
+/// A send that failed.
+#[derive(Debug)]
+pub(super) struct FailedSend<'a> {
+    pub(super) id: &'a [u8],
+    pub(super) service: &'a str,
+    pub(super) backend: &'a crate::id::VmId,
+    pub(super) outcome: &'static str,
+    /// Why there was no connection; empty for other outcomes.
+    pub(super) connect_error: &'static str,
+    /// Sends of the request so far.
+    pub(super) sends: u32,
+}
+
 fn ms(span: time::Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
@@ -150,6 +163,11 @@
                 let service = self.labels.label(name.as_str());
                 let in_flight: u32 = backends.of_service(name).map(|b| b.in_flight).sum();
                 let slots: u32 = backends.of_service(name).map(|b| b.listed.slots).sum();
+                let ejected = backends
+                    .of_service(name)
+                    .filter(|b| b.health.is_ejected())
+                    .count();
+                gauge!(metric_names::EJECTED, "service" => service.clone()).set(ejected as f64);
                 let limited = backends
                     .of_service(name)
                     .filter(|b| b.stated.rate_limit.get().is_some())
@@ -168,26 +186,19 @@
     }
 
     /// Logs and counts a failed send, with this VM's view of the backend server.
-    pub(super) fn record_send(
-        &self,
-        id: &[u8],
-        service: &str,
-        backend: &crate::id::VmId,
-        outcome: &'static str,
-        sends: u32,
-    ) {
+    pub(super) fn record_send(&self, send: &FailedSend<'_>) {
         let now = self.now();
-        counter!(metric_names::ATTEMPTS, "service" => self.labels.label(service), "ended" => outcome)
+        counter!(metric_names::ATTEMPTS, "service" => self.labels.label(send.service), "ended" => send.outcome)
             .increment(1);
         let Some(left_out) = self.log_limiter.admit("send", now) else {
             counter!(metric_names::LOG_SUPPRESSED, "event" => "send").increment(1);
             return;
         };
         let backends = self.backends.borrow();
-        let known = backends.get(backend);
+        let known = backends.get(send.backend);
         slog::info!(self.log, "send failed";
-            "request" => %String::from_utf8_lossy(id), "backend" => %backend, "outcome" => outcome,
-            "sends" => sends, "load" => known.map(|b| b.load(now)),
+            "request" => %String::from_utf8_lossy(send.id), "backend" => %send.backend, "outcome" => send.outcome,
+            "connect_error" => send.connect_error, "sends" => send.sends, "load" => known.map(|b| b.load(now)),
             "load_age_ms" => known.and_then(|b| b.report_age(now)).map(ms),
             "in_flight" => known.map(|b| b.in_flight),
             "cold" => known.map(|b| b.is_cold(now)), "rate_limit" => known.and_then(|b| b.stated.rate_limit.get()),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -430,7 +430,7 @@
     }
 
     fn settle(&mut self, id: &id::VmId, outcome: attempt::Outcome) -> Settled {
-        let name = outcome.as_str();
+        let (name, connect_error) = (outcome.as_str(), outcome.connect_error());
         match outcome {
             attempt::Outcome::Answer {
                 answer,
@@ -443,7 +443,7 @@
                 answer,
                 failed: true,
             } => {
-                self.record_failure(id, name);
+                self.record_failure(id, name, connect_error);
                 self.possible_runs += 1;
                 self.fate = ("failed", "the backend server failed");
                 if !self.facts.route.idempotent {
@@ -454,14 +454,19 @@
             attempt::Outcome::NotRun(_) => self.refund(),
             attempt::Outcome::Unknown(_) => self.possible_runs += 1,
         }
-        self.record_failure(id, name);
+        self.record_failure(id, name, connect_error);
         Settled::Failed(None)
     }
 
-    fn record_failure(&self, id: &id::VmId, what: &'static str) {
-        let service = self.job.service.as_str();
-        self.cx
-            .record_send(&self.facts.id, service, id, what, self.sends);
+    fn record_failure(&self, id: &id::VmId, what: &'static str, connect_error: &'static str) {
+        self.cx.record_send(&record::FailedSend {
+            id: &self.facts.id,
+            service: self.job.service.as_str(),
+            backend: id,
+            outcome: what,
+            connect_error,
+            sends: self.sends,
+        });
     }
 
     fn time_left(&self) -> time::Duration {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -39,6 +39,8 @@
 pub const INVALID_STATED: &str = "bulrushwind_invalid_answer_fields_total";
 /// Ejections of backend servers.
 pub const EJECTIONS: &str = "bulrushwind_ejections_total";
+/// Backend servers that are ejected.
+pub const EJECTED: &str = "bulrushwind_ejected_backends";
 /// Quarantined request fingerprints.
 pub const QUARANTINES: &str = "bulrushwind_quarantines_total";
 /// Probes sent to backend servers.
@@ -217,6 +219,12 @@
         &["service"],
         "Times that a backend server was ejected.",
     ),
+    metric(
+        EJECTED,
+        Kind::Gauge,
+        &["service"],
+        "Backend servers that get no requests of this VM after failures.",
+    ),
     metric(
         QUARANTINES,
         Kind::Counter,
