--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -109,7 +109,7 @@
     pub(crate) seen: rc::Rc<cell::RefCell<Seen>>,
     pub(crate) script: Script,
     pub(crate) behaviors: Behaviors,
-    listed: cell::RefCell<Vec<(id::VmId, backends::Listed)>>,
+    pub(crate) listed: cell::RefCell<Vec<(id::VmId, backends::Listed)>>,
     started: rc::Rc<tokio::sync::Notify>,
 }
 
@@ -159,7 +159,7 @@
     routes::Table::new(version, routes, vec![service], limits)
 }
 
-fn entry_at(caller_addr: net::SocketAddr) -> entries::Entry {
+pub(crate) fn entry_at(caller_addr: net::SocketAddr) -> entries::Entry {
     entries::Entry {
         caller_addr,
         peer_addr: None,
@@ -173,8 +173,13 @@
 
 /// Starts a gateway that knows the routes and no backend servers.
 fn start_vm(name: &str) -> (gateway::Gateway, net::SocketAddr) {
+    start_vm_in("az", name)
+}
+
+pub(crate) fn start_vm_in(az: &str, name: &str) -> (gateway::Gateway, net::SocketAddr) {
     let cfg = gateway::Config {
         vm: name.into(),
+        az: az.into(),
         names: NAMES,
         regions: [
             ("az".into(), "region".into()),
@@ -538,7 +543,7 @@
 }
 
 impl Caller {
-    async fn connect(addr: net::SocketAddr) -> Self {
+    pub(crate) async fn connect(addr: net::SocketAddr) -> Self {
         Self {
             wire: socket::Wire::connect(addr, LONG).await.unwrap(),
         }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the platform adapter: settings, store records and gateway processes.
 
 #[path = "../support/mod.rs"]
+#[expect(dead_code, reason = "shared with the tests of the gateway")]
 mod support;
 
 mod decoding;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! process. Shared by the tests of the platform adapter and of the gateway, and by the soak.
 
 pub(crate) mod backend;
+pub(crate) mod cut;
 pub(crate) mod process;
 pub(crate) mod proxy;
 pub(crate) mod store;
