Connect through other entry VMs while this VM is cut off from all backend servers

Cause: a failed connection was always taken for a failure of that backend server. The class: a VM draws conclusions about others from failures of its own links.

Placement, attempts, budget, quota, rates and homes stay with the VM that has the request, so each is counted once. It takes back ejections since the last sign of life, closes idle connections that were not used since, gives reads on hanging connections to the tunnels, and asks other VMs at once; failures on its own connections count against nobody. A backend server that the others do not reach either is down, as before. VMs are chosen without messages (decisions::peer_selection).

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -26,7 +26,7 @@
 
 /// Messages of log lines that record an entry VM's state. If a field is given, the line matters
 /// only if that field names one of the request's backend servers.
-const STATE_MESSAGES: [(&str, Option<&str>); 16] = [
+const STATE_MESSAGES: [(&str, Option<&str>); 18] = [
     ("start", None),
     ("routes", None),
     ("routes not taken", None),
@@ -36,6 +36,11 @@
     ("not following", None),
     ("evacuation", None),
     ("planned stop", None),
+    (
+        "cut off from backend servers; connecting through other entry VMs",
+        None,
+    ),
+    ("backend servers reachable again", None),
     ("backend server leaves", Some("backend")),
     ("backend server says that it leaves", Some("backend")),
     ("backend server asks for a pause", Some("backend")),
--- a/src/decisions/ejection.rs
+++ b/src/decisions/ejection.rs
@@ -117,6 +117,7 @@
     breaks_in_a_row: u32,
     answers_in_a_row: u32,
     ejections: u32,
+    ejected_at: policy::Moment,
 }
 
 impl Default for Health {
@@ -128,6 +129,7 @@
             breaks_in_a_row: 0,
             answers_in_a_row: 0,
             ejections: 0,
+            ejected_at: policy::Moment::ZERO,
         }
     }
 }
@@ -193,9 +195,17 @@
         // The ejection time does not grow while it is down: a longer wait gives no information.
         self.ejections += u32::from(!down);
         self.answers_in_a_row = 0;
+        self.ejected_at = now;
         self.state = State::Ejected { until, down };
     }
 
+    /// Takes back an ejection since a moment, whose cause was not the backend server.
+    pub fn take_back_ejection(&mut self, since: policy::Moment) {
+        if self.state != State::Active && self.ejected_at >= since {
+            *self = Self::default();
+        }
+    }
+
     /// Whether a probe may be sent now.
     pub fn probe_due(&self, now: policy::Moment) -> bool {
         matches!(self.state, State::Ejected { until, .. } if until <= now)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,18 +1,21 @@
 //! Sends a request to one backend server: it is answered, has not run, or may have run.
 
-use std::io;
+use std::cell;
 use std::rc;
 use std::time;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use metrics::counter;
 use tokio::sync::mpsc;
 use tokio::task;
 
+use super::connecting::{ConnectError, Connection, Target};
 use super::{Gateway, placement, pool};
 use crate::decisions::{idle_limit, policy};
 use crate::id;
-use crate::protocol::{customers, http1, names};
-use crate::transport::{callers, socket, upstream};
+use crate::metrics as metric_names;
+use crate::protocol::{customers, http1, names, routes};
+use crate::transport::{callers, upstream};
 
 /// Answers up to this size are buffered whole before they go to the caller. If a buffered answer is
 /// truncated, another backend server can still answer.
@@ -21,9 +24,6 @@
 /// Pieces of a long answer that may wait for a slow caller.
 const RELAY_QUEUE_PIECES: usize = 8;
 
-/// Connect timeout: a round trip across the widest link (0.11 s), as much again, and a margin.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(350);
-
 /// Longest idle time of a connection that carries a non-idempotent request. If the backend server
 /// closes the connection as the request is sent, the outcome is unknown, so only a recently used
 /// connection is safe.
@@ -40,14 +40,24 @@
     pub service: id::ServiceId,
     /// The customer whose key the request carries; `None` on routes that need no key.
     pub customer: Option<rc::Rc<customers::Customer>>,
-    /// Whether the request may run more than once.
-    pub idempotent: bool,
+    /// The route.
+    pub route: rc::Rc<routes::Route>,
     /// Equal for equal requests; identifies those that crash backend servers.
     pub fingerprint: u64,
     /// When the caller or the route times out.
     pub deadline: policy::Moment,
-    /// The target latency.
-    pub target_latency: time::Duration,
+    /// The entry VM that the latest send went through; `None`: it was direct.
+    pub via: rc::Rc<cell::RefCell<Option<id::VmId>>>,
+}
+
+impl Job {
+    /// The regions where the request may run.
+    pub fn homes(&self) -> routes::AllowedRegions<'_> {
+        routes::AllowedRegions {
+            route: &self.route.regions,
+            customer: self.customer.as_ref().map_or(&[], |c| &c.regions),
+        }
+    }
 }
 
 /// How a send ended.
@@ -73,6 +83,22 @@
     broke_at_once: bool,
 }
 
+/// How a send ended, and on which kind of connection.
+struct Sent {
+    outcome: Outcome,
+    /// Whether it was on a connection of this VM's own.
+    is_direct: bool,
+}
+
+impl Sent {
+    fn unsent(err: ConnectError) -> Self {
+        Self {
+            outcome: Outcome::NotRun(NotRun::NoConnection(err)),
+            is_direct: true,
+        }
+    }
+}
+
 /// Why a request has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotRun {
@@ -86,43 +112,6 @@
     Misdirected,
 }
 
-/// Why there is no connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectError {
-    /// The address refused or reset it.
-    Refused,
-    /// Nothing answered within [`CONNECT_TIMEOUT`].
-    TimedOut,
-    /// It broke after it was opened.
-    Broke,
-    /// This VM could not open it, for example for lack of file descriptors.
-    Local,
-}
-
-impl ConnectError {
-    /// The error as a log value.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Refused => "refused",
-            Self::TimedOut => "timed out",
-            Self::Broke => "broke before the send",
-            Self::Local => "not opened by this VM",
-        }
-    }
-}
-
-impl From<io::Error> for ConnectError {
-    fn from(err: io::Error) -> Self {
-        match err.kind() {
-            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Self::Refused,
-            io::ErrorKind::TimedOut
-            | io::ErrorKind::HostUnreachable
-            | io::ErrorKind::NetworkUnreachable => Self::TimedOut,
-            _ => Self::Local,
-        }
-    }
-}
-
 impl Outcome {
     /// Why there was no connection, as a log value; empty for any other outcome.
     pub fn connect_error(&self) -> &'static str {
@@ -160,10 +149,11 @@
     ) -> (id::VmId, Outcome) {
         let (run, new_object) = (reservation.run.clone(), reservation.new_object);
         let started = self.now();
-        let outcome = self.send(&job, &mut payload, reservation).await;
-        self.record_outcome(&job, &run, started, &outcome);
+        let sent = self.send(&job, &mut payload, reservation).await;
+        let outcome = sent.outcome;
+        self.record_outcome(&job, &run, started, &outcome, sent.is_direct);
         if new_object && let Outcome::Answer { failed: false, .. } = outcome {
-            let late = self.now().saturating_sub(started) > job.target_latency;
+            let late = self.now().saturating_sub(started) > job.route.latency_target;
             self.with_service(&job.service, |state| state.cold_lateness.answered(late));
         }
         (run.id, outcome)
@@ -174,41 +164,71 @@
         job: &Job,
         payload: &mut upstream::Payload,
         reservation: placement::Reservation,
-    ) -> Outcome {
-        let max_idle = match job.idempotent {
-            true => time::Duration::MAX,
-            false => MAX_IDLE_NON_IDEMPOTENT,
-        };
-        let pooled = self.pool.borrow_mut().take(&reservation.run.id, max_idle);
-        let received = match pooled {
+    ) -> Sent {
+        let received = match self.idle_connection(job, &reservation) {
             Some(pooled) => {
                 self.exchange_pooled(job, pooled, payload, &reservation)
                     .await
             }
             None => None,
         };
-        let (wire, received) = match received {
+        let (connection, received) = match received {
             Some(received) => received,
             None => {
-                let mut wire = match connect(&reservation).await {
-                    Ok(wire) => wire,
-                    Err(outcome) => return outcome,
+                let mut connection = match self.connect_for(job, &reservation).await {
+                    Ok(connection) => connection,
+                    Err(err) => return Sent::unsent(err),
                 };
-                let sent = self.exchange(job, &mut wire, payload, &reservation).await;
-                self.pool
-                    .borrow_mut()
-                    .idle_limit
-                    .record_new(sent.broke_at_once);
-                (wire, sent.received)
+                let sent = self
+                    .exchange(job, &mut connection, payload, &reservation)
+                    .await;
+                if connection.via.is_none() {
+                    let mut pool = self.pool.borrow_mut();
+                    pool.idle_limit.record_new(sent.broke_at_once);
+                }
+                (connection, sent.received)
             }
         };
-        match received {
-            Ok(received) => self.finish(wire, received, reservation).await,
+        let is_direct = connection.via.is_none();
+        let outcome = match received {
+            Ok(received) => self.finish(connection, received, reservation).await,
             Err(upstream::Failure::Unsent) => {
                 Outcome::NotRun(NotRun::NoConnection(ConnectError::Broke))
             }
             Err(failure) => Outcome::Unknown(failure),
-        }
+        };
+        Sent { outcome, is_direct }
+    }
+
+    async fn connect_for(
+        &self,
+        job: &Job,
+        reservation: &placement::Reservation,
+    ) -> Result<Connection, ConnectError> {
+        self.connect(&Target {
+            backend: &reservation.run.id,
+            addr: reservation.addr,
+            regions: job.homes(),
+        })
+        .await
+    }
+
+    /// Takes an idle connection that the request may be sent on.
+    fn idle_connection(
+        &self,
+        job: &Job,
+        reservation: &placement::Reservation,
+    ) -> Option<pool::IdleConnection> {
+        let max_idle = match job.route.idempotent {
+            true => time::Duration::MAX,
+            false => MAX_IDLE_NON_IDEMPOTENT,
+        };
+        let homes = job.homes();
+        self.pool
+            .borrow_mut()
+            .take(&reservation.run.id, max_idle, |region| {
+                homes.includes(region)
+            })
     }
 
     /// Sends on an idle connection. Returns `None` if the connection was already closed and nothing
@@ -219,10 +239,13 @@
         pooled: pool::IdleConnection,
         payload: &mut upstream::Payload,
         reservation: &placement::Reservation,
-    ) -> Option<(socket::Wire, Result<upstream::Received, upstream::Failure>)> {
-        let mut wire = pooled.wire;
-        let sent = self.exchange(job, &mut wire, payload, reservation).await;
+    ) -> Option<(Connection, Result<upstream::Received, upstream::Failure>)> {
+        let mut connection = pooled.connection;
+        let sent = self
+            .exchange(job, &mut connection, payload, reservation)
+            .await;
         match sent.broke_at_once {
+            _ if connection.via.is_some() => {}
             true => self.record_idle_break(reservation, pooled.idle_for),
             false => self
                 .pool
@@ -234,7 +257,7 @@
         let unsent = matches!(received, Err(upstream::Failure::Unsent));
         match unsent && payload.is_replayable() {
             true => None,
-            false => Some((wire, received)),
+            false => Some((connection, received)),
         }
     }
 
@@ -250,10 +273,16 @@
     async fn exchange(
         &self,
         job: &Job,
-        wire: &mut socket::Wire,
+        connection: &mut Connection,
         payload: &mut upstream::Payload,
         reservation: &placement::Reservation,
     ) -> SendResult {
+        let Connection { wire, via } = connection;
+        *job.via.borrow_mut() = via.as_ref().map(|via| via.vm.clone());
+        if via.is_some() {
+            let service = self.labels.label(job.service.as_str());
+            counter!(metric_names::TUNNEL_SENDS, "service" => service).increment(1);
+        }
         let started = self.now();
         let head = self.head_for(job, payload, &reservation.run.id);
         let tag = upstream::Tag {
@@ -261,12 +290,17 @@
             id: &job.id,
             to_head: job.head.method() == b"HEAD",
         };
+        let abandons_hanging = job.route.idempotent && via.is_none();
         let received = tokio::select! {
             biased;
             received = upstream::exchange(wire, &head, payload, tag) => received,
             // The backend server's run that had the request has ended and cannot answer.
             () = reservation.run.ended() => Err(upstream::Failure::Lost),
+            () = self.links_hang.notified(), if abandons_hanging => Err(upstream::Failure::Lost),
         };
+        if received.is_ok() {
+            self.record_contact(via.as_ref());
+        }
         let after = self.now().saturating_sub(started);
         let broke = matches!(
             received,
@@ -318,7 +352,7 @@
     /// Reads the answer's body and classifies the outcome.
     async fn finish(
         &self,
-        mut wire: socket::Wire,
+        mut connection: Connection,
         received: upstream::Received,
         reservation: placement::Reservation,
     ) -> Outcome {
@@ -334,7 +368,7 @@
         let mut reader = http1::BodyReader::new(head.framing);
         let mut body = BytesMut::new();
         loop {
-            match upstream::next_piece(&mut wire, &mut reader).await {
+            match upstream::next_piece(&mut connection.wire, &mut reader).await {
                 Ok(None) => break,
                 Ok(Some(piece)) => body.extend_from_slice(&piece),
                 Err(_) if misdirected => return Outcome::NotRun(NotRun::Misdirected),
@@ -342,14 +376,14 @@
                 Err(failure) => return Outcome::Unknown(failure),
             }
             if body.len() > MAX_BUFFERED_BYTES {
-                return self.relay(wire, head, reader, body, reservation);
+                return self.relay(connection, head, reader, body, reservation);
             }
         }
-        if received.reusable && wire.is_idle() {
+        if received.reusable && connection.wire.is_idle() {
             let stated = stated_keep_alive(&head.fields);
             self.pool
                 .borrow_mut()
-                .put(&reservation.run.id, wire, stated);
+                .put(&reservation.run.id, connection, stated);
         }
         if misdirected {
             return Outcome::NotRun(NotRun::Misdirected);
@@ -375,7 +409,7 @@
     /// Streams a long answer to the caller; the reservation is held until its end.
     fn relay(
         &self,
-        mut wire: socket::Wire,
+        mut connection: Connection,
         head: http1::ResponseHead,
         mut reader: http1::BodyReader,
         body: BytesMut,
@@ -401,7 +435,7 @@
                 if tx.send(upstream::Piece::Data(piece)).await.is_err() {
                     return;
                 }
-                next = upstream::next_piece(&mut wire, &mut reader).await;
+                next = upstream::next_piece(&mut connection.wire, &mut reader).await;
             }
             if next.is_ok() {
                 let _ = tx.send(upstream::Piece::End).await;
@@ -433,17 +467,6 @@
     }
 }
 
-async fn connect(reservation: &placement::Reservation) -> Result<socket::Wire, Outcome> {
-    let wire = socket::Wire::connect(reservation.addr, CONNECT_TIMEOUT)
-        .await
-        .map_err(|err| Outcome::NotRun(NotRun::NoConnection(err.into())))?;
-    // The bytes of an abandoned send may still be in transit behind a network partition. After an
-    // orderly close they arrive when the partition heals: 7 s late in one case, at a backend server
-    // whose availability zone was evacuated. A reset discards them.
-    wire.reset_on_close();
-    Ok(wire)
-}
-
 fn fields_for_caller(fields: &http1::Fields) -> BytesMut {
     let mut out = BytesMut::with_capacity(256);
     for (name, value) in fields.end_to_end() {
--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -4,6 +4,7 @@
 use std::rc;
 use std::time;
 
+use super::connecting::ConnectError;
 use super::{Gateway, attempt, placement};
 use crate::coordination::removal_guard;
 use crate::decisions::{ejection, policy, regions};
@@ -306,6 +307,7 @@
     /// Removes an entry VM. Returns whether it was known.
     pub fn remove_entry(&self, vm: &id::VmId) -> bool {
         let changed = self.entries.borrow_mut().remove(vm);
+        self.pool.borrow_mut().drop_through(vm);
         if changed && let Some(left_out) = self.log_limiter.admit("entry gone", self.now()) {
             slog::info!(self.log, "entry VM gone"; "vm" => %vm, "left_out" => left_out);
         }
@@ -319,7 +321,11 @@
         at: &placement::Run,
         started: policy::Moment,
         outcome: &attempt::Outcome,
+        is_direct: bool,
     ) {
+        if self.is_own_failure(outcome, is_direct) {
+            return;
+        }
         self.detect_crash(job, &at.name, outcome);
         let (now, id) = (self.now(), &at.id);
         let cfg = &self.cfg.thresholds.ejection;
@@ -362,6 +368,17 @@
         }
     }
 
+    /// Whether a send failed because this VM is cut off, and not because of the backend server.
+    fn is_own_failure(&self, outcome: &attempt::Outcome, is_direct: bool) -> bool {
+        match outcome {
+            attempt::Outcome::NotRun(attempt::NotRun::NoConnection(err)) => {
+                *err == ConnectError::CutOff
+            }
+            attempt::Outcome::Unknown(_) => self.is_cut_off() && is_direct,
+            _ => false,
+        }
+    }
+
     /// Updates the service's rate of declined sends. Returns whether backend servers across the
     /// service decline requests although they have free slots.
     fn update_declines(&self, job: &attempt::Job, outcome: &attempt::Outcome) -> bool {
@@ -383,6 +400,9 @@
 
     /// Counts a failure against a backend server that has not answered within the hedge delay.
     pub(super) fn record_hang(&self, job: &attempt::Job, id: &id::VmId) {
+        if self.is_cut_off() {
+            return;
+        }
         let now = self.now();
         let cfg = &self.cfg.thresholds.ejection;
         let mut backends = self.backends.borrow_mut();
@@ -433,6 +453,7 @@
             }
             self.update_shares();
             self.update_busy();
+            self.check_links_if_due();
         }
     }
 
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -17,7 +17,8 @@
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(250);
 
 impl Mirror {
-    /// Serves followers until the process ends.
+    /// Serves other entry VMs until the process ends: followers, and VMs that are cut off from
+    /// backend servers.
     pub async fn serve(self, listener: TcpListener) {
         loop {
             match listener.accept().await {
@@ -25,8 +26,8 @@
                     let mirror = self.clone();
                     task::spawn_local(async move {
                         // A disconnected or slow follower reconnects, here or to another VM.
-                        if let Err(err) = mirror.serve_follower(stream).await {
-                            slog::debug!(mirror.cx.log, "follower disconnected"; "why" => %err);
+                        if let Err(err) = mirror.serve_peer(stream).await {
+                            slog::debug!(mirror.cx.log, "entry VM disconnected"; "why" => %err);
                         }
                     });
                 }
@@ -87,11 +88,14 @@
         self.current.get() && age.is_some_and(|age| age <= follow_order::MAX_LEADER_STALENESS)
     }
 
-    async fn serve_follower(
+    async fn serve_peer(
         &self,
         stream: tokio::net::TcpStream,
     ) -> Result<(), transport::mirror::Error> {
-        let mut link = transport::mirror::Link::accept(stream).await?;
+        let (mut link, purpose) = transport::mirror::Link::accept(stream).await?;
+        if purpose == transport::mirror::Purpose::Tunnel {
+            return self.cx.serve_tunnel(link).await;
+        }
         let ask: mirror::FollowRequest = link.receive(follow_order::SILENCE_TIMEOUT).await?;
         let mut updates = self.updates.subscribe();
         if ask.fresh && !self.is_fresh() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod advertising;
 pub mod attempt;
 pub mod cluster_state;
+pub mod connecting;
 mod facts;
 mod fanout;
 pub mod front;
@@ -21,6 +22,7 @@
 pub mod request;
 mod stated;
 pub mod thresholds;
+mod tunnels;
 
 use std::cell;
 use std::collections;
@@ -33,8 +35,8 @@
 
 use crate::coordination::removal_guard;
 use crate::decisions::{
-    affinity, crashes, declines, departures, entry_selection, policy, precedence, quota, regions,
-    resend, split, warming,
+    affinity, crashes, declines, departures, entry_selection, policy, precedence, quota,
+    reachability, regions, resend, split, warming,
 };
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
@@ -161,6 +163,15 @@
     services: cell::RefCell<collections::HashMap<id::ServiceId, ServiceState>>,
     splits: cell::RefCell<collections::HashMap<String, split::Split>>,
     pool: cell::RefCell<pool::Pool>,
+    reachability: cell::RefCell<reachability::Reachability>,
+    /// Whether a check of the links to backend servers is running.
+    checking_links: cell::Cell<bool>,
+    /// Notified when connections to all backend servers hang.
+    links_hang: sync::Notify,
+    /// Other VMs that are not asked for connections to backend servers at the moment.
+    skipped_peers: cell::RefCell<tunnels::SkippedPeers>,
+    /// Number of tunnels that this VM carries for others.
+    tunnels: cell::Cell<usize>,
     /// Requests admitted here for each customer, and the usage that other VMs reported.
     quotas: cell::RefCell<quota::Ledger<quota::ByDemand>>,
     /// The version of the entry VM list from which the ledger's expected VMs were last set.
@@ -233,6 +244,11 @@
             services: cell::RefCell::default(),
             splits: cell::RefCell::default(),
             pool: cell::RefCell::default(),
+            reachability: cell::RefCell::default(),
+            checking_links: cell::Cell::default(),
+            links_hang: sync::Notify::new(),
+            skipped_peers: cell::RefCell::default(),
+            tunnels: cell::Cell::default(),
             quotas: cell::RefCell::new(quota::Ledger::new(quota, policy::Moment::ZERO, started_ms)),
             expected_version: cell::Cell::default(),
             peer_usage: cell::RefCell::default(),
@@ -301,9 +317,10 @@
         self.closes_at.get().is_some_and(|at| self.now() >= at)
     }
 
-    /// Whether a planned stop is complete: it accepts no requests, and none is running.
+    /// Whether a planned stop is complete: it accepts no requests, none is running, and no other VM
+    /// has connections through this one.
     pub fn is_drained(&self) -> bool {
-        self.is_closed() && self.in_progress.get() == 0
+        self.is_closed() && self.in_progress.get() == 0 && self.tunnels.get() == 0
     }
 
     /// Subscribes to the start of a planned stop.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -3,9 +3,9 @@
 use std::collections;
 use std::time;
 
+use super::connecting::{Connection, Via};
 use crate::decisions::idle_limit;
 use crate::id;
-use crate::transport::socket;
 
 /// Idle connections per backend server. It works on few requests at once, and each connection
 /// counts against its connection limit.
@@ -13,7 +13,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    wire: socket::Wire,
+    connection: Connection,
     since: time::Instant,
     /// The keep-alive timeout that the backend server stated.
     stated: Option<time::Duration>,
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub struct IdleConnection {
     /// The connection.
-    pub wire: socket::Wire,
+    pub connection: Connection,
     /// How long it was idle.
     pub idle_for: time::Duration,
 }
@@ -37,21 +37,36 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection that was idle for less than `limit`.
-    pub fn take(&mut self, id: &id::VmId, limit: time::Duration) -> Option<IdleConnection> {
+    /// Takes the most recently used connection that was idle for less than `limit`. One through
+    /// another VM is taken only if `is_allowed` for the region of that VM.
+    pub fn take(
+        &mut self,
+        id: &id::VmId,
+        limit: time::Duration,
+        is_allowed: impl Fn(Option<&id::RegionId>) -> bool,
+    ) -> Option<IdleConnection> {
         let idle = self.idle.get_mut(id)?;
-        while let Some(mut last) = idle.pop() {
+        let is_usable = |via: Option<&Via>| via.is_none_or(|via| is_allowed(via.region.as_ref()));
+        while let Some(at) = idle
+            .iter()
+            .rposition(|one| is_usable(one.connection.via.as_ref()))
+        {
+            let mut last = idle.remove(at);
             let idle_for = last.since.elapsed();
-            if idle_for < self.idle_limit.limit(last.stated).min(limit) && last.wire.is_idle() {
-                let wire = last.wire;
-                return Some(IdleConnection { wire, idle_for });
+            let is_fresh = idle_for < self.idle_limit.limit(last.stated).min(limit);
+            if is_fresh && last.connection.wire.is_idle() {
+                let connection = last.connection;
+                return Some(IdleConnection {
+                    connection,
+                    idle_for,
+                });
             }
         }
         None
     }
 
     /// Adds an idle connection. `stated` is the keep-alive timeout that the backend server stated.
-    pub fn put(&mut self, id: &id::VmId, wire: socket::Wire, stated: Option<time::Duration>) {
+    pub fn put(&mut self, id: &id::VmId, connection: Connection, stated: Option<time::Duration>) {
         if self.idle_limit.limit(stated).is_zero() {
             return;
         }
@@ -60,21 +75,40 @@
             idle.remove(0);
         }
         idle.push(Idle {
-            wire,
+            connection,
             since: time::Instant::now(),
             stated,
         });
     }
 
-    /// Closes connections that were idle for too long.
-    pub fn sweep(&mut self) {
-        let idle_limit = self.idle_limit;
+    /// Closes idle connections through other VMs.
+    pub fn drop_relayed(&mut self) {
+        self.retain(|one| one.connection.via.is_none());
+    }
+
+    /// Closes idle connections through one VM.
+    pub fn drop_through(&mut self, vm: &id::VmId) {
+        self.retain(|one| one.connection.via.as_ref().is_none_or(|via| via.vm != *vm));
+    }
+
+    /// Closes direct connections that were last used before `proven_since`.
+    pub fn drop_direct_idle_before(&mut self, proven_since: time::Instant) {
+        self.retain(|one| one.connection.via.is_some() || one.since >= proven_since);
+    }
+
+    fn retain(&mut self, keep: impl Fn(&Idle) -> bool) {
         self.idle.retain(|_, idle| {
-            idle.retain(|one| one.since.elapsed() < idle_limit.limit(one.stated));
+            idle.retain(&keep);
             !idle.is_empty()
         });
     }
 
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&mut self) {
+        let idle_limit = self.idle_limit;
+        self.retain(|one| one.since.elapsed() < idle_limit.limit(one.stated));
+    }
+
     /// Closes all idle connections to one backend server.
     pub fn drop_all(&mut self, id: &id::VmId) {
         self.idle.remove(id);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -48,6 +48,8 @@
     pub(super) why: &'static str,
     /// Backend servers that it was sent to, in order.
     pub(super) tried: &'a [crate::id::VmId],
+    /// The entry VM that the latest send went through; `None`: it was direct.
+    pub(super) via: Option<&'a crate::id::VmId>,
     pub(super) sends: u32,
     /// When it arrived, and when it was first sent.
     pub(super) received: policy::Moment,
@@ -108,7 +110,8 @@
         slog::info!(self.log, "request";
             "request" => %String::from_utf8_lossy(outcome.id), "fate" => kind, "why" => outcome.why,
             "status" => outcome.status, "route" => &outcome.route.name, "customer" => outcome.customer, "service" => outcome.service,
-            "away" => outcome.remote, "new" => outcome.new_object, "ahead" => outcome.ahead.round() as u64, "backends" => backends.join(","), "sends" => outcome.sends,
+            "away" => outcome.remote, "new" => outcome.new_object, "ahead" => outcome.ahead.round() as u64, "backends" => backends.join(","),
+            "via" => outcome.via.map_or("", |vm| vm.as_str()), "sends" => outcome.sends,
             "waited_ms" => ms(waited), "took_ms" => ms(took),
             "left_ms" => ms(outcome.deadline.saturating_sub(now)),
             "version" => self.table().map(|t| t.version),
@@ -181,6 +184,8 @@
         }
         let is_store_up = self.store_age().is_some_and(|age| age < STORE_UP_MAX_AGE);
         gauge!(metric_names::STORE_UP).set(f64::from(u8::from(is_store_up)));
+        gauge!(metric_names::CUT_OFF).set(f64::from(u8::from(self.is_cut_off())));
+        gauge!(metric_names::TUNNELS).set(self.tunnels.get() as f64);
         gauge!(metric_names::PEERS).set(self.entries.borrow().len() as f64);
         gauge!(metric_names::UPTIME_SECONDS).set(now.as_secs_f64());
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -9,10 +9,10 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use super::{Gateway, attempt, facts, placement, quotas, record};
+use super::{Gateway, attempt, connecting, facts, placement, quotas, record};
 use crate::decisions::{policy, regions, retry_delay};
 use crate::id;
-use crate::protocol::{http1, routes};
+use crate::protocol::http1;
 use crate::transport::{callers, upstream};
 
 /// Extra time beyond the caller's deadline to wait for a backend server's answer. The backend
@@ -107,10 +107,10 @@
             id: facts.id.clone(),
             service,
             customer: facts.key_holder.as_ref().map(|a| a.customer.clone()),
-            idempotent: facts.route.idempotent,
+            route: facts.route.clone(),
             fingerprint,
             deadline: facts.deadline,
-            target_latency: facts.route.latency_target,
+            via: rc::Rc::default(),
         });
         let payload = std::mem::replace(&mut req.payload, upstream::Payload::Whole(Bytes::new()));
         let mut dispatch = Dispatch {
@@ -128,6 +128,7 @@
             fate: ("answered", ""),
             cancellation: &req.cancellation,
             revoked: false,
+            cut_off: false,
             charge,
         };
         let answer = dispatch.answer().await;
@@ -148,6 +149,7 @@
             fate: dispatch.fate.0,
             why: dispatch.fate.1,
             tried: &dispatch.tried,
+            via: dispatch.job.via.borrow().as_ref(),
             sends: dispatch.sends,
             received: facts.received,
             first_sent: dispatch.first_sent,
@@ -216,6 +218,8 @@
     cancellation: &'a callers::Cancellation,
     /// Whether its key was revoked while the request was in progress.
     revoked: bool,
+    /// Whether the latest send failed because this VM is cut off.
+    cut_off: bool,
     /// The quota charge of the latest send.
     charge: Option<quotas::Charge>,
 }
@@ -302,7 +306,7 @@
             service: &self.job.service,
             key: self.facts.key,
             remote: self.remote,
-            homes: self.homes(),
+            homes: self.job.homes(),
             idempotent: self.facts.route.idempotent,
             low_priority: self
                 .facts
@@ -312,13 +316,6 @@
         }
     }
 
-    fn homes(&self) -> routes::AllowedRegions<'_> {
-        routes::AllowedRegions {
-            route: &self.facts.route.regions,
-            customer: self.job.customer.as_ref().map_or(&[], |c| &c.regions),
-        }
-    }
-
     fn note_reservation(&mut self, reservation: &placement::Reservation) {
         self.tried.push(reservation.run.id.clone());
         self.new_object = reservation.new_object;
@@ -451,7 +448,11 @@
                 }
                 return Settled::Failed(Some(answer));
             }
-            attempt::Outcome::NotRun(_) => self.refund(),
+            attempt::Outcome::NotRun(why) => {
+                self.cut_off =
+                    why == attempt::NotRun::NoConnection(connecting::ConnectError::CutOff);
+                self.refund();
+            }
             attempt::Outcome::Unknown(_) => self.possible_runs += 1,
         }
         self.record_failure(id, name, connect_error);
@@ -477,11 +478,20 @@
     fn final_answer(&mut self) -> callers::Answer {
         match self.possible_runs {
             0 if self.revoked => self.refuse_revoked(),
+            0 if self.cut_off => self.refuse_cut_off(),
             0 => self.refuse("not run anywhere"),
             _ => self.outcome_unknown("no answer"),
         }
     }
 
+    /// The answer to a request for which no connection came about since this VM is cut off. The
+    /// connection is closed, because another VM can serve the caller.
+    fn refuse_cut_off(&mut self) -> callers::Answer {
+        let mut answer = self.refuse("cut off from backend servers");
+        answer.close = true;
+        answer
+    }
+
     /// The answer to a request whose key was revoked before it ran.
     fn refuse_revoked(&mut self) -> callers::Answer {
         self.fate = ("turned_away", "the key was taken away");
--- /dev/null
+++ b/src/gateway/tunnels.rs
@@ -0,0 +1,282 @@
+//! Connections to backend servers through other entry VMs.
+//!
+//! A VM that cannot reach a backend server asks another one to connect to it, and then sends its
+//! requests over that connection as over one of its own. The other VM passes bytes on and decides
+//! nothing about requests. It connects only to backend servers that it knows itself, and never
+//! through a third VM, so no connection goes round in circles.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use metrics::counter;
+
+use super::connecting::{CONNECT_TIMEOUT, Connection, Target, Via};
+use super::{Cx, Gateway, connecting};
+use crate::decisions::{peer_selection, policy};
+use crate::id;
+use crate::metrics as metric_names;
+use crate::protocol::{mirror as codec, relay};
+use crate::transport::{mirror as links, socket};
+
+/// How long the other VMs may take together to open a connection.
+const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+
+/// Tunnels that a VM carries at most, each with two connections.
+const MAX_TUNNELS: usize = 512;
+
+/// How long a VM that cannot help now is not asked.
+const UNABLE_SKIP_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// How long a VM that does not answer is not asked.
+const UNRESPONSIVE_SKIP_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Why no other VM has opened a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Refused {
+    /// None could be asked, or none of those asked can carry connections.
+    NoPeer,
+    /// The backend server cannot be reached from others either.
+    Unreachable,
+}
+
+/// Why one VM has not opened a connection.
+#[derive(Debug)]
+enum AskError {
+    Link(links::Error),
+    Answer(relay::OpenAnswer),
+}
+
+impl From<links::Error> for AskError {
+    fn from(err: links::Error) -> Self {
+        Self::Link(err)
+    }
+}
+
+/// An entry VM that can be asked.
+#[derive(Clone, Debug)]
+struct Peer {
+    via: Via,
+    addr: net::SocketAddr,
+    link_timeout: time::Duration,
+}
+
+/// VMs that are not asked for some time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SkippedPeers(collections::HashMap<id::VmId, policy::Moment>);
+
+impl SkippedPeers {
+    fn skip(&mut self, now: policy::Moment, vm: &id::VmId, period: time::Duration) {
+        self.0.retain(|_, until| *until > now);
+        self.0.insert(vm.clone(), now + period);
+    }
+
+    fn contains(&self, now: policy::Moment, vm: &id::VmId) -> bool {
+        self.0.get(vm).is_some_and(|until| *until > now)
+    }
+}
+
+/// Counts a tunnel that this VM carries.
+struct CarriedTunnel<'a>(&'a Cx);
+
+impl<'a> CarriedTunnel<'a> {
+    fn new(cx: &'a Cx) -> Self {
+        cx.tunnels.set(cx.tunnels.get() + 1);
+        Self(cx)
+    }
+}
+
+impl Drop for CarriedTunnel<'_> {
+    fn drop(&mut self) {
+        self.0.tunnels.set(self.0.tunnels.get() - 1);
+    }
+}
+
+impl Gateway {
+    /// Connects to a backend server through one of the first `max_asked` VMs that can.
+    pub(super) async fn connect_through_peer(
+        &self,
+        to: &Target<'_>,
+        max_asked: usize,
+    ) -> Result<Connection, Refused> {
+        let asked = self.ask_peers(to, max_asked);
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, asked).await;
+        let opened = opened.unwrap_or(Err(Refused::NoPeer));
+        if opened.is_ok() && !self.is_cut_off() {
+            self.check_links();
+        }
+        opened
+    }
+
+    async fn ask_peers(&self, to: &Target<'_>, max_asked: usize) -> Result<Connection, Refused> {
+        let mut unreachable_from = Vec::new();
+        for peer in self.peers_for(to, max_asked) {
+            let vm = &peer.via.vm;
+            match self.ask(&peer, to.backend).await {
+                Ok(wire) => {
+                    // Those before it are probably cut off themselves.
+                    for vm in &unreachable_from {
+                        self.skip_peer(vm, UNABLE_SKIP_TIME);
+                    }
+                    let via = Some(peer.via);
+                    return Ok(Connection { wire, via });
+                }
+                Err(AskError::Answer(relay::OpenAnswer::Unreachable)) => {
+                    unreachable_from.push(vm.clone());
+                }
+                // It may not know a backend server that has just started.
+                Err(AskError::Answer(relay::OpenAnswer::NotListed)) => {}
+                Err(AskError::Answer(_)) => self.skip_peer(vm, UNABLE_SKIP_TIME),
+                Err(AskError::Link(err)) => {
+                    self.skip_peer(vm, UNRESPONSIVE_SKIP_TIME);
+                    self.log_unresponsive(vm, &err);
+                }
+            }
+        }
+        match unreachable_from.is_empty() {
+            true => Err(Refused::NoPeer),
+            false => Err(Refused::Unreachable),
+        }
+    }
+
+    /// The first VMs to ask for a connection to a backend server.
+    fn peers_for(&self, to: &Target<'_>, count: usize) -> Vec<Peer> {
+        let backends = self.backends.borrow();
+        let Some(backend) = backends.get(to.backend) else {
+            return Vec::new();
+        };
+        let (now, skipped) = (self.now(), self.skipped_peers.borrow());
+        let entries = self.entries.borrow();
+        let candidates = entries.iter().filter_map(|(vm, hash, entry)| {
+            let addr = entry.peer_addr?;
+            let region = self.cfg.regions.get(&entry.az);
+            let is_own_region = region == self.region.as_ref();
+            let is_excluded =
+                *vm == self.cfg.vm || skipped.contains(now, vm) || !to.regions.includes(region);
+            if is_excluded {
+                return None;
+            }
+            let distance = match is_own_region {
+                true if entry.az == self.cfg.az || entry.az == backend.listed.az => {
+                    peer_selection::Distance::OnTheWay
+                }
+                true => peer_selection::Distance::SameRegion,
+                false if region == backend.region.as_ref() => {
+                    peer_selection::Distance::BackendRegion
+                }
+                false => peer_selection::Distance::Elsewhere,
+            };
+            let value = (vm, region, addr, is_own_region);
+            Some(peer_selection::Candidate {
+                distance,
+                busy: entry.busy,
+                hash,
+                value,
+            })
+        });
+        peer_selection::select(self.own_hash, count, candidates)
+            .into_iter()
+            .map(|(vm, region, addr, is_own_region)| Peer {
+                via: Via {
+                    vm: vm.clone(),
+                    region: region.cloned(),
+                },
+                addr,
+                link_timeout: match is_own_region {
+                    true => links::SAME_AZ_OPEN_TIMEOUT,
+                    false => links::OPEN_TIMEOUT,
+                },
+            })
+            .collect()
+    }
+
+    /// Asks a VM to connect to a backend server.
+    async fn ask(&self, peer: &Peer, backend: &id::VmId) -> Result<socket::Wire, AskError> {
+        let opened = self.request_tunnel(peer, backend).await;
+        let ended = match &opened {
+            Ok(_) => relay::OpenAnswer::Opened.as_str(),
+            Err(AskError::Answer(answer)) => answer.as_str(),
+            Err(AskError::Link(_)) => "no answer",
+        };
+        counter!(metric_names::TUNNEL_REQUESTS, "ended" => ended).increment(1);
+        opened
+    }
+
+    async fn request_tunnel(
+        &self,
+        peer: &Peer,
+        backend: &id::VmId,
+    ) -> Result<socket::Wire, AskError> {
+        let purpose = links::Purpose::Tunnel;
+        let mut link = links::Link::open_for(purpose, peer.addr, peer.link_timeout).await?;
+        let request = relay::OpenRequest {
+            backend: backend.clone(),
+        };
+        let sent = time::Instant::now();
+        let message = codec::encode(&request).map_err(links::Error::from)?;
+        link.send(message.into()).await?;
+        let answer: relay::OpenAnswer = link.receive(CONNECT_TIMEOUT + peer.link_timeout).await?;
+        if answer != relay::OpenAnswer::Opened {
+            return Err(AskError::Answer(answer));
+        }
+        let mut wire = socket::Wire::from(link.into_stream());
+        wire.round_trip = sent.elapsed();
+        wire.reset_on_close();
+        Ok(wire)
+    }
+
+    fn skip_peer(&self, vm: &id::VmId, period: time::Duration) {
+        let now = self.now();
+        self.skipped_peers.borrow_mut().skip(now, vm, period);
+    }
+
+    fn log_unresponsive(&self, vm: &id::VmId, err: &links::Error) {
+        if let Some(left_out) = self.log_limiter.admit("tunnel", self.now()) {
+            slog::info!(self.log, "entry VM does not open a tunnel"; "vm" => %vm, "error" => %err, "left_out" => left_out);
+        }
+    }
+
+    /// Opens and carries a tunnel for another VM.
+    pub(super) async fn serve_tunnel(&self, mut link: links::Link) -> Result<(), links::Error> {
+        let request: relay::OpenRequest = link.receive(links::OPEN_TIMEOUT).await?;
+        let _carried = CarriedTunnel::new(self);
+        let opened = self.open_for_peer(&request.backend).await;
+        let answer = match &opened {
+            Ok(_) => relay::OpenAnswer::Opened,
+            Err(answer) => *answer,
+        };
+        link.send(codec::encode(&answer)?.into()).await?;
+        let Ok(wire) = opened else {
+            return Ok(());
+        };
+        let stream = link.into_stream();
+        // The other VM still reads frames until it has received the answer, and sends first.
+        stream.readable().await?;
+        socket::splice(stream, wire.into_stream()).await;
+        Ok(())
+    }
+
+    async fn open_for_peer(&self, backend: &id::VmId) -> Result<socket::Wire, relay::OpenAnswer> {
+        if self.is_stopping() {
+            return Err(relay::OpenAnswer::Stopping);
+        }
+        if self.is_cut_off() {
+            return Err(relay::OpenAnswer::CutOff);
+        }
+        if self.tunnels.get() > MAX_TUNNELS {
+            return Err(relay::OpenAnswer::Busy);
+        }
+        let addr = {
+            let backends = self.backends.borrow();
+            let known = backends.get(backend);
+            known
+                .map(|b| b.listed.addr)
+                .ok_or(relay::OpenAnswer::NotListed)?
+        };
+        let opened = connecting::open(addr).await;
+        if opened.is_ok() {
+            self.record_connected();
+        }
+        opened.map_err(|_| relay::OpenAnswer::Unreachable)
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -67,6 +67,14 @@
 pub const PEERS: &str = "bulrushwind_peers";
 /// Entry VMs that mirror the platform's store from this one.
 pub const FOLLOWERS: &str = "bulrushwind_followers";
+/// Whether this VM is cut off from all backend servers.
+pub const CUT_OFF: &str = "bulrushwind_cut_off";
+/// Requests to other entry VMs for a tunnel to a backend server, by result.
+pub const TUNNEL_REQUESTS: &str = "bulrushwind_tunnel_requests_total";
+/// Requests sent through tunnels.
+pub const TUNNEL_SENDS: &str = "bulrushwind_tunnel_sends_total";
+/// Tunnels that this VM carries for others.
+pub const TUNNELS: &str = "bulrushwind_tunnels";
 /// Bytes sent to and received from other entry VMs.
 pub const PEER_BYTES: &str = "bulrushwind_peer_bytes_total";
 /// Refused messages and connections from peers.
@@ -298,6 +306,30 @@
         &[],
         "Entry VMs that hear of the platform's store from this one.",
     ),
+    metric(
+        CUT_OFF,
+        Kind::Gauge,
+        &[],
+        "1 while this VM is cut off from all backend servers.",
+    ),
+    metric(
+        TUNNEL_REQUESTS,
+        Kind::Counter,
+        &["ended"],
+        "Requests of this VM to other entry VMs for a tunnel to a backend server, by result.",
+    ),
+    metric(
+        TUNNEL_SENDS,
+        Kind::Counter,
+        &["service"],
+        "Requests sent to backend servers through other entry VMs.",
+    ),
+    metric(
+        TUNNELS,
+        Kind::Gauge,
+        &[],
+        "Tunnels to backend servers that this VM carries for other entry VMs.",
+    ),
     metric(
         PEER_BYTES,
         Kind::Counter,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -13,6 +13,7 @@
 pub mod operators;
 pub mod outcome;
 pub mod peer;
+pub mod relay;
 pub mod routes;
 pub mod stated;
 pub mod ticket;
--- a/src/transport/mirror.rs
+++ b/src/transport/mirror.rs
@@ -1,5 +1,5 @@
-//! Links between entry VMs for the fan-out of the platform's records: WebSockets with one CBOR
-//! message per frame.
+//! Links between entry VMs: WebSockets with one CBOR message per frame. They carry the platform's
+//! records, or open a tunnel to a backend server, which then carries bytes without frames.
 
 use std::cell;
 use std::io;
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_tungstenite::tungstenite;
-use tungstenite::protocol;
+use tungstenite::{handshake, protocol};
 
 use super::socket;
 use crate::metrics as known;
@@ -37,6 +37,47 @@
 /// memory of a small VM with many followers.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
+/// What a link is for, as the path of its handshake says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// The platform's records.
+    Records,
+    /// A tunnel to a backend server.
+    Tunnel,
+}
+
+impl Purpose {
+    const TUNNEL_PATH: &str = "/tunnel";
+
+    fn path(self) -> &'static str {
+        match self {
+            Self::Records => "/mirror",
+            Self::Tunnel => Self::TUNNEL_PATH,
+        }
+    }
+
+    fn of(path: &str) -> Self {
+        match path {
+            Self::TUNNEL_PATH => Self::Tunnel,
+            _ => Self::Records,
+        }
+    }
+}
+
+/// Reads a link's purpose from its handshake.
+struct PurposeReader<'a>(&'a mut Purpose);
+
+impl handshake::server::Callback for PurposeReader<'_> {
+    fn on_request(
+        self,
+        req: &handshake::server::Request,
+        answer: handshake::server::Response,
+    ) -> Result<handshake::server::Response, handshake::server::ErrorResponse> {
+        *self.0 = Purpose::of(req.uri().path());
+        Ok(answer)
+    }
+}
+
 /// Why a link failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -135,12 +176,21 @@
 }
 
 impl Link {
-    /// Opens a link to another entry VM within the timeout.
+    /// Opens a link for the platform's records to another entry VM within the timeout.
     pub async fn open(addr: net::SocketAddr, timeout: time::Duration) -> Result<Self, Error> {
+        Self::open_for(Purpose::Records, addr, timeout).await
+    }
+
+    /// Opens a link to another entry VM within the timeout.
+    pub async fn open_for(
+        purpose: Purpose,
+        addr: net::SocketAddr,
+        timeout: time::Duration,
+    ) -> Result<Self, Error> {
         let open = async {
             let stream = TcpStream::connect(addr).await?;
             let (stamped, last_received) = timestamped(stream)?;
-            let url = format!("ws://{addr}/mirror");
+            let url = format!("ws://{addr}{}", purpose.path());
             let (socket, _) =
                 tokio_tungstenite::client_async_with_config(url, stamped, Some(config())).await?;
             Ok(Self {
@@ -153,17 +203,29 @@
             .map_err(|_| Error::Timeout)?
     }
 
-    /// Accepts a link that another entry VM opens.
-    pub async fn accept(stream: TcpStream) -> Result<Self, Error> {
+    /// Accepts a link that another entry VM opens. Returns it with its purpose.
+    pub async fn accept(stream: TcpStream) -> Result<(Self, Purpose), Error> {
         let (stamped, last_received) = timestamped(stream)?;
-        let accept = tokio_tungstenite::accept_async_with_config(stamped, Some(config()));
+        let mut purpose = Purpose::Records;
+        let accept = tokio_tungstenite::accept_hdr_async_with_config(
+            stamped,
+            PurposeReader(&mut purpose),
+            Some(config()),
+        );
         let socket = tokio::time::timeout(OPEN_TIMEOUT, accept)
             .await
             .map_err(|_| Error::Timeout)??;
-        Ok(Self {
+        let link = Self {
             socket,
             last_received,
-        })
+        };
+        Ok((link, purpose))
+    }
+
+    /// The connection without frames. The peer must not have sent anything after the last message
+    /// that was received.
+    pub fn into_stream(self) -> TcpStream {
+        self.socket.into_inner().stream
     }
 
     /// Sends an encoded message.
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -51,6 +51,25 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Copies bytes in both directions until both connections have ended. If one fails, both are reset,
+/// so that a truncated answer does not look complete and the work for it ends.
+pub async fn splice(mut a: TcpStream, mut b: TcpStream) {
+    /// The buffer for each direction. A VM may carry hundreds of connections.
+    const COPY_BYTES: usize = 4 << 10;
+    let copied =
+        tokio::io::copy_bidirectional_with_sizes(&mut a, &mut b, COPY_BYTES, COPY_BYTES).await;
+    if copied.is_err() {
+        reset_on_close(&a);
+        reset_on_close(&b);
+    }
+}
+
+/// Makes closing the connection send a reset, as after a machine failure.
+fn reset_on_close(stream: &TcpStream) {
+    // This fails only for a closed socket, which needs no reset.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
+}
+
 /// A TCP connection with a read buffer.
 #[derive(Debug)]
 pub struct Wire {
@@ -87,8 +106,7 @@
 
     /// Makes closing the connection send a reset, as after a machine failure.
     pub fn reset_on_close(&self) {
-        // This fails only for a closed socket, which needs no reset.
-        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(time::Duration::ZERO));
+        reset_on_close(&self.stream);
     }
 
     /// Reads into the buffer and returns the number of bytes; 0 at the end of the stream.
@@ -130,6 +148,11 @@
         Ok(false)
     }
 
+    /// The connection itself. Bytes that were read and not consumed are lost.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
     /// The connection if it is idle, see [`Wire::is_idle`].
     pub fn into_idle(mut self) -> Option<Self> {
         self.is_idle().then_some(self)
--- a/tests/gateway/following.rs
+++ b/tests/gateway/following.rs
@@ -138,7 +138,7 @@
     proxy.set(proxy::Fault::Delay(pause));
     task::spawn_local(async move {
         let (stream, _) = listener.accept().await.unwrap();
-        let mut link = links::Link::accept(stream).await.unwrap();
+        let (mut link, _) = links::Link::accept(stream).await.unwrap();
         for frame in frames {
             link.send(frame.into()).await.unwrap();
         }
--- a/tests/gateway/linked_vms.rs
+++ b/tests/gateway/linked_vms.rs
@@ -105,6 +105,7 @@
         let listener = socket::listen("127.0.0.1:0".parse().unwrap()).unwrap();
         let peer_addr = listener.local_addr().unwrap();
         task::spawn_local(mirror::Mirror::new(cx.clone()).serve(listener));
+        task::spawn_local(cx.clone().upkeep());
         let links = harness
             .listed
             .borrow()
