--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -99,7 +99,8 @@
         to: &Target<'_>,
         max_asked: usize,
     ) -> Result<Connection, Refused> {
-        let asked = self.ask_peers(to, max_asked);
+        // Boxed, so that it takes no memory in each request that needs no other VM.
+        let asked = Box::pin(self.ask_peers(to, max_asked));
         let opened = tokio::time::timeout(OPEN_TIMEOUT, asked).await;
         let opened = opened.unwrap_or(Err(Refused::NoPeer));
         if opened.is_ok() && !self.is_cut_off() {
