Deliver an answer whose backend server stops reading the request

One failed: a backend server answers a long request early and then resets the connection. Two causes: the VM that passes the bytes on gave up on the failed write of the request and dropped the answer, and the VM that sends took a failed write for a lost request although the answer was already in its socket. Both now read what is there first.

--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, tcp};
 
 /// The length of the queue of unaccepted connections. In a surge of new callers, a full queue makes
 /// the system drop SYN packets, and each retransmission delays a caller by a second or more.
@@ -51,16 +51,71 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
-/// Copies bytes in both directions until both connections have ended. If one fails, both are reset,
-/// so that a truncated answer does not look complete and the work for it ends.
-pub async fn splice(mut a: TcpStream, mut b: TcpStream) {
+/// Passes bytes between a client and a server until both have ended or one has failed. A failure
+/// resets both connections, so that a truncated answer does not look complete and the server stops
+/// its work. A server that no longer reads may still have sent an answer, which is passed on.
+pub async fn splice(mut client: TcpStream, mut server: TcpStream) {
+    let end = {
+        let (client_rx, client_tx) = client.split();
+        let (server_rx, server_tx) = server.split();
+        let (requests, answers) = (pass(client_rx, server_tx), pass(server_rx, client_tx));
+        tokio::pin!(requests, answers);
+        tokio::select! {
+            end = &mut requests => match end {
+                End::Closed => answers.await,
+                End::Unwanted => {
+                    answers.await;
+                    // The failed write has taken the error, so the answer may only seem to end.
+                    End::Failed
+                }
+                End::Failed => End::Failed,
+            },
+            end = &mut answers => match end {
+                End::Closed => requests.await,
+                End::Unwanted | End::Failed => End::Failed,
+            },
+        }
+    };
+    if end != End::Closed {
+        reset_on_close(&client);
+        reset_on_close(&server);
+    }
+}
+
+/// How one direction has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The sender has closed it, and the receiver knows.
+    Closed,
+    /// The receiver takes no more bytes.
+    Unwanted,
+    /// The sender's connection has failed.
+    Failed,
+}
+
+/// Passes the bytes of one direction on.
+async fn pass(mut rx: tcp::ReadHalf<'_>, mut tx: tcp::WriteHalf<'_>) -> End {
     /// The buffer for each direction. A VM may carry hundreds of connections.
-    const COPY_BYTES: usize = 4 << 10;
-    let copied =
-        tokio::io::copy_bidirectional_with_sizes(&mut a, &mut b, COPY_BYTES, COPY_BYTES).await;
-    if copied.is_err() {
-        reset_on_close(&a);
-        reset_on_close(&b);
+    const PASS_BYTES: usize = 4 << 10;
+    let mut buf = BytesMut::with_capacity(PASS_BYTES);
+    loop {
+        match rx.read_buf(&mut buf).await {
+            Ok(0) if tx.shutdown().await.is_ok() => return End::Closed,
+            Ok(0) => return End::Unwanted,
+            Ok(_) => {}
+            Err(_) => return End::Failed,
+        }
+        if tx.write_all(&buf).await.is_err() {
+            return End::Unwanted;
+        }
+        buf.clear();
+    }
+}
+
+fn received_early(n: io::Result<usize>) -> io::Result<bool> {
+    match n? {
+        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+        _ => Ok(true),
     }
 }
 
@@ -134,15 +189,14 @@
         let (mut rx, mut tx) = self.stream.split();
         self.buf.reserve(READ_BYTES);
         while !out.is_empty() {
-            tokio::select! {
+            let written = tokio::select! {
                 biased;
-                n = rx.read_buf(&mut self.buf) => return match n? {
-                    0 => Err(io::ErrorKind::UnexpectedEof.into()),
-                    _ => Ok(true),
-                },
-                n = tx.write_buf(out) => if n? == 0 {
-                    return Err(io::ErrorKind::WriteZero.into());
-                },
+                n = rx.read_buf(&mut self.buf) => return received_early(n),
+                n = tx.write_buf(out) => n,
+            };
+            if !matches!(written, Ok(1..)) {
+                // The peer may have answered before it stopped reading.
+                return received_early(rx.read_buf(&mut self.buf).await);
             }
         }
         Ok(false)
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -6,7 +6,7 @@
 use std::rc;
 use std::time;
 
-use bulrushwind::gateway::{self, front};
+use bulrushwind::gateway::{self, front, mirror};
 use bulrushwind::id;
 use bulrushwind::logging;
 use bulrushwind::protocol::{http1, names, routes};
@@ -103,8 +103,48 @@
 
 pub(crate) type Script = rc::Rc<cell::RefCell<collections::VecDeque<Reaction>>>;
 
+thread_local! {
+    static IS_CUT_OFF: cell::Cell<bool> = const { cell::Cell::new(false) };
+}
+
+/// Runs a test with entry VMs that reach backend servers only through another entry VM.
+pub(crate) fn run_cut_off(test: impl FnOnce()) {
+    IS_CUT_OFF.set(true);
+    test();
+    IS_CUT_OFF.set(false);
+}
+
+/// An address that refuses connections.
+fn refusing_addr() -> net::SocketAddr {
+    // Port 1 is reserved and not in use on test machines.
+    net::SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// An entry VM that other VMs can ask for connections.
+struct Relay {
+    cx: gateway::Gateway,
+    entry: entries::Entry,
+}
+
+impl Relay {
+    fn start() -> Self {
+        let (cx, caller_addr) = start_vm("relay");
+        let entry = entries::Entry {
+            peer_addr: Some(serve_peers(&cx)),
+            ..entry_at(caller_addr)
+        };
+        Self { cx, entry }
+    }
+
+    fn list_on(&self, cx: &gateway::Gateway) {
+        cx.update_entry(&"relay".into(), self.entry.clone());
+    }
+}
+
 pub(crate) struct Harness {
     pub(crate) cx: gateway::Gateway,
+    /// The entry VM that reaches backend servers, if the others do not.
+    relay: Option<Relay>,
     pub(crate) caller_addr: net::SocketAddr,
     pub(crate) seen: rc::Rc<cell::RefCell<Seen>>,
     pub(crate) script: Script,
@@ -199,14 +239,27 @@
     (cx, caller_addr)
 }
 
+/// Accepts connections of other entry VMs.
+pub(crate) fn serve_peers(cx: &gateway::Gateway) -> net::SocketAddr {
+    let listener = socket::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = listener.local_addr().unwrap();
+    task::spawn_local(mirror::Mirror::new(cx.clone()).serve(listener));
+    addr
+}
+
 impl Harness {
     /// Starts a gateway with this many backend servers, which share one script; requests beyond it
     /// are answered with `ok`.
     pub(crate) async fn new(backend_count: usize, script: &[Reaction]) -> Self {
         let (cx, caller_addr) = start_vm("vm");
         cx.update_entry(&"vm".into(), entry_at(caller_addr));
+        let relay = IS_CUT_OFF.get().then(Relay::start);
+        if let Some(relay) = &relay {
+            relay.list_on(&cx);
+        }
         let harness = Self {
             cx,
+            relay,
             caller_addr,
             seen: rc::Rc::default(),
             script: rc::Rc::new(cell::RefCell::new(script.iter().cloned().collect())),
@@ -246,6 +299,16 @@
             cold_until: time::Duration::ZERO,
             incarnation: start.map(id::Incarnation),
         };
+        let listed = match &self.relay {
+            Some(relay) => {
+                relay.cx.update_backend(&name.into(), listed.clone());
+                backends::Listed {
+                    addr: refusing_addr(),
+                    ..listed
+                }
+            }
+            None => listed,
+        };
         self.cx.update_backend(&name.into(), listed.clone());
         self.listed.borrow_mut().push((name.into(), listed.clone()));
         let (seen, script, started) =
@@ -270,6 +333,9 @@
     /// Starts another entry VM that lists the same backend servers.
     pub(crate) fn add_vm(&self, name: &str) -> (gateway::Gateway, net::SocketAddr) {
         let (cx, caller_addr) = start_vm(name);
+        if let Some(relay) = &self.relay {
+            relay.list_on(&cx);
+        }
         for (backend, listed) in self.listed.borrow().iter() {
             cx.update_backend(backend, listed.clone());
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,3 +19,4 @@
 #[expect(dead_code, reason = "shared with the tests of the platform's adapter")]
 mod support;
 mod thresholds;
+mod through_tunnels;
