Test what a cut must not break

Backend servers that are all down or full are no cut; the end of each of the three ways is found without callers; four of six VMs are cut off at once; a VM that nobody can help refuses at once, closes the connection and serves at once when its links are back; a request with homes goes through no VM outside of them; attempts are counted once; a booking whose tunnel breaks runs once; a planned stop of the VM that carries tunnels loses nothing and ends when they are closed.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -323,6 +323,11 @@
         self.is_closed() && self.in_progress.get() == 0 && self.tunnels.get() == 0
     }
 
+    /// Number of tunnels that this VM carries for others.
+    pub fn carried_tunnels(&self) -> usize {
+        self.tunnels.get()
+    }
+
     /// Subscribes to the start of a planned stop.
     pub fn subscribe_stop(&self) -> watch::Receiver<bool> {
         self.stop.subscribe()
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -1,9 +1,11 @@
 //! Entry VMs that have lost their links to all backend servers, while callers and the other entry
 //! VMs still reach them.
 
-use super::harness::{self, Reaction, get, read_all, run_test};
+use bulrushwind::protocol::routes;
+
+use super::harness::{self, Reaction, get, post, read_all, route, run_test, table};
 use super::linked_vms::LinkedVms;
-use super::support::cut::Cut;
+use super::support::cut::{self, Cut};
 
 /// Cuts off one of two VMs, and expects that it serves all first tries once it has noticed.
 fn check_that_a_cut_off_vm_serves(way: Cut) {
@@ -38,30 +40,256 @@
     check_that_a_cut_off_vm_serves(Cut::RefusesNew);
 }
 
+/// Sends reads without an object, so that they reach all backend servers, and cuts the VM off while
+/// they run.
+async fn cut_off_during_reads(vms: &LinkedVms) {
+    const READS: usize = 12;
+    let held = vec![Reaction::Hang; READS];
+    vms.harness.script.borrow_mut().extend(held);
+    let read = |id: String| get("/read/a", &id).replace("; object=17", "");
+    let mut callers = Vec::new();
+    for n in 0..READS {
+        let mut caller = vms.caller(0).await;
+        caller.send(&read(format!("held{n}"))).await;
+        callers.push(caller);
+    }
+    let are_sent = |seen: &harness::Seen| seen.arrived == READS;
+    vms.harness.until("the reads arrive", are_sent).await;
+    vms.cut(0, Cut::Resets).await;
+    for caller in &mut callers {
+        caller.receive().await.unwrap();
+    }
+    for n in 0..READS {
+        let again = read(format!("again{n}"));
+        vms.caller(0).await.request(&again).await;
+    }
+}
+
 /// Requests in flight at a cut are reported to all VMs as ones that crash backend servers.
 #[test]
 fn requests_in_flight_at_a_cut_are_not_reported_as_crashing_backend_servers() {
-    /// Concurrent requests, which reach all backend servers.
-    const READS: usize = 12;
     run_test(|| async {
-        let vms = LinkedVms::new(2, 4, &vec![Reaction::Hang; READS]).await;
-        let read = |id: String| get("/read/a", &id).replace("; object=17", "");
-        let mut held = Vec::new();
-        for n in 0..READS {
+        let vms = LinkedVms::new(2, 4, &[]).await;
+        cut_off_during_reads(&vms).await;
+        assert_eq!(vms.vms[0].cx.take_crash_reports(), []);
+    });
+}
+
+/// Backend servers that are down would be asked of other VMs for ever, and never ejected.
+#[test]
+fn backend_servers_that_are_all_down_are_not_taken_for_a_cut() {
+    run_test(|| async {
+        let vms = LinkedVms::new(3, 4, &[]).await;
+        read_all(&mut vms.caller(0).await, 0..8).await;
+        for vm in 0..3 {
+            vms.cut(vm, Cut::Resets).await;
+        }
+        let mut last = vms.caller(0).await.request(&get("/read/a", "first")).await;
+        for n in 0..20 {
+            let read = get("/read/a", &format!("r{n}"));
+            last = vms.caller(0).await.request(&read).await;
+            assert_eq!(last.status, 503);
+        }
+        assert!(last.retry_after() > 0.0);
+        assert!(!vms.vms[0].cx.is_cut_off());
+        for vm in 0..3 {
+            vms.restore(vm).await;
+        }
+        vms.wait_until_serving(0).await;
+    });
+}
+
+/// A full service would be taken for a cut, and its refusals answered with connections of other VMs.
+#[test]
+fn a_full_service_is_not_taken_for_a_cut() {
+    run_test(|| async {
+        let vms = LinkedVms::new(2, 3, &[]).await;
+        for n in 0..3 {
+            vms.harness.shed(&format!("i-{n}"), true);
+        }
+        assert_eq!(vms.failed_first_tries(0, 2).await, [503; 24]);
+        assert!(!vms.vms[0].cx.is_cut_off());
+        let opened_by_other: usize = vms.vms[1].links.iter().map(cut::Link::accepted).sum();
+        assert_eq!(opened_by_other, 0);
+    });
+}
+
+/// A VM that goes on asking others after its links are back costs latency and traffic for good.
+#[test]
+fn the_end_of_a_cut_is_found_without_callers() {
+    for way in Cut::ALL {
+        run_test(|| async {
+            let vms = LinkedVms::new(2, 4, &[]).await;
+            vms.cut(0, way).await;
+            vms.wait_until_serving(0).await;
+            vms.until("the cut is found", |vms| vms.vms[0].cx.is_cut_off())
+                .await;
+            vms.restore(0).await;
+            vms.until("its end is found", |vms| !vms.vms[0].cx.is_cut_off())
+                .await;
+            let opened_by_other = |vms: &LinkedVms| -> usize {
+                vms.vms[1].links.iter().map(cut::Link::accepted).sum()
+            };
+            let before = opened_by_other(&vms);
+            assert!(vms.failed_first_tries(0, 3).await.is_empty());
+            assert_eq!(opened_by_other(&vms), before);
+            vms.until("no tunnel is left", |vms| {
+                vms.vms[1].cx.carried_tunnels() == 0
+            })
+            .await;
+        });
+    }
+}
+
+/// Load: most VMs of a region lose their links at once and ask each other as well. Requests that go
+/// round in circles, or that wait for VMs that cannot help, would be late or lost.
+#[test]
+fn most_vms_of_a_region_may_be_cut_off_at_once() {
+    for way in Cut::ALL {
+        run_test(|| async {
+            let vms = LinkedVms::new(6, 6, &[]).await;
+            for vm in 0..4 {
+                vms.cut(vm, way).await;
+            }
+            for vm in 0..4 {
+                vms.wait_until_serving(vm).await;
+            }
+            for vm in 0..6 {
+                let failed = vms.failed_first_tries(vm, 2).await;
+                assert!(failed.is_empty(), "{way:?} {vm}: {failed:?}");
+            }
+        });
+    }
+}
+
+/// A VM that waits for others that cannot help holds requests that another VM could answer. One that
+/// blames the backend servers refuses long after its links are back.
+#[test]
+fn a_cut_off_vm_that_nobody_can_help_refuses_at_once_and_recovers_at_once() {
+    run_test(|| async {
+        let vms = LinkedVms::new(2, 4, &[]).await;
+        vms.cut(0, Cut::Resets).await;
+        vms.wait_until_serving(0).await;
+        vms.until("the cut is found", |vms| vms.vms[0].cx.is_cut_off())
+            .await;
+        vms.vms[0].cx.remove_entry(&"vm-1".into());
+        for n in 0..10 {
             let mut caller = vms.caller(0).await;
-            caller.send(&read(format!("held{n}"))).await;
-            held.push(caller);
+            let answer = caller.request(&get("/read/a", &format!("r{n}"))).await;
+            assert_eq!(answer.status, 503);
+            assert!(answer.retry_after() > 0.0 && caller.is_closed().await);
         }
-        let are_sent = |seen: &harness::Seen| seen.arrived == READS;
-        vms.harness.until("the reads arrive", are_sent).await;
+        vms.restore(0).await;
+        vms.until("its end is found", |vms| !vms.vms[0].cx.is_cut_off())
+            .await;
+        let failed = vms.failed_first_tries(0, 3).await;
+        assert!(failed.is_empty(), "{failed:?}");
+    });
+}
+
+/// A body of a request with homes would pass through a region where it must not be.
+#[test]
+fn a_request_with_homes_goes_through_no_vm_outside_of_them() {
+    run_test(|| async {
+        let harness = harness::Harness::new(3, &[]).await;
+        let vms = LinkedVms::in_zones(harness, &["az", "az-far"]);
+        let homed = routes::Route {
+            regions: vec!["region".into()],
+            ..route("/homed/", false)
+        };
+        let routes = vec![homed, route("/read/", true), route("/book/", false)];
+        vms.vms[0].cx.update_routes(table(2, routes));
+        vms.cut(0, Cut::Resets).await;
+        vms.wait_until_serving(0).await;
+        for n in 0..6 {
+            let other = post("/book/a", &format!("other{n}"), "body");
+            assert_eq!(vms.caller(0).await.request(&other).await.status, 200);
+            let homed = post("/homed/a", &format!("homed{n}"), "body");
+            assert_eq!(vms.caller(0).await.request(&homed).await.status, 503);
+            assert_eq!(vms.harness.runs(&format!("homed{n}")), 0);
+        }
+    });
+}
+
+/// Two VMs would each count the same request, and a customer's quota or a route's attempts would be
+/// used up twice as fast.
+#[test]
+fn a_request_through_another_vm_is_counted_once() {
+    run_test(|| async {
+        let vms = LinkedVms::new(2, 4, &[]).await;
+        vms.cut(0, Cut::Resets).await;
+        vms.wait_until_serving(0).await;
+        vms.harness
+            .script
+            .borrow_mut()
+            .extend(vec![Reaction::Fail; 20]);
+        let arrived = vms.harness.seen.borrow().arrived;
+        let answer = vms.caller(0).await.request(&get("/read/a", "r1")).await;
+        assert_eq!(answer.status, 500);
+        assert!(vms.harness.seen.borrow().arrived - arrived <= 3);
+        assert_eq!(vms.vms[1].cx.requests_in_progress(), 0);
+    });
+}
+
+/// A booking that is sent again after its connection through another VM broke would run twice.
+#[test]
+fn a_booking_whose_tunnel_breaks_is_not_sent_again() {
+    run_test(|| async {
+        let vms = LinkedVms::new(3, 4, &[]).await;
         vms.cut(0, Cut::Resets).await;
-        for caller in &mut held {
-            caller.receive().await.unwrap();
+        vms.wait_until_serving(0).await;
+        vms.harness.script.borrow_mut().push_back(Reaction::Hang);
+        let mut caller = vms.caller(0).await;
+        caller.send(&post("/book/a", "b1", "bay 4")).await;
+        let is_sent = |seen: &harness::Seen| seen.ran.iter().any(|(id, _)| id == "b1");
+        vms.harness.until("the booking runs", is_sent).await;
+        vms.cut(1, Cut::Resets).await;
+        vms.cut(2, Cut::Resets).await;
+        assert_eq!(caller.receive().await.unwrap().status, 502);
+        assert_eq!(vms.harness.runs("b1"), 1);
+    });
+}
+
+/// Tunnels that end with a planned stop cut off the requests of other VMs.
+#[test]
+fn a_planned_stop_of_the_other_vm_loses_no_request() {
+    run_test(|| async {
+        let vms = LinkedVms::new(3, 8, &[]).await;
+        vms.cut(0, Cut::Resets).await;
+        vms.wait_until_serving(0).await;
+        let mut callers = Vec::new();
+        let held = vec![Reaction::AfterNext("late"); 4];
+        vms.harness.script.borrow_mut().extend(held);
+        for n in 0..4 {
+            let mut caller = vms.caller(0).await;
+            let booking = post(&format!("/book/{n}"), &format!("held{n}"), "bay 4");
+            caller.send(&booking).await;
+            callers.push(caller);
         }
-        for n in 0..READS {
-            let again = read(format!("again{n}"));
-            vms.caller(0).await.request(&again).await;
+        let are_held = |seen: &harness::Seen| {
+            seen.ran
+                .iter()
+                .filter(|(id, _)| id.starts_with("held"))
+                .count()
+                == 4
+        };
+        vms.harness.until("the bookings run", are_held).await;
+        for stopping in ["vm-1", "vm-2"] {
+            let vm = vms.vms.iter().find(|vm| vm.name == stopping).unwrap();
+            if vm.cx.carried_tunnels() > 0 {
+                vm.cx.stop();
+                vms.vms[0].cx.remove_entry(&stopping.into());
+                break;
+            }
         }
-        assert_eq!(vms.vms[0].cx.take_crash_reports(), []);
+        let failed = vms.failed_first_tries(0, 3).await;
+        assert!(failed.is_empty(), "{failed:?}");
+        for caller in &mut callers {
+            assert_eq!(caller.receive().await.unwrap().status, 200);
+        }
+        vms.until("the stop is complete", |vms| {
+            vms.vms[1].cx.is_drained() || vms.vms[2].cx.is_drained()
+        })
+        .await;
     });
 }
--- a/tests/gateway/linked_vms.rs
+++ b/tests/gateway/linked_vms.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Waits until a condition holds.
+    pub(crate) async fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        self.harness.until(what, |_| holds(self)).await;
+    }
+
     /// Reads at a VM until several reads in a row are answered.
     pub(crate) async fn wait_until_serving(&self, vm: usize) {
         /// Answers in a row that show that the VM serves again.
