Do not report requests in flight at a cut as crashing backend servers

Callers would have seen 503 for at least 90 s: a request that was in flight at several backend servers when this VM was cut off is refused by all VMs once these restart, as one that crashes them.

Cause: a connection that broke is kept for 8 s as a possible crash, and a restart of its backend server confirms it. At a cut all connections break at once, and a release may restart the backend servers within that time. The same class as the ejections: failures of this VM's own links are blamed on others.

A VM that finds that it is cut off now forgets connections that broke since the last sign of life.

--- a/src/decisions/crashes.rs
+++ b/src/decisions/crashes.rs
@@ -57,6 +57,11 @@
         });
     }
 
+    /// Forgets connections that broke since a moment, for other reasons than crashes.
+    pub fn forget_broken(&mut self, since: policy::Moment) {
+        self.broken.retain(|request| request.broke_at < since);
+    }
+
     /// Records that a backend server refused a connection. Returns the requests that were in flight
     /// when it crashed, for the report to all VMs.
     pub fn connection_refused(&mut self, now: policy::Moment, run: &str) -> Vec<u64> {
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -283,6 +283,7 @@
         for backend in self.backends.borrow_mut().iter_mut() {
             backend.health.take_back_ejection(cut.since);
         }
+        self.crashes.borrow_mut().forget_broken(cut.since);
         // Of the open connections only those still work that were used since.
         let proven_since = self.start + cut.unconnected_since;
         self.pool.borrow_mut().drop_direct_idle_before(proven_since);
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -1,7 +1,9 @@
 //! Entry VMs that have lost their links to all backend servers, while callers and the other entry
 //! VMs still reach them.
 
+use bulrushwind::id;
 use bulrushwind::protocol::routes;
+use bulrushwind::state::backends;
 
 use super::harness::{self, Reaction, get, post, read_all, route, run_test, table};
 use super::linked_vms::LinkedVms;
@@ -75,6 +77,29 @@
     });
 }
 
+/// The same where a release restarts the backend servers shortly after the cut.
+#[test]
+fn requests_in_flight_at_a_cut_are_not_reported_after_a_release() {
+    run_test(|| async {
+        let harness = harness::Harness::new(0, &[]).await;
+        for n in 0..4 {
+            harness.start_backend(&format!("i-{n}"), Some(100)).await;
+        }
+        let vms = LinkedVms::in_zones(harness, &["az", "az"]);
+        cut_off_during_reads(&vms).await;
+        vms.until("the cut is found", |vms| vms.vms[0].cx.is_cut_off())
+            .await;
+        for (id, listed) in vms.harness.listed.borrow().iter() {
+            let restarted = backends::Listed {
+                incarnation: Some(id::Incarnation(200)),
+                ..listed.clone()
+            };
+            vms.vms[0].cx.update_backend(id, restarted);
+        }
+        assert_eq!(vms.vms[0].cx.take_crash_reports(), []);
+    });
+}
+
 /// Backend servers that are down would be asked of other VMs for ever, and never ejected.
 #[test]
 fn backend_servers_that_are_all_down_are_not_taken_for_a_cut() {
