Soak: cut VMs off from all backend servers, in overlapping series

One VM, a zone, half or all but one, each of the three ways for old connections, beside restarts, pauses, outages and returns of the store. New connections of a VM that is cut off always hang there, since a filter cannot refuse them; refusals are tested in tests/gateway.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -11,6 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::cuts;
 use super::scene::{Scene, Vm};
 
 /// Time that a caller waits for a response, and for a connection.
@@ -114,11 +115,16 @@
         false => ("GET", format!("/read/{id}")),
     };
     scene.counts.borrow_mut().sent += 1;
+    let side = cuts::side_of(scene, vm, started_at);
     let end = exchange(wire, method, &path, id).await;
     let run_count = scene.log.borrow().runs.get(id).copied().unwrap_or_default();
     if is_booking && run_count > 1 {
         scene.add_violation(format!("booking {id} ran {run_count} times"));
     }
+    if side.is_some() && side == cuts::side_of(scene, vm, started_at) {
+        let is_served = matches!(end, RequestEnd::Answer { status: 200, .. });
+        scene.first_tries.borrow_mut().count(side, is_served);
+    }
     match end {
         RequestEnd::Answer {
             status,
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -2,7 +2,8 @@
 //! run in this process, which injects faults. From the view of callers and backend servers, it
 //! checks that no booking runs twice, that each caller gets the complete answer to its own request,
 //! that requests reported as not run did not run, that a planned stop interrupts no request, that
-//! no VM returns to an older configuration, and that all VMs recover.
+//! no VM returns to an older configuration, that VMs which are cut off from all backend servers
+//! serve first tries as the others do, and that all VMs recover.
 //!
 //! ```text
 //! cargo run --release --example soak -- --seeds 10
@@ -10,6 +11,7 @@
 //! ```
 
 mod callers;
+mod cuts;
 mod faults;
 mod restores;
 mod scene;
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -14,8 +14,8 @@
 use serde_json::{Value, json};
 use tokio::task;
 
-use super::support::{backend, process, proxy, store};
-use super::{callers, faults, restores};
+use super::support::{backend, cut, process, proxy, store};
+use super::{callers, cuts, faults, restores};
 
 /// Parameters of one seed's run.
 #[derive(Clone, Debug)]
@@ -58,13 +58,19 @@
     pub(crate) disturbed_at: cell::Cell<Option<time::Instant>>,
     /// Whether a stop or kill is in progress and the process is yet to restart.
     pub(crate) restarting: cell::Cell<bool>,
-    /// Number of times that the process was started.
+    /// Number of times that the process was started, and when it last was.
     pub(crate) start_count: cell::Cell<u64>,
+    pub(crate) started_at: cell::Cell<Option<time::Instant>>,
+    /// The cut of its links to all backend servers, and when it began.
+    pub(crate) cut: cell::Cell<Option<(cut::Cut, time::Instant)>>,
+    /// When the last cut ended.
+    pub(crate) restored_at: cell::Cell<Option<time::Instant>>,
 }
 
 impl Vm {
     pub(crate) fn spawn(&self) {
         self.start_count.set(self.start_count.get() + 1);
+        self.started_at.set(Some(time::Instant::now()));
         match self.options.spawn() {
             Ok(gateway) => *self.gateway.borrow_mut() = Some(gateway),
             Err(err) => eprintln!("{} does not start: {err}", self.options.node),
@@ -82,6 +88,12 @@
         gateway.as_mut().is_none_or(process::Gateway::has_ended)
     }
 
+    /// Whether the process has run undisturbed since a moment.
+    pub(crate) fn is_calm_since(&self, since: time::Instant) -> bool {
+        let is_running = self.started_at.get().is_some_and(|at| at < since);
+        is_running && !self.restarting.get() && !self.was_disturbed_since(since)
+    }
+
     pub(crate) fn was_disturbed_since(&self, since: time::Instant) -> bool {
         self.disturbed_at.get().is_some_and(|at| at >= since)
     }
@@ -99,6 +111,8 @@
     pub(crate) version: cell::Cell<u64>,
     pub(crate) violations: cell::RefCell<Vec<String>>,
     pub(crate) counts: cell::RefCell<Counts>,
+    /// First tries at VMs that were cut off and at the others meanwhile.
+    pub(crate) first_tries: cell::RefCell<cuts::FirstTries>,
     /// Time of the last backend server fault: lost answers or a closed server.
     pub(crate) backend_fault: cell::Cell<Option<time::Instant>>,
 }
@@ -113,6 +127,8 @@
     pub(crate) faults: u64,
     /// Number of times that the store returned from an older copy.
     pub(crate) restores: u64,
+    /// Number of times that VMs were cut off from all backend servers.
+    pub(crate) cuts: u64,
     /// Number of calls to the store.
     pub(crate) calls: usize,
 }
@@ -122,6 +138,7 @@
 pub(crate) struct Report {
     seed: u64,
     counts: Counts,
+    first_tries: cuts::FirstTries,
     pub(crate) violations: Vec<String>,
 }
 
@@ -130,14 +147,16 @@
         let counts = &self.counts;
         write!(
             f,
-            "seed {}: {} faults, {} restores, sent {} answered {} refused {} unknown {}, store calls {}",
+            "seed {}: {} faults, {} restores, {} cuts, sent {} answered {} refused {} unknown {}, first tries {}, store calls {}",
             self.seed,
             counts.faults,
             counts.restores,
+            counts.cuts,
             counts.sent,
             counts.answered,
             counts.refused,
             counts.unknown,
+            self.first_tries,
             counts.calls
         )?;
         for line in &self.violations {
@@ -178,6 +197,7 @@
                 Vm {
                     options: process::GatewayOptions {
                         bootstrap: false,
+                        source_ip: net::Ipv4Addr::new(127, 0, 1, n as u8 + 1),
                         program: program.clone(),
                         dir: dir.to_owned(),
                         node: format!("vm-{n}"),
@@ -191,6 +211,9 @@
                     disturbed_at: cell::Cell::default(),
                     restarting: cell::Cell::default(),
                     start_count: cell::Cell::default(),
+                    started_at: cell::Cell::default(),
+                    cut: cell::Cell::default(),
+                    restored_at: cell::Cell::default(),
                 }
             })
             .collect();
@@ -203,6 +226,7 @@
             version: cell::Cell::new(1),
             violations: cell::RefCell::default(),
             counts: cell::RefCell::default(),
+            first_tries: cell::RefCell::default(),
             backend_fault: cell::Cell::default(),
             cfg,
         }
@@ -212,10 +236,22 @@
         let zone = AZS[n % AZS.len()];
         let id = format!("i-{n}");
         let added = backend::Backend::start(&id, "svc", zone, SERVICE_TIME, self.log.clone());
+        for vm in &self.vms {
+            if let Some((way, _)) = vm.cut.get() {
+                let mut sources = added.sources.borrow_mut();
+                sources.cut(vm.options.source_ip, way);
+            }
+        }
         added.register(&self.store, "ready");
         self.backends.borrow_mut().push(added);
     }
 
+    /// All backend servers that run, also those that leave.
+    pub(crate) fn running_backends(&self) -> Vec<backend::Backend> {
+        let (backends, leaving) = (self.backends.borrow(), self.leaving.borrow());
+        backends.iter().chain(leaving.iter()).cloned().collect()
+    }
+
     pub(crate) fn add_violation(&self, what: String) {
         /// Limits the report: further violations add no information.
         const MAX_VIOLATIONS: usize = 8;
@@ -305,12 +341,15 @@
         .collect();
     // Draws of its own, so that a seed's faults stay the same.
     let mut statement_rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut cut_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16) ^ u64::MAX);
     let mut restore_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) | 1);
     tokio::join!(
         faults::inject(&scene, &mut rng),
         faults::state_values(&scene, &mut statement_rng),
         restores::inject(&scene, &mut restore_rng),
+        cuts::inject(&scene, &mut cut_rng),
     );
+    cuts::check_first_tries(&scene);
     scene.check_no_exits();
     scene.check_all_serve().await;
     scene.log.borrow_mut().late_requests.clear();
@@ -335,9 +374,11 @@
         ));
     }
     let violations = scene.violations.take();
+    let first_tries = *scene.first_tries.borrow();
     Report {
         seed,
         counts,
+        first_tries,
         violations,
     }
 }
--- a/src/bin/bulrushwind-gateway.rs
+++ b/src/bin/bulrushwind-gateway.rs
@@ -1,5 +1,6 @@
 //! Runs the gateway process on an entry VM of the users' platform.
 
+use std::net;
 use std::path;
 use std::process;
 
@@ -19,6 +20,9 @@
     /// Port of this VM for metrics [default: the first of the ports that are free for us]
     #[arg(long, value_name = "PORT")]
     metrics_port: Option<u16>,
+    /// Source address of connections to backend servers [default: chosen by the system]
+    #[arg(long, value_name = "IP")]
+    source_ip: Option<net::IpAddr>,
     /// TOML file with the decision thresholds that differ from the defaults
     #[arg(long, value_name = "FILE")]
     thresholds: Option<path::PathBuf>,
@@ -46,6 +50,7 @@
     let mut settings = platform::settings::read(&args.settings)?;
     settings.gateway.resend.used_share = thresholds.resend_budget_share;
     settings.gateway.thresholds = thresholds;
+    settings.gateway.backend_source = args.source_ip;
     if let Some(port) = args.metrics_port {
         settings.metrics.set_port(port);
     }
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -102,22 +102,23 @@
     pub(super) regions: routes::AllowedRegions<'a>,
 }
 
-/// Opens a direct connection.
-pub(super) async fn open(addr: net::SocketAddr) -> Result<socket::Wire, ConnectError> {
-    let wire = socket::Wire::connect(addr, CONNECT_TIMEOUT).await?;
-    // The bytes of an abandoned send may still be in transit behind a network partition. After an
-    // orderly close they arrive when the partition heals: 7 s late in one case, at a backend server
-    // whose availability zone was evacuated. A reset discards them.
-    wire.reset_on_close();
-    Ok(wire)
-}
-
 impl Gateway {
     /// Whether this VM is cut off from all backend servers.
     pub fn is_cut_off(&self) -> bool {
         self.reachability.borrow().is_cut_off()
     }
 
+    /// Opens a direct connection.
+    pub(super) async fn open(&self, addr: net::SocketAddr) -> Result<socket::Wire, ConnectError> {
+        let source = self.cfg.backend_source;
+        let wire = socket::Wire::connect_from(source, addr, CONNECT_TIMEOUT).await?;
+        // The bytes of an abandoned send may still be in transit behind a network partition. After
+        // an orderly close they arrive when the partition heals: 7 s late in one case, at a backend
+        // server whose availability zone was evacuated. A reset discards them.
+        wire.reset_on_close();
+        Ok(wire)
+    }
+
     /// Connects to a backend server.
     pub(super) async fn connect(&self, to: &Target<'_>) -> Result<Connection, ConnectError> {
         if self.is_cut_off() {
@@ -125,7 +126,7 @@
             return through_peer.map_err(ConnectError::from);
         }
         let started = self.now();
-        let direct = open(to.addr);
+        let direct = self.open(to.addr);
         tokio::pin!(direct);
         match tokio::time::timeout(PEER_HEAD_START, &mut direct).await {
             Ok(Ok(wire)) => return Ok(self.connected(wire)),
@@ -251,7 +252,7 @@
     /// Checks one link. New connections are kept for requests.
     async fn check_link(&self, backend: &id::VmId, addr: net::SocketAddr) -> LinkState {
         let started = self.now();
-        let err = match open(addr).await {
+        let err = match self.open(addr).await {
             Ok(wire) => {
                 let connection = self.connected(wire);
                 self.pool.borrow_mut().put(backend, connection, None);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,6 +57,8 @@
     pub regions: collections::BTreeMap<id::AzId, id::RegionId>,
     /// The address that callers connect to.
     pub front: net::SocketAddr,
+    /// Source address of connections to backend servers; `None`: the system chooses.
+    pub backend_source: Option<net::IpAddr>,
     /// Capacity of this VM's processor and link.
     pub capacity: entry_selection::Capacity,
     /// Names of the header fields of requests and answers.
@@ -85,6 +87,7 @@
             az: "az".into(),
             regions: collections::BTreeMap::new(),
             front: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            backend_source: None,
             capacity: entry_selection::Capacity::default(),
             names: names::Names::default(),
             resend: resend::Bound::default(),
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -12,7 +12,7 @@
 use metrics::counter;
 
 use super::connecting::{CONNECT_TIMEOUT, Connection, Target, Via};
-use super::{Cx, Gateway, connecting};
+use super::{Cx, Gateway};
 use crate::decisions::{peer_selection, policy};
 use crate::id;
 use crate::metrics as metric_names;
@@ -274,7 +274,7 @@
                 .map(|b| b.listed.addr)
                 .ok_or(relay::OpenAnswer::NotListed)?
         };
-        let opened = connecting::open(addr).await;
+        let opened = self.open(addr).await;
         if opened.is_ok() {
             self.record_connected();
         }
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, tcp};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, tcp};
 
 /// The length of the queue of unaccepted connections. In a surge of new callers, a full queue makes
 /// the system drop SYN packets, and each retransmission delays a caller by a second or more.
@@ -39,6 +39,16 @@
     TcpListener::from_std(socket.into())
 }
 
+/// A socket that connects from a source address.
+fn bound_socket(source: net::IpAddr) -> io::Result<TcpSocket> {
+    let socket = match source {
+        net::IpAddr::V4(_) => TcpSocket::new_v4()?,
+        net::IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(net::SocketAddr::new(source, 0))?;
+    Ok(socket)
+}
+
 /// Sets the socket options that make a connection fail soon after its peer has failed.
 pub fn set_failure_detection(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
@@ -148,8 +158,23 @@
 impl Wire {
     /// Connects within the timeout.
     pub async fn connect(addr: net::SocketAddr, timeout: time::Duration) -> io::Result<Self> {
+        Self::connect_from(None, addr, timeout).await
+    }
+
+    /// Connects within the timeout from a source address, if one is given.
+    pub async fn connect_from(
+        source: Option<net::IpAddr>,
+        addr: net::SocketAddr,
+        timeout: time::Duration,
+    ) -> io::Result<Self> {
         let start = time::Instant::now();
-        let stream = tokio::time::timeout(timeout, TcpStream::connect(addr))
+        let connect = async {
+            match source {
+                Some(source) => bound_socket(source)?.connect(addr).await,
+                None => TcpStream::connect(addr).await,
+            }
+        };
+        let stream = tokio::time::timeout(timeout, connect)
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         set_failure_detection(&stream)?;
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 use tokio::task;
 
-use super::store;
+use super::{cut, store};
 
 /// Requests recorded by all backend servers.
 #[derive(Debug, Default)]
@@ -44,6 +44,8 @@
     /// Number of requests that it ran.
     run_count: rc::Rc<cell::Cell<u32>>,
     accept_task: rc::Rc<cell::RefCell<Option<task::JoinHandle<()>>>>,
+    /// Its connections by source.
+    pub(crate) sources: rc::Rc<cell::RefCell<cut::Sources>>,
 }
 
 /// What a backend server states in all answers.
@@ -84,12 +86,20 @@
             statement: rc::Rc::default(),
             run_count: rc::Rc::default(),
             accept_task: rc::Rc::default(),
+            sources: rc::Rc::new(cell::RefCell::new(cut::Sources::listen(&listener))),
         };
         let served = backend.clone();
         let accept_task = task::spawn_local(async move {
             let (_stop, stop) = watch::channel(false);
-            while let Ok((stream, _)) = listener.accept().await {
-                task::spawn_local(callers::serve(stream, served.clone(), stop.clone()));
+            while let Ok((stream, from)) = listener.accept().await {
+                let id = served.sources.borrow_mut().add(from.ip(), &stream);
+                let (server, stop) = (served.clone(), stop.clone());
+                let serving = task::spawn_local(async move {
+                    callers::serve(stream, server.clone(), stop).await;
+                    server.sources.borrow_mut().remove(id);
+                });
+                let mut sources = served.sources.borrow_mut();
+                sources.set_serving(id, serving.abort_handle());
             }
         });
         *backend.accept_task.borrow_mut() = Some(accept_task);
@@ -133,6 +143,7 @@
         if let Some(accept_task) = self.accept_task.borrow_mut().take() {
             accept_task.abort();
         }
+        self.sources.borrow_mut().close();
     }
 
     async fn reply(self, req: callers::Request) -> callers::Answer {
--- a/tests/support/cut.rs
+++ b/tests/support/cut.rs
@@ -1,6 +1,7 @@
-//! Links from one entry VM to one backend server that can be cut in several ways.
+//! Links from entry VMs to backend servers that can be cut in several ways.
 
 use std::cell;
+use std::collections;
 use std::net;
 use std::rc;
 use std::time;
@@ -24,7 +25,7 @@
     pub(crate) const ALL: [Self; 3] = [Self::Hangs, Self::Resets, Self::RefusesNew];
 }
 
-/// A link with an address of its own.
+/// A link from one VM to one backend server, with an address of its own.
 #[derive(Debug)]
 pub(crate) struct Link {
     pub(crate) addr: net::SocketAddr,
@@ -35,14 +36,138 @@
     accepted: rc::Rc<cell::Cell<usize>>,
 }
 
+/// An instruction that returns a constant as the number of bytes to keep (`BPF_RET | BPF_K`).
+fn keep(bytes: u32) -> socket2::SockFilter {
+    const RETURN: u16 = 0x06;
+    socket2::SockFilter::new(RETURN, 0, 0, bytes)
+}
+
 /// Makes the system drop all packets that arrive for a socket.
 fn drop_packets(socket: &socket2::Socket) {
-    /// `BPF_RET | BPF_K`: returns a constant as the number of bytes to keep.
-    const RETURN: u16 = 0x06;
-    let program = [socket2::SockFilter::new(RETURN, 0, 0, 0)];
+    socket.attach_filter(&[keep(0)]).unwrap();
+}
+
+/// Makes the system drop packets that arrive for a socket from these sources.
+fn drop_packets_from<'a>(
+    socket: &socket2::Socket,
+    sources: impl Iterator<Item = &'a net::Ipv4Addr>,
+) {
+    /// `BPF_LD | BPF_W | BPF_ABS`, and the offset of the source in the IP header.
+    const LOAD: u16 = 0x20;
+    const SOURCE_OFFSET: u32 = 0xfff0_0000 + 12;
+    /// `BPF_JMP | BPF_JEQ | BPF_K`.
+    const JUMP_IF_EQUAL: u16 = 0x15;
+    let mut program = vec![socket2::SockFilter::new(LOAD, 0, 0, SOURCE_OFFSET)];
+    for source in sources {
+        program.push(socket2::SockFilter::new(
+            JUMP_IF_EQUAL,
+            0,
+            1,
+            source.to_bits(),
+        ));
+        program.push(keep(0));
+    }
+    program.push(keep(u32::MAX));
     socket.attach_filter(&program).unwrap();
 }
 
+/// A connection that a server has accepted.
+#[derive(Debug)]
+struct Accepted {
+    source: net::IpAddr,
+    socket: socket2::Socket,
+    serving: Option<task::AbortHandle>,
+}
+
+/// The connections of a server by their source. New connections of a source that is cut off always
+/// hang, since a filter cannot refuse them.
+#[derive(Debug)]
+pub(crate) struct Sources {
+    listener: Option<socket2::Socket>,
+    accepted: collections::BTreeMap<u64, Accepted>,
+    next_id: u64,
+    cut: collections::BTreeSet<net::Ipv4Addr>,
+}
+
+impl Sources {
+    pub(crate) fn listen(listener: &TcpListener) -> Self {
+        Self {
+            listener: Some(socket2::SockRef::from(listener).try_clone().unwrap()),
+            accepted: collections::BTreeMap::new(),
+            next_id: 0,
+            cut: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Closes the listener.
+    pub(crate) fn close(&mut self) {
+        self.listener = None;
+    }
+
+    /// Adds a connection. Returns its id.
+    pub(crate) fn add(&mut self, source: net::IpAddr, stream: &TcpStream) -> u64 {
+        let accepted = Accepted {
+            source,
+            socket: clone(stream),
+            serving: None,
+        };
+        self.next_id += 1;
+        self.accepted.insert(self.next_id, accepted);
+        self.next_id
+    }
+
+    /// Sets the task that serves a connection.
+    pub(crate) fn set_serving(&mut self, id: u64, serving: task::AbortHandle) {
+        if let Some(accepted) = self.accepted.get_mut(&id) {
+            accepted.serving = Some(serving);
+        }
+    }
+
+    /// Removes a connection that has ended.
+    pub(crate) fn remove(&mut self, id: u64) {
+        self.accepted.remove(&id);
+    }
+
+    pub(crate) fn cut(&mut self, source: net::Ipv4Addr, way: Cut) {
+        self.cut.insert(source);
+        self.update_listener();
+        let is_cut = |one: &Accepted| one.source == net::IpAddr::V4(source);
+        for one in self.accepted.values().filter(|one| is_cut(one)) {
+            match way {
+                Cut::Hangs => drop_packets(&one.socket),
+                Cut::Resets => {
+                    // Fails only if the socket is already closed.
+                    let _ = one.socket.set_linger(Some(time::Duration::ZERO));
+                    if let Some(serving) = &one.serving {
+                        serving.abort();
+                    }
+                }
+                Cut::RefusesNew => {}
+            }
+        }
+        if way == Cut::Resets {
+            self.accepted.retain(|_, one| !is_cut(one));
+        }
+    }
+
+    pub(crate) fn restore(&mut self, source: net::Ipv4Addr) {
+        self.cut.remove(&source);
+        self.update_listener();
+        for one in self.accepted.values() {
+            if one.source == net::IpAddr::V4(source) {
+                // Fails if the socket has no filter.
+                let _ = one.socket.detach_filter();
+            }
+        }
+    }
+
+    fn update_listener(&self) {
+        if let Some(listener) = &self.listener {
+            drop_packets_from(listener, self.cut.iter());
+        }
+    }
+}
+
 impl Link {
     pub(crate) fn start(to: net::SocketAddr) -> Self {
         let listener = super::listen();
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -43,6 +43,8 @@
     pub(crate) seeds: Vec<net::SocketAddr>,
     /// Whether this is the first start of the whole system.
     pub(crate) bootstrap: bool,
+    /// Source address of connections to backend servers.
+    pub(crate) source_ip: net::Ipv4Addr,
 }
 
 impl GatewayOptions {
@@ -104,6 +106,7 @@
         fs::write(&settings, self.settings())?;
         let child = process::Command::new(&self.program)
             .env("BULRUSHWIND_SETTINGS", &settings)
+            .args(["--source-ip", &self.source_ip.to_string()])
             .stdin(process::Stdio::null())
             .stdout(lines)
             .spawn()?;
