Soak: compare first tries within a region

First tries are now counted only in a region that has both kinds of VMs, so that faults of backend servers meet both alike; bounds are unchanged.

--- a/examples/soak/cuts.rs
+++ b/examples/soak/cuts.rs
@@ -74,19 +74,18 @@
 /// The side of a first try at a VM; `None` if other faults may decide how it ends.
 pub(crate) fn side_of(scene: &Scene, vm: &Vm, started_at: time::Instant) -> Option<Side> {
     let since = started_at.checked_sub(STABILITY_WINDOW)?;
+    // Faults of backend servers concern one region, so only its VMs are compared.
+    let is_near = |other: &Vm| other.options.region() == vm.options.region();
     let is_open = |vm: &Vm| {
         let is_restored = vm.restored_at.get().is_none_or(|at| at < since);
         vm.cut.get().is_none() && is_restored && vm.is_calm_since(since)
     };
     let is_cut_off = |vm: &Vm| vm.cut.get().is_some_and(|(_, began)| began < since);
-    if !vm.is_calm_since(since) || !scene.vms.iter().any(is_open) {
-        return None;
-    }
-    if is_cut_off(vm) {
+    let any_near = |is: &dyn Fn(&Vm) -> bool| scene.vms.iter().any(|vm| is_near(vm) && is(vm));
+    if is_cut_off(vm) && vm.is_calm_since(since) && any_near(&is_open) {
         return Some(Side::CutOff);
     }
-    let another_is = scene.vms.iter().any(is_cut_off);
-    (is_open(vm) && another_is).then_some(Side::Other)
+    (is_open(vm) && any_near(&is_cut_off)).then_some(Side::Other)
 }
 
 /// Cuts VMs off now and then for the configured duration.
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// The region of each availability zone.
+const REGIONS: [(&str, &str); 3] = [("az-a", "north"), ("az-b", "north"), ("az-c", "south")];
+
+/// The region of an availability zone.
+fn region_of(zone: &str) -> &'static str {
+    let found = REGIONS.iter().find(|(az, _)| *az == zone);
+    found.map_or("", |(_, region)| region)
+}
+
 /// Settings of a process to start.
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayOptions {
@@ -48,6 +57,10 @@
 }
 
 impl GatewayOptions {
+    pub(crate) fn region(&self) -> &'static str {
+        region_of(self.zone)
+    }
+
     /// The settings file as the platform writes it.
     pub(crate) fn settings(&self) -> String {
         let Ports {
@@ -57,6 +70,10 @@
             control,
             metrics,
         } = self.ports;
+        let zones: Vec<String> = REGIONS
+            .iter()
+            .map(|(az, region)| format!("{az} = \"{region}\""))
+            .collect();
         let seeds: Vec<String> = self.seeds.iter().map(|s| format!("\"{s}\"")).collect();
         format!(
             r#"node = "{node}"
@@ -64,15 +81,13 @@
 class = "front"
 ip = "127.0.0.1"
 zone = "{zone}"
-region = "north"
+region = "{region}"
 port_range = [{metrics},{metrics}]
 seeds = [{seeds}]
 bootstrap = {bootstrap}
 bounds = ["grace_s=6","budget_ratio=0.2","budget_extra=56","budget_window_s=10","ttl_max_s=5","closed=false"]
 [zones]
-az-a = "north"
-az-b = "north"
-az-c = "south"
+{zones}
 [listen]
 front = "{front}"
 ready = "{ready}"
@@ -84,6 +99,8 @@
 "#,
             node = self.node,
             zone = self.zone,
+            region = self.region(),
+            zones = zones.join("\n"),
             bootstrap = self.bootstrap,
             metrics = metrics.port(),
             seeds = seeds.join(","),
