Send bookings on idle connections only while answers show that the links work

When links begin to hang, a booking on an idle connection is lost: it may have run and is not sent again, while a new connection that does not open shows that it has not run and another VM can be asked. An idle connection is now used for a request that is not idempotent only if a backend server has given a sign of life in the last 300 ms; a VM under load gets one every 30 ms or so. The test failed before (502).

--- a/src/decisions/reachability.rs
+++ b/src/decisions/reachability.rs
@@ -23,6 +23,11 @@
 /// links are checked. A VM under load gets several answers in this time.
 const MAX_SILENCE: time::Duration = time::Duration::from_millis(750);
 
+/// How recent a sign of life must be for a request that is not idempotent to be sent on an idle
+/// connection. If the links have begun to hang since, its outcome is unknown; a new connection that
+/// is not opened shows that the request has not run.
+const MAX_CONTACT_AGE: time::Duration = time::Duration::from_millis(300);
+
 /// What a sample of backend servers has shown.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -88,6 +93,11 @@
             || (in_progress > 0 && !self.contact_since(now.saturating_sub(MAX_SILENCE)))
     }
 
+    /// Whether a recent sign of life shows that idle connections work.
+    pub fn has_recent_contact(&self, now: policy::Moment) -> bool {
+        self.contact_since(now.saturating_sub(MAX_CONTACT_AGE))
+    }
+
     /// Evaluates a sample. Returns the cut if it begins with this.
     pub fn sampled(&mut self, sample: &Sample) -> Option<Cut> {
         let is_cut = sample.connected == 0
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -213,7 +213,8 @@
         .await
     }
 
-    /// Takes an idle connection that the request may be sent on.
+    /// Takes an idle connection that the request may be sent on. If the request must not run twice,
+    /// the links must be known to work.
     fn idle_connection(
         &self,
         job: &Job,
@@ -221,6 +222,7 @@
     ) -> Option<pool::IdleConnection> {
         let max_idle = match job.route.idempotent {
             true => time::Duration::MAX,
+            false if self.may_links_hang() => return None,
             false => MAX_IDLE_NON_IDEMPOTENT,
         };
         let homes = job.homes();
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -108,6 +108,12 @@
         self.reachability.borrow().is_cut_off()
     }
 
+    /// Whether connections to backend servers may have begun to hang a moment ago.
+    pub(super) fn may_links_hang(&self) -> bool {
+        let reachability = self.reachability.borrow();
+        !reachability.is_cut_off() && !reachability.has_recent_contact(self.now())
+    }
+
     /// Opens a direct connection.
     pub(super) async fn open(&self, addr: net::SocketAddr) -> Result<socket::Wire, ConnectError> {
         let source = self.cfg.backend_source;
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -1,6 +1,8 @@
 //! Entry VMs that have lost their links to all backend servers, while callers and the other entry
 //! VMs still reach them.
 
+use std::time;
+
 use bulrushwind::id;
 use bulrushwind::protocol::routes;
 use bulrushwind::state::backends;
@@ -30,6 +32,23 @@
     check_that_a_cut_off_vm_serves(Cut::Hangs);
 }
 
+/// A booking on an idle connection that hangs may have run, and cannot be sent again.
+#[test]
+fn a_booking_right_after_links_begin_to_hang_is_served() {
+    run_test(|| async {
+        let vms = LinkedVms::new(2, 4, &[]).await;
+        for n in 0..8 {
+            let booking = post("/book/a", &format!("b{n}"), "bay 4");
+            assert_eq!(vms.caller(0).await.request(&booking).await.status, 200);
+        }
+        tokio::time::sleep(time::Duration::from_millis(400)).await;
+        vms.cut(0, Cut::Hangs).await;
+        let booking = post("/book/a", "first", "bay 4");
+        assert_eq!(vms.caller(0).await.request(&booking).await.status, 200);
+        assert_eq!(vms.harness.runs("first"), 1);
+    });
+}
+
 /// Connections that are refused at once eject all backend servers within a few requests.
 #[test]
 fn a_vm_whose_links_to_all_backend_servers_are_reset_serves_its_callers() {
