Find a cut although the VMs asked first are cut off too

Found while testing a VM that loses its links while it carries connections for others. A VM whose first two VMs to ask were cut off without knowing it was told that no backend server could be reached, at each check again; so were they, since they asked each other, and all took the backend servers for down. The VMs asked now vary until the cut is known; a VM checks its own links when a connection fails, for itself or for another, and has opened none within a second; and it does so too while it carries tunnels. If its links hang, it resets the tunnels, so that reads of the other VM are sent again at once; a VM that does not answer loses its idle tunnels.

--- a/src/decisions/peer_selection.rs
+++ b/src/decisions/peer_selection.rs
@@ -37,15 +37,16 @@
     pub value: T,
 }
 
-/// Selects up to `count` VMs for a VM whose name has the hash `asking`, the first to ask first.
+/// Selects up to `count` VMs, the first to ask first. `order` selects an order of equals: the hash of
+/// the asking VM's name for a lasting one.
 pub fn select<T>(
-    asking: u64,
+    order: u64,
     count: usize,
     candidates: impl Iterator<Item = Candidate<T>>,
 ) -> Vec<T> {
     let mut first: Vec<((bool, Distance, u64), T)> = Vec::with_capacity(count + 1);
     for candidate in candidates {
-        let own_order = affinity::mix(asking, candidate.hash);
+        let own_order = affinity::mix(order, candidate.hash);
         let key = (candidate.busy, candidate.distance, own_order);
         let at = first.partition_point(|(other, _)| *other < key);
         if at < count {
--- a/src/decisions/reachability.rs
+++ b/src/decisions/reachability.rs
@@ -28,6 +28,9 @@
 /// is not opened shows that the request has not run.
 const MAX_CONTACT_AGE: time::Duration = time::Duration::from_millis(300);
 
+/// How recent a new connection must be to show, after another one has failed, that the links work.
+const MAX_CONNECTION_AGE: time::Duration = time::Duration::from_secs(1);
+
 /// What a sample of backend servers has shown.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -98,6 +101,11 @@
         self.contact_since(now.saturating_sub(MAX_CONTACT_AGE))
     }
 
+    /// Whether the links are to be checked after a connection has failed.
+    pub fn needs_check_after_failure(&self, now: policy::Moment) -> bool {
+        !self.connected_since(now.saturating_sub(MAX_CONNECTION_AGE))
+    }
+
     /// Evaluates a sample. Returns the cut if it begins with this.
     pub fn sampled(&mut self, sample: &Sample) -> Option<Cut> {
         let is_cut = sample.connected == 0
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -173,8 +173,10 @@
         through_peer.map_err(|refused| self.reason(err, refused))
     }
 
-    /// Why there is neither a direct connection nor one through another VM.
+    /// Why there is neither a direct connection nor one through another VM. The other VMs may be cut
+    /// off too, so the links are checked.
     fn reason(&self, direct: ConnectError, refused: tunnels::Refused) -> ConnectError {
+        self.check_links_after_failure();
         match refused {
             tunnels::Refused::NoPeer if self.is_cut_off() => ConnectError::CutOff,
             tunnels::Refused::NoPeer | tunnels::Refused::Unreachable => direct,
@@ -207,13 +209,22 @@
 
     /// Checks the links to the backend servers if no sign of life shows that they work.
     pub(super) fn check_links_if_due(&self) {
-        let in_progress = self.requests_in_progress();
+        let in_progress = self.requests_in_progress() + self.carried_tunnels();
         let now = self.now();
         if self.reachability.borrow().needs_check(now, in_progress) {
             self.check_links();
         }
     }
 
+    /// Checks the links after a connection to a backend server has failed, unless a recent one shows
+    /// that they work.
+    pub(super) fn check_links_after_failure(&self) {
+        let now = self.now();
+        if self.reachability.borrow().needs_check_after_failure(now) {
+            self.check_links();
+        }
+    }
+
     /// Checks the links to the backend servers in the background, one check at a time.
     pub(super) fn check_links(&self) {
         if self.checking_links.replace(true) {
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -130,6 +130,7 @@
                 Err(AskError::Answer(_)) => self.skip_peer(vm, UNABLE_SKIP_TIME),
                 Err(AskError::Link(err)) => {
                     self.skip_peer(vm, UNRESPONSIVE_SKIP_TIME);
+                    self.pool.borrow_mut().drop_through(vm);
                     self.log_unresponsive(vm, &err);
                 }
             }
@@ -175,7 +176,13 @@
                 value,
             })
         });
-        peer_selection::select(self.own_hash, count, candidates)
+        // Before the cut is known, the VMs asked vary: those asked first may be cut off as well and,
+        // without knowing it, say that the backend server cannot be reached.
+        let order = match self.is_cut_off() {
+            true => self.own_hash,
+            false => self.jitter().to_bits(),
+        };
+        peer_selection::select(order, count, candidates)
             .into_iter()
             .map(|(vm, region, addr, is_own_region)| Peer {
                 via: Via {
@@ -253,7 +260,9 @@
         let stream = link.into_stream();
         // The other VM still reads frames until it has received the answer, and sends first.
         stream.readable().await?;
-        socket::splice(stream, wire.into_stream()).await;
+        let links_hang = self.links_hang.notified();
+        let answered = || self.record_contact(None);
+        socket::splice(stream, wire.into_stream(), links_hang, answered).await;
         Ok(())
     }
 
@@ -275,8 +284,9 @@
                 .ok_or(relay::OpenAnswer::NotListed)?
         };
         let opened = self.open(addr).await;
-        if opened.is_ok() {
-            self.record_connected();
+        match opened {
+            Ok(_) => self.record_connected(),
+            Err(_) => self.check_links_after_failure(),
         }
         opened.map_err(|_| relay::OpenAnswer::Unreachable)
     }
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -63,16 +63,24 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
-/// Passes bytes between a client and a server until both have ended or one has failed. A failure
-/// resets both connections, so that a truncated answer does not look complete and the server stops
-/// its work. A server that no longer reads may still have sent an answer, which is passed on.
-pub async fn splice(mut client: TcpStream, mut server: TcpStream) {
+/// Passes bytes between a client and a server until both have ended, one has failed, or `failed` is
+/// ready. A failure resets both connections, so that a truncated answer does not look complete and
+/// the server stops its work. A server that no longer reads may still have sent an answer, which is
+/// passed on. Calls `answered` when bytes of the server arrive.
+pub async fn splice(
+    mut client: TcpStream,
+    mut server: TcpStream,
+    failed: impl Future<Output = ()>,
+    answered: impl Fn(),
+) {
     let end = {
         let (client_rx, client_tx) = client.split();
         let (server_rx, server_tx) = server.split();
-        let (requests, answers) = (pass(client_rx, server_tx), pass(server_rx, client_tx));
+        let requests = pass(client_rx, server_tx, || ());
+        let answers = pass(server_rx, client_tx, answered);
         tokio::pin!(requests, answers);
         tokio::select! {
+            () = failed => End::Failed,
             end = &mut requests => match end {
                 End::Closed => answers.await,
                 End::Unwanted => {
@@ -106,7 +114,7 @@
 }
 
 /// Passes the bytes of one direction on.
-async fn pass(mut rx: tcp::ReadHalf<'_>, mut tx: tcp::WriteHalf<'_>) -> End {
+async fn pass(mut rx: tcp::ReadHalf<'_>, mut tx: tcp::WriteHalf<'_>, received: impl Fn()) -> End {
     /// The buffer for each direction. A VM may carry hundreds of connections.
     const PASS_BYTES: usize = 4 << 10;
     let mut buf = BytesMut::with_capacity(PASS_BYTES);
@@ -114,7 +122,7 @@
         match rx.read_buf(&mut buf).await {
             Ok(0) if tx.shutdown().await.is_ok() => return End::Closed,
             Ok(0) => return End::Unwanted,
-            Ok(_) => {}
+            Ok(_) => received(),
             Err(_) => return End::Failed,
         }
         if tx.write_all(&buf).await.is_err() {
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -294,6 +294,28 @@
     });
 }
 
+/// A VM that carries a read for another one loses its links too. Without a sign of that, the read
+/// waits until its deadline.
+#[test]
+fn a_read_through_a_vm_whose_links_begin_to_hang_is_served_through_another() {
+    run_test(|| async {
+        let vms = LinkedVms::new(4, 4, &[]).await;
+        vms.vms[0].cx.remove_entry(&"vm-3".into());
+        vms.cut(0, Cut::Resets).await;
+        vms.wait_until_serving(0).await;
+        vms.harness.script.borrow_mut().push_back(Reaction::Hang);
+        let mut caller = vms.caller(0).await;
+        caller.send(&get("/read/a", "held")).await;
+        let is_sent = |seen: &harness::Seen| seen.ran.iter().any(|(id, _)| id == "held");
+        vms.harness.until("the read runs", is_sent).await;
+        vms.vms[0].list(&vms.vms[3]);
+        for carrier in 1..3 {
+            vms.cut(carrier, Cut::Hangs).await;
+        }
+        assert_eq!(caller.receive().await.unwrap().status, 200);
+    });
+}
+
 /// Tunnels that end with a planned stop cut off the requests of other VMs.
 #[test]
 fn a_planned_stop_of_the_other_vm_loses_no_request() {
--- a/tests/gateway/linked_vms.rs
+++ b/tests/gateway/linked_vms.rs
@@ -131,7 +131,8 @@
         }
     }
 
-    fn list(&self, other: &Self) {
+    /// Lists another VM on this one.
+    pub(crate) fn list(&self, other: &Self) {
         let entry = entries::Entry {
             peer_addr: Some(other.peer_addr),
             az: other.cx.cfg.az.clone(),
