End a truncated answer with a reset also when the VM that carries it dies

An answer without a length ends with its connection. Both connections of a tunnel now reset on any close but an orderly end that was passed on, and the end of a server that failed in a write is not passed on.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -383,9 +383,7 @@
         }
         if received.reusable && connection.wire.is_idle() {
             let stated = stated_keep_alive(&head.fields);
-            self.pool
-                .borrow_mut()
-                .put(&reservation.run.id, connection, stated);
+            self.keep(&reservation.run.id, connection, stated);
         }
         if misdirected {
             return Outcome::NotRun(NotRun::Misdirected);
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -82,6 +82,8 @@
     pub vm: id::VmId,
     /// Its region.
     pub region: Option<id::RegionId>,
+    /// When the connection was opened.
+    pub opened: time::Instant,
 }
 
 /// A connection to a backend server.
@@ -102,7 +104,25 @@
     pub(super) regions: routes::AllowedRegions<'a>,
 }
 
+/// How long a connection through another VM is kept while this VM is not cut off: its own link to the
+/// backend server may work again.
+const MAX_DETOUR_AGE: time::Duration = time::Duration::from_secs(5);
+
 impl Gateway {
+    /// Keeps a connection for further requests. `stated` is the keep-alive timeout that the backend
+    /// server stated.
+    pub(super) fn keep(
+        &self,
+        backend: &id::VmId,
+        connection: Connection,
+        stated: Option<time::Duration>,
+    ) {
+        let is_current = |via: &Via| self.is_cut_off() || via.opened.elapsed() < MAX_DETOUR_AGE;
+        if connection.via.as_ref().is_none_or(is_current) {
+            self.pool.borrow_mut().put(backend, connection, stated);
+        }
+    }
+
     /// Whether this VM is cut off from all backend servers.
     pub fn is_cut_off(&self) -> bool {
         self.reachability.borrow().is_cut_off()
@@ -272,7 +292,7 @@
         let err = match self.open(addr).await {
             Ok(wire) => {
                 let connection = self.connected(wire);
-                self.pool.borrow_mut().put(backend, connection, None);
+                self.keep(backend, connection, None);
                 return LinkState::Up;
             }
             Err(err) => err,
@@ -288,7 +308,7 @@
         };
         match self.connect_through_peer(&to, MAX_PEERS_ASKED).await {
             Ok(connection) => {
-                self.pool.borrow_mut().put(backend, connection, None);
+                self.keep(backend, connection, None);
                 LinkState::PeersOnly { timed_out }
             }
             Err(_) => LinkState::Down { timed_out },
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -188,6 +188,7 @@
                 via: Via {
                     vm: vm.clone(),
                     region: region.cloned(),
+                    opened: time::Instant::now(),
                 },
                 addr,
                 link_timeout: match is_own_region {
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -1,5 +1,6 @@
 //! TCP sockets for the gateway: listening, detection of dead peers, buffered reads and writes.
 
+use std::cell;
 use std::io;
 use std::net;
 use std::time;
@@ -64,41 +65,39 @@
 }
 
 /// Passes bytes between a client and a server until both have ended, one has failed, or `failed` is
-/// ready. A failure resets both connections, so that a truncated answer does not look complete and
-/// the server stops its work. A server that no longer reads may still have sent an answer, which is
-/// passed on. Calls `answered` when bytes of the server arrive.
+/// ready. Any end but an orderly one resets both connections, also that of this process, so that a
+/// truncated answer does not look complete and the server stops its work. A server that no longer
+/// reads may still have sent an answer, which is passed on. Calls `answered` when bytes of the
+/// server arrive.
 pub async fn splice(
     mut client: TcpStream,
     mut server: TcpStream,
     failed: impl Future<Output = ()>,
     answered: impl Fn(),
 ) {
-    let end = {
-        let (client_rx, client_tx) = client.split();
-        let (server_rx, server_tx) = server.split();
-        let requests = pass(client_rx, server_tx, || ());
-        let answers = pass(server_rx, client_tx, answered);
+    reset_on_close(&client);
+    reset_on_close(&server);
+    let (client_rx, client_tx) = client.split();
+    let (server_rx, server_tx) = server.split();
+    let (client_failed, server_failed) = (cell::Cell::new(false), cell::Cell::new(false));
+    let requests = pass(client_rx, server_tx, &client_failed, || ());
+    let answers = pass(server_rx, client_tx, &server_failed, answered);
+    let both = async {
         tokio::pin!(requests, answers);
         tokio::select! {
-            () = failed => End::Failed,
-            end = &mut requests => match end {
-                End::Closed => answers.await,
-                End::Unwanted => {
-                    answers.await;
-                    // The failed write has taken the error, so the answer may only seem to end.
-                    End::Failed
-                }
-                End::Failed => End::Failed,
+            end = &mut requests => if end != End::Failed {
+                // The failed write has taken the error, so the answer may only seem to end.
+                server_failed.set(end == End::Unwanted);
+                answers.await;
             },
-            end = &mut answers => match end {
-                End::Closed => requests.await,
-                End::Unwanted | End::Failed => End::Failed,
+            end = &mut answers => if end == End::Closed {
+                requests.await;
             },
         }
     };
-    if end != End::Closed {
-        reset_on_close(&client);
-        reset_on_close(&server);
+    tokio::select! {
+        () = both => {}
+        () = failed => {}
     }
 }
 
@@ -113,13 +112,20 @@
     Failed,
 }
 
-/// Passes the bytes of one direction on.
-async fn pass(mut rx: tcp::ReadHalf<'_>, mut tx: tcp::WriteHalf<'_>, received: impl Fn()) -> End {
+/// Passes the bytes of one direction on. Its end is not passed on if the sender is known to have
+/// failed.
+async fn pass(
+    mut rx: tcp::ReadHalf<'_>,
+    mut tx: tcp::WriteHalf<'_>,
+    sender_failed: &cell::Cell<bool>,
+    received: impl Fn(),
+) -> End {
     /// The buffer for each direction. A VM may carry hundreds of connections.
     const PASS_BYTES: usize = 4 << 10;
     let mut buf = BytesMut::with_capacity(PASS_BYTES);
     loop {
         match rx.read_buf(&mut buf).await {
+            Ok(0) if sender_failed.get() => return End::Failed,
             Ok(0) if tx.shutdown().await.is_ok() => return End::Closed,
             Ok(0) => return End::Unwanted,
             Ok(_) => received(),
