--- a/tests/platform/explaining.rs
+++ b/tests/platform/explaining.rs
@@ -1,8 +1,8 @@
 //! Finds the cause of a failed request from its id and the logs alone, with `bulrushwind explain`.
-//! docs/OPERATIONS.md describes three of these cases.
+//! docs/OPERATIONS.md describes these cases.
 
 use std::fs;
-use std::process;
+use std::process::Command;
 use std::time;
 
 use serde_json::json;
@@ -10,11 +10,11 @@
 use super::processes::{
     Deployment, TEST_TIMEOUT, config, get, get_with_headers, run_scenario, wait_for_status,
 };
-use super::support::store;
+use super::support::{process, store};
 
 /// Output of `bulrushwind explain` for a request.
 fn explain(deployment: &Deployment, request: &str) -> String {
-    let output = process::Command::new(env!("CARGO_BIN_EXE_bulrushwind"))
+    let output = Command::new(env!("CARGO_BIN_EXE_bulrushwind"))
         .current_dir(deployment.dir.path())
         .args(["explain", request, "vm-1.log"])
         .output()
@@ -128,6 +128,45 @@
     });
 }
 
+/// A VM reaches no backend server, so its requests go through another VM.
+#[test]
+fn a_request_through_another_vm() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let other = process::GatewayOptions {
+            zone: "az-c",
+            ..deployment.options("vm-2", deployment.store.addr, &[])
+        };
+        let _other = other.spawn().unwrap();
+        wait_for_status(other.ports.front, "/read/a", 200).await;
+        // This VM's store lists addresses that refuse connections.
+        let store = store::Store::start();
+        store.write("op/config", &config(1, &["/read/", "/book/"]));
+        for backend in &deployment.backends {
+            let mut entry = deployment.store.value(&backend.key()).unwrap();
+            entry["addr"] = json!("127.0.0.1:1");
+            store.write(&backend.key(), &entry);
+        }
+        let registration = "bulrushwind/entry/az-c/vm-2";
+        store.write(registration, &deployment.store.value(registration).unwrap());
+        let (ports, _gateway) = deployment.start("vm-1", store.addr, &[]);
+        wait_for_status(ports.front, "/read/a", 200).await;
+        deployment
+            .backends
+            .iter()
+            .for_each(|b| b.set_service_time(time::Duration::from_millis(1300)));
+        let (status, _) = get(ports.front, "/read/a", "through-1").await.unwrap();
+        assert_eq!(status, 200);
+        let wanted = [
+            "cut off from backend servers",
+            "request: ",
+            "request=through-1",
+            "via=vm-2",
+        ];
+        wait_for_explanation(&deployment, "through-1", &wanted).await;
+    });
+}
+
 const KEY_HEADER: &str = "Bulrushwind-Key: right-secret-1\r\n";
 
 /// A deployment with one customer, whose quota allows a few requests.
--- a/tests/platform/processes.rs
+++ b/tests/platform/processes.rs
@@ -75,7 +75,7 @@
         }
     }
 
-    fn options(
+    pub(crate) fn options(
         &self,
         node: &str,
         store: net::SocketAddr,
@@ -329,7 +329,6 @@
         let started = names.map(|node| {
             let options = process::GatewayOptions {
                 bootstrap: true,
-                source_ip: net::Ipv4Addr::LOCALHOST,
                 ..deployment.options(node, deployment.store.addr, &[])
             };
             (options.ports, options.spawn().unwrap())
