--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -158,7 +158,10 @@
             Ok(Ok(wire)) => return Ok(self.connected(wire)),
             // The links work, so the backend server itself has failed.
             Ok(Err(err)) if self.reachability.borrow().connected_since(started) => return Err(err),
-            Ok(Err(err)) => return self.connect_otherwise(to, err).await,
+            Ok(Err(err)) => {
+                let through_peer = self.connect_through_peer(to, MAX_PEERS_ASKED).await;
+                return through_peer.map_err(|refused| self.reason(err, refused));
+            }
             Err(_) => {}
         }
         if self.reachability.borrow().contact_since(started) {
@@ -183,16 +186,6 @@
         }
     }
 
-    /// Connects through another VM after a direct connection failed.
-    async fn connect_otherwise(
-        &self,
-        to: &Target<'_>,
-        err: ConnectError,
-    ) -> Result<Connection, ConnectError> {
-        let through_peer = self.connect_through_peer(to, MAX_PEERS_ASKED).await;
-        through_peer.map_err(|refused| self.reason(err, refused))
-    }
-
     /// Why there is neither a direct connection nor one through another VM. The other VMs may be cut
     /// off too, so the links are checked.
     fn reason(&self, direct: ConnectError, refused: tunnels::Refused) -> ConnectError {
--- a/tests/splice.rs
+++ b/tests/splice.rs
@@ -33,6 +33,22 @@
             splice,
         }
     }
+
+    /// Part of an answer has reached the client.
+    async fn after_part_of_an_answer() -> Self {
+        let mut ends = Self::start().await;
+        ends.server.write_all(b"part").await.unwrap();
+        let mut part = [0; 4];
+        ends.client.read_exact(&mut part).await.unwrap();
+        ends
+    }
+
+    /// Resets the server's connection. Returns the client.
+    fn reset_server(self) -> TcpStream {
+        let server = socket2::SockRef::from(&self.server);
+        server.set_linger(Some(time::Duration::ZERO)).unwrap();
+        self.client
+    }
 }
 
 fn run_test<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
@@ -64,14 +80,8 @@
 #[test]
 fn a_reset_is_passed_on() {
     run_test(|| async {
-        let mut ends = Ends::start().await;
-        ends.server.write_all(b"part").await.unwrap();
-        let mut part = [0; 4];
-        ends.client.read_exact(&mut part).await.unwrap();
-        let server = socket2::SockRef::from(&ends.server);
-        server.set_linger(Some(time::Duration::ZERO)).unwrap();
-        drop(ends.server);
-        assert!(read_to_end(&mut ends.client).await.is_err());
+        let ends = Ends::after_part_of_an_answer().await;
+        assert!(read_to_end(&mut ends.reset_server()).await.is_err());
     });
 }
 
@@ -79,10 +89,7 @@
 #[test]
 fn an_abrupt_end_in_between_is_a_reset() {
     run_test(|| async {
-        let mut ends = Ends::start().await;
-        ends.server.write_all(b"part").await.unwrap();
-        let mut part = [0; 4];
-        ends.client.read_exact(&mut part).await.unwrap();
+        let mut ends = Ends::after_part_of_an_answer().await;
         ends.splice.abort();
         assert!(read_to_end(&mut ends.client).await.is_err());
         assert!(read_to_end(&mut ends.server).await.is_err());
@@ -96,15 +103,10 @@
     const TRIES: usize = 20;
     run_test(|| async {
         for _ in 0..TRIES {
-            let mut ends = Ends::start().await;
-            ends.server.write_all(b"part").await.unwrap();
-            let mut part = [0; 4];
-            ends.client.read_exact(&mut part).await.unwrap();
-            let server = socket2::SockRef::from(&ends.server);
-            server.set_linger(Some(time::Duration::ZERO)).unwrap();
-            drop(ends.server);
-            ends.client.write_all(b"more").await.unwrap();
-            assert!(read_to_end(&mut ends.client).await.is_err());
+            let ends = Ends::after_part_of_an_answer().await;
+            let mut client = ends.reset_server();
+            client.write_all(b"more").await.unwrap();
+            assert!(read_to_end(&mut client).await.is_err());
         }
     });
 }
