--- a/tests/gateway/customers.rs
+++ b/tests/gateway/customers.rs
@@ -52,7 +52,7 @@
 /// A request has no key, two keys or an unknown one. Served, it would get data without
 /// authorisation; without an answer, its caller would suspect the network.
 #[test]
-fn unidentified_callers_are_refused_at_once() {
+pub(crate) fn unidentified_callers_are_refused_at_once() {
     run_test(async || {
         let harness = harness(&[]).await;
         let mut caller = harness.caller().await;
@@ -86,7 +86,7 @@
 /// Several reads are pipelined, one with an unknown key. Its refusal must not take the place of
 /// another answer.
 #[test]
-fn a_refused_request_keeps_its_place_in_the_pipeline() {
+pub(crate) fn a_refused_request_keeps_its_place_in_the_pipeline() {
     run_test(async || {
         let harness = harness(&[]).await;
         let mut caller = harness.caller().await;
@@ -107,7 +107,7 @@
 
 /// A temporary refusal must not cut off reads pipelined after it.
 #[test]
-fn a_temporary_refusal_cuts_off_no_pipelined_request() {
+pub(crate) fn a_temporary_refusal_cuts_off_no_pipelined_request() {
     run_test(async || {
         let harness = Harness::new(2, &[]).await;
         let known = customer_list(&[(&customer("pilots"), &["k1"])]);
@@ -134,7 +134,7 @@
 /// A caller sends another customer's name in the header that backend servers trust, in spellings
 /// that some servers accept. They would return that customer's bookings.
 #[test]
-fn only_the_gateway_names_the_customer_to_backend_servers() {
+pub(crate) fn only_the_gateway_names_the_customer_to_backend_servers() {
     run_test(async || {
         let harness = harness(&[]).await;
         let mut caller = harness.caller().await;
@@ -152,7 +152,7 @@
 /// A caller puts another customer's name into the trailer of a chunked body. Some backend servers
 /// would treat it as a header.
 #[test]
-fn trailers_do_not_name_the_customer() {
+pub(crate) fn trailers_do_not_name_the_customer() {
     run_test(async || {
         let harness = harness(&[]).await;
         let mut caller = harness.caller().await;
@@ -170,7 +170,7 @@
 /// On a public route, a required key would exclude callers without one, and a forged customer name
 /// must not be forwarded.
 #[test]
-fn a_public_route_needs_no_key() {
+pub(crate) fn a_public_route_needs_no_key() {
     run_test(async || {
         let harness = harness(&[]).await;
         let mut caller = harness.caller().await;
@@ -186,7 +186,7 @@
 /// A VM has just started, or has lost the store and lacks the latest keys. If it rejected an
 /// unknown key, the caller would give up although other VMs know the key.
 #[test]
-fn a_vm_without_current_keys_rejects_no_key() {
+pub(crate) fn a_vm_without_current_keys_rejects_no_key() {
     run_test(async || {
         let harness = Harness::new(1, &[]).await;
         let customers = customer_list(&[(&customer("pilots"), &["k1"])]);
@@ -213,7 +213,7 @@
 /// A key is revoked while one of its requests is queued at a backend server, which then does not
 /// run it. A resend would run it without authorisation.
 #[test]
-fn a_revoked_key_allows_no_resend() {
+pub(crate) fn a_revoked_key_allows_no_resend() {
     run_test(async || {
         let harness = harness(&[Reaction::ShedAfterNext]).await;
         let mut first = harness.caller().await;
@@ -236,7 +236,7 @@
 /// A key moves to another customer while a request is in progress. The resend carries the new
 /// holder's name.
 #[test]
-fn a_resend_names_the_new_holder_of_the_key() {
+pub(crate) fn a_resend_names_the_new_holder_of_the_key() {
     run_test(async || {
         let harness = harness(&[Reaction::ShedAfterNext]).await;
         let mut first = harness.caller().await;
@@ -283,7 +283,7 @@
 /// Both customer and route may be restricted to regions. Without a common region the request must
 /// not run, or data would leave its region.
 #[test]
-fn the_regions_of_route_and_customer_both_apply() {
+pub(crate) fn the_regions_of_route_and_customer_both_apply() {
     run_test(async || {
         let harness = Harness::new(1, &[]).await;
         let far = backends::Listed {
@@ -314,7 +314,7 @@
 /// A customer's home region is lost. Its callers must be refused at once with a retry delay,
 /// instead of at their deadlines.
 #[test]
-fn a_customer_whose_home_is_lost_is_refused_at_once() {
+pub(crate) fn a_customer_whose_home_is_lost_is_refused_at_once() {
     run_test(async || {
         let harness = Harness::new(1, &[]).await;
         let homed = customers::Customer {
@@ -332,7 +332,7 @@
 /// Two customers have one home region and one has two. The share of each region follows from the
 /// quotas.
 #[test]
-fn the_shares_of_home_regions_follow_from_quotas() {
+pub(crate) fn the_shares_of_home_regions_follow_from_quotas() {
     let with = |name: &str, rate: f64, homes: &[&str]| customers::Customer {
         quota: Some(customers::Quota { rate, burst: 1.0 }),
         regions: regions(homes),
@@ -355,7 +355,7 @@
 /// All VMs have just started and exchanged no reports, while a customer exceeds its quota
 /// everywhere. If each VM admitted the whole quota, several times as much would run.
 #[test]
-fn a_vm_without_reports_leaves_other_vms_their_share() {
+pub(crate) fn a_vm_without_reports_leaves_other_vms_their_share() {
     run_test(async || {
         let harness = Harness::new(1, &[]).await;
         let limited = customers::Customer {
@@ -396,7 +396,7 @@
 
 /// If two customers had one key, each could be taken for the other.
 #[test]
-fn conflicting_customers_are_refused() {
+pub(crate) fn conflicting_customers_are_refused() {
     let key = customers::KeyDigest::of(b"k1");
     let list = [(customer("a"), vec![key]), (customer("b"), vec![key])];
     let err = customers::Customers::new(list).unwrap_err().to_string();
@@ -413,7 +413,7 @@
 /// A customer has a higher priority than its route. By the route's rank alone its requests would be
 /// refused as early as any others.
 #[test]
-fn a_customers_rank_overrides_its_routes() {
+pub(crate) fn a_customers_rank_overrides_its_routes() {
     let urgent = customers::Customer {
         priority: Some(0),
         ..customer("rescue")
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -206,6 +206,23 @@
     }
 }
 
+/// Callers of a region whose VMs are all cut off would be refused, although its backend servers run.
+#[test]
+fn a_region_whose_vms_are_all_cut_off_is_served_through_another_region() {
+    run_test(|| async {
+        let harness = harness::Harness::new(6, &[]).await;
+        let vms = LinkedVms::in_zones(harness, &["az", "az", "az-far"]);
+        for vm in 0..2 {
+            vms.cut(vm, Cut::Resets).await;
+        }
+        for vm in 0..2 {
+            vms.wait_until_serving(vm).await;
+            let failed = vms.failed_first_tries(vm, 3).await;
+            assert!(failed.is_empty(), "{failed:?}");
+        }
+    });
+}
+
 /// A VM that waits for others that cannot help holds requests that another VM could answer. One that
 /// blames the backend servers refuses long after its links are back.
 #[test]
--- a/tests/gateway/through_tunnels.rs
+++ b/tests/gateway/through_tunnels.rs
@@ -87,4 +87,20 @@
         an_entry_of_an_earlier_start_changes_nothing
         a_request_of_an_old_run_frees_no_slot_of_the_next
         a_request_that_crashes_three_runs_of_one_backend_server_is_refused;
+    customers:
+        unidentified_callers_are_refused_at_once
+        a_refused_request_keeps_its_place_in_the_pipeline
+        a_temporary_refusal_cuts_off_no_pipelined_request
+        only_the_gateway_names_the_customer_to_backend_servers
+        trailers_do_not_name_the_customer
+        a_public_route_needs_no_key
+        a_vm_without_current_keys_rejects_no_key
+        a_revoked_key_allows_no_resend
+        a_resend_names_the_new_holder_of_the_key
+        the_regions_of_route_and_customer_both_apply
+        a_customer_whose_home_is_lost_is_refused_at_once
+        the_shares_of_home_regions_follow_from_quotas
+        a_vm_without_reports_leaves_other_vms_their_share
+        conflicting_customers_are_refused
+        a_customers_rank_overrides_its_routes;
 }
