--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use bulrushwind::decisions::{cross_az, dispatch, policy};
+use bulrushwind::decisions::{affinity, cross_az, dispatch, peer_selection, policy};
 use criterion::{criterion_group, criterion_main};
 use policy::{Action, AttemptOutcome, Policy};
 
@@ -15,6 +15,22 @@
     }
 }
 
+fn peers(c: &mut criterion::Criterion) {
+    for vms in [984, 4_400] {
+        let candidates: Vec<_> = (0..vms)
+            .map(|n| peer_selection::Candidate {
+                distance: peer_selection::Distance::SameRegion,
+                busy: false,
+                hash: affinity::hash(format!("vm-{n}").as_bytes()),
+                value: n,
+            })
+            .collect();
+        c.bench_function(&format!("peers to ask/{vms} entry VMs"), |b| {
+            b.iter(|| peer_selection::select(7, 3, candidates.iter().copied()));
+        });
+    }
+}
+
 struct RequestLoop {
     dispatch: dispatch::Dispatch,
     now: policy::Moment,
@@ -67,5 +83,5 @@
     }
 }
 
-criterion_group!(benches, decisions);
+criterion_group!(benches, decisions, peers);
 criterion_main!(benches);
