Find a cut of all VMs of a region

Six VMs of a region were cut off at once while one of another region was not: none was ever served in the new test. Each asked the nearest, all of the same region, which did not know of their own cut and said that the backend servers could not be reached; so no check found a cut. A check of the links now asks VMs of any region, answers that cost no time (cut off, busy, stopping) do not use up the tries of a request, and eight VMs may be asked. The checks' connections through others are no longer kept, as they may take a detour.

--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -26,11 +26,11 @@
 /// widest link, and short enough that the request is still in time.
 const PEER_HEAD_START: time::Duration = time::Duration::from_millis(175);
 
-/// Other VMs that are asked for one connection.
-const MAX_PEERS_ASKED: usize = 2;
+/// Other VMs that try to open one connection.
+const MAX_PEER_TRIES: usize = 2;
 
 /// The same while this VM is cut off and needs one of them.
-const MAX_PEERS_ASKED_CUT_OFF: usize = 3;
+const MAX_PEER_TRIES_CUT_OFF: usize = 3;
 
 /// Why there is no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,10 +148,12 @@
     /// Connects to a backend server.
     pub(super) async fn connect(&self, to: &Target<'_>) -> Result<Connection, ConnectError> {
         if self.is_cut_off() {
-            let through_peer = self.connect_through_peer(to, MAX_PEERS_ASKED_CUT_OFF).await;
+            let (order, max_tries) = (tunnels::Order::Lasting, MAX_PEER_TRIES_CUT_OFF);
+            let through_peer = self.connect_through_peer(to, order, max_tries).await;
             return through_peer.map_err(ConnectError::from);
         }
         let started = self.now();
+        let order = tunnels::Order::Varying;
         let direct = self.open(to.addr);
         tokio::pin!(direct);
         match tokio::time::timeout(PEER_HEAD_START, &mut direct).await {
@@ -159,7 +161,7 @@
             // The links work, so the backend server itself has failed.
             Ok(Err(err)) if self.reachability.borrow().connected_since(started) => return Err(err),
             Ok(Err(err)) => {
-                let through_peer = self.connect_through_peer(to, MAX_PEERS_ASKED).await;
+                let through_peer = self.connect_through_peer(to, order, MAX_PEER_TRIES).await;
                 return through_peer.map_err(|refused| self.reason(err, refused));
             }
             Err(_) => {}
@@ -167,7 +169,7 @@
         if self.reachability.borrow().contact_since(started) {
             return direct.await.map(|wire| self.connected(wire));
         }
-        let through_peer = self.connect_through_peer(to, MAX_PEERS_ASKED);
+        let through_peer = self.connect_through_peer(to, order, MAX_PEER_TRIES);
         tokio::pin!(through_peer);
         tokio::select! {
             biased;
@@ -279,7 +281,7 @@
             .sample(&mut rand::rng(), reachability::SAMPLE_SIZE)
     }
 
-    /// Checks one link. New connections are kept for requests.
+    /// Checks one link. A new direct connection is kept for requests.
     async fn check_link(&self, backend: &id::VmId, addr: net::SocketAddr) -> LinkState {
         let started = self.now();
         let err = match self.open(addr).await {
@@ -299,11 +301,10 @@
             addr,
             regions: routes::AllowedRegions::default(),
         };
-        match self.connect_through_peer(&to, MAX_PEERS_ASKED).await {
-            Ok(connection) => {
-                self.keep(backend, connection, None);
-                LinkState::PeersOnly { timed_out }
-            }
+        let order = tunnels::Order::Anywhere;
+        let through_peer = self.connect_through_peer(&to, order, MAX_PEER_TRIES);
+        match through_peer.await {
+            Ok(_) => LinkState::PeersOnly { timed_out },
             Err(_) => LinkState::Down { timed_out },
         }
     }
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -19,8 +19,12 @@
 use crate::protocol::{mirror as codec, relay};
 use crate::transport::{mirror as links, socket};
 
-/// How long the other VMs may take together to open a connection.
-const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+/// How long the other VMs may take together to open a connection: one that cannot, and then four round
+/// trips across the widest link (0.11 s each).
+const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// VMs that may be asked for one connection. Most of a region may say at once that they cannot help.
+const MAX_CANDIDATES: usize = 8;
 
 /// Tunnels that a VM carries at most, each with two connections.
 const MAX_TUNNELS: usize = 512;
@@ -31,6 +35,18 @@
 /// How long a VM that does not answer is not asked.
 const UNRESPONSIVE_SKIP_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// Which VMs are asked first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Order {
+    /// The nearest, in an order that lasts, so that tunnels can be used again.
+    Lasting,
+    /// The nearest, in an order that varies: those asked first may be cut off as well and, without
+    /// knowing it, say that the backend server cannot be reached.
+    Varying,
+    /// Any, since all VMs of a region may be cut off.
+    Anywhere,
+}
+
 /// Why no other VM has opened a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Refused {
@@ -93,14 +109,15 @@
 }
 
 impl Gateway {
-    /// Connects to a backend server through one of the first `max_asked` VMs that can.
+    /// Connects to a backend server through another VM. At most `max_tries` VMs try to reach it.
     pub(super) async fn connect_through_peer(
         &self,
         to: &Target<'_>,
-        max_asked: usize,
+        order: Order,
+        max_tries: usize,
     ) -> Result<Connection, Refused> {
         // Boxed, so that it takes no memory in each request that needs no other VM.
-        let asked = Box::pin(self.ask_peers(to, max_asked));
+        let asked = Box::pin(self.ask_peers(to, order, max_tries));
         let opened = tokio::time::timeout(OPEN_TIMEOUT, asked).await;
         let opened = opened.unwrap_or(Err(Refused::NoPeer));
         if opened.is_ok() && !self.is_cut_off() {
@@ -109,9 +126,18 @@
         opened
     }
 
-    async fn ask_peers(&self, to: &Target<'_>, max_asked: usize) -> Result<Connection, Refused> {
+    async fn ask_peers(
+        &self,
+        to: &Target<'_>,
+        order: Order,
+        max_tries: usize,
+    ) -> Result<Connection, Refused> {
         let mut unreachable_from = Vec::new();
-        for peer in self.peers_for(to, max_asked) {
+        let mut tries = 0;
+        for peer in self.peers_for(to, order) {
+            if tries == max_tries {
+                break;
+            }
             let vm = &peer.via.vm;
             match self.ask(&peer, to.backend).await {
                 Ok(wire) => {
@@ -124,6 +150,7 @@
                 }
                 Err(AskError::Answer(relay::OpenAnswer::Unreachable)) => {
                     unreachable_from.push(vm.clone());
+                    tries += 1;
                 }
                 // It may not know a backend server that has just started.
                 Err(AskError::Answer(relay::OpenAnswer::NotListed)) => {}
@@ -132,6 +159,7 @@
                     self.skip_peer(vm, UNRESPONSIVE_SKIP_TIME);
                     self.pool.borrow_mut().drop_through(vm);
                     self.log_unresponsive(vm, &err);
+                    tries += 1;
                 }
             }
         }
@@ -142,7 +170,7 @@
     }
 
     /// The first VMs to ask for a connection to a backend server.
-    fn peers_for(&self, to: &Target<'_>, count: usize) -> Vec<Peer> {
+    fn peers_for(&self, to: &Target<'_>, order: Order) -> Vec<Peer> {
         let backends = self.backends.borrow();
         let Some(backend) = backends.get(to.backend) else {
             return Vec::new();
@@ -159,6 +187,7 @@
                 return None;
             }
             let distance = match is_own_region {
+                _ if order == Order::Anywhere => peer_selection::Distance::Elsewhere,
                 true if entry.az == self.cfg.az || entry.az == backend.listed.az => {
                     peer_selection::Distance::OnTheWay
                 }
@@ -176,13 +205,11 @@
                 value,
             })
         });
-        // Before the cut is known, the VMs asked vary: those asked first may be cut off as well and,
-        // without knowing it, say that the backend server cannot be reached.
-        let order = match self.is_cut_off() {
-            true => self.own_hash,
-            false => self.jitter().to_bits(),
+        let among_equals = match order {
+            Order::Lasting => self.own_hash,
+            Order::Varying | Order::Anywhere => self.jitter().to_bits(),
         };
-        peer_selection::select(order, count, candidates)
+        peer_selection::select(among_equals, MAX_CANDIDATES, candidates)
             .into_iter()
             .map(|(vm, region, addr, is_own_region)| Peer {
                 via: Via {
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -209,14 +209,22 @@
 /// Callers of a region whose VMs are all cut off would be refused, although its backend servers run.
 #[test]
 fn a_region_whose_vms_are_all_cut_off_is_served_through_another_region() {
+    /// More VMs than one asks for a connection.
+    const VMS: usize = 6;
     run_test(|| async {
         let harness = harness::Harness::new(6, &[]).await;
-        let vms = LinkedVms::in_zones(harness, &["az", "az", "az-far"]);
-        for vm in 0..2 {
+        let mut zones = vec!["az"; VMS];
+        zones.push("az-far");
+        let vms = LinkedVms::in_zones(harness, &zones);
+        for vm in 0..VMS {
             vms.cut(vm, Cut::Resets).await;
         }
-        for vm in 0..2 {
+        for vm in 0..VMS {
             vms.wait_until_serving(vm).await;
+        }
+        let know_of_it = |vms: &LinkedVms| vms.vms[..VMS].iter().all(|vm| vm.cx.is_cut_off());
+        vms.until("the cut is found", know_of_it).await;
+        for vm in 0..VMS {
             let failed = vms.failed_first_tries(vm, 3).await;
             assert!(failed.is_empty(), "{failed:?}");
         }
