--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -37,7 +37,7 @@
 pub enum ConnectError {
     /// The address refused or reset it.
     Refused,
-    /// Nothing answered within [`CONNECT_TIMEOUT`].
+    /// Nothing answered in time.
     TimedOut,
     /// It broke after it was opened.
     Broke,
