Leave a VM that carries requests and has stopped answering

A VM that carries the requests of others and freezes acknowledges what is sent to it all the same, so nothing fails: all slots are taken by requests that wait in vain, and the rest is refused as full until it goes on.

A VM through which no answer has come for 0.3 s while requests wait is now asked to accept a link. If it does not, its idle tunnels are closed, it is not asked for 2 s, and reads in its tunnels are sent again. The new test freezes such a VM behind a proxy; on the code before, the read ended at its deadline.

--- a/src/decisions/reachability.rs
+++ b/src/decisions/reachability.rs
@@ -23,6 +23,10 @@
 /// links are checked. A VM under load gets several answers in this time.
 const MAX_SILENCE: time::Duration = time::Duration::from_millis(750);
 
+/// How long requests may wait for answers through another VM without any before that VM is checked.
+/// A check costs one round trip.
+pub const MAX_CARRIER_SILENCE: time::Duration = time::Duration::from_millis(300);
+
 /// How recent a sign of life must be for a request that is not idempotent to be sent on an idle
 /// connection. If the links have begun to hang since, its outcome is unknown; a new connection that
 /// is not opened shows that the request has not run.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -292,13 +292,17 @@
             id: &job.id,
             to_head: job.head.method() == b"HEAD",
         };
-        let abandons_hanging = job.route.idempotent && via.is_none();
+        let carried = via.as_ref().map(|via| self.send_through(&via.vm));
+        let hangs = match &carried {
+            Some(carried) => carried.hangs.notified(),
+            None => self.links_hang.notified(),
+        };
         let received = tokio::select! {
             biased;
             received = upstream::exchange(wire, &head, payload, tag) => received,
             // The backend server's run that had the request has ended and cannot answer.
             () = reservation.run.ended() => Err(upstream::Failure::Lost),
-            () = self.links_hang.notified(), if abandons_hanging => Err(upstream::Failure::Lost),
+            () = hangs, if job.route.idempotent => Err(upstream::Failure::Lost),
         };
         if received.is_ok() {
             self.record_contact(via.as_ref());
--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -454,6 +454,7 @@
             self.update_shares();
             self.update_busy();
             self.check_links_if_due();
+            self.check_silent_carriers();
         }
     }
 
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -217,8 +217,9 @@
 
     /// Records an answer of a backend server on a connection.
     pub(super) fn record_contact(&self, via: Option<&Via>) {
-        if via.is_none() {
-            self.reachability.borrow_mut().answered(self.now());
+        match via {
+            Some(via) => self.record_carrier_contact(&via.vm),
+            None => self.reachability.borrow_mut().answered(self.now()),
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod advertising;
 pub mod attempt;
+mod carriers;
 pub mod cluster_state;
 pub mod connecting;
 mod facts;
@@ -171,6 +172,8 @@
     checking_links: cell::Cell<bool>,
     /// Notified when connections to all backend servers hang.
     links_hang: sync::Notify,
+    /// VMs that carry requests of this one.
+    carriers: cell::RefCell<carriers::Carriers>,
     /// Other VMs that are not asked for connections to backend servers at the moment.
     skipped_peers: cell::RefCell<tunnels::SkippedPeers>,
     /// Number of tunnels that this VM carries for others.
@@ -250,6 +253,7 @@
             reachability: cell::RefCell::default(),
             checking_links: cell::Cell::default(),
             links_hang: sync::Notify::new(),
+            carriers: cell::RefCell::default(),
             skipped_peers: cell::RefCell::default(),
             tunnels: cell::Cell::default(),
             quotas: cell::RefCell::new(quota::Ledger::new(quota, policy::Moment::ZERO, started_ms)),
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -33,7 +33,7 @@
 const UNABLE_SKIP_TIME: time::Duration = time::Duration::from_secs(1);
 
 /// How long a VM that does not answer is not asked.
-const UNRESPONSIVE_SKIP_TIME: time::Duration = time::Duration::from_secs(2);
+pub(super) const UNRESPONSIVE_SKIP_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// Which VMs are asked first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -197,7 +197,7 @@
                 }
                 false => peer_selection::Distance::Elsewhere,
             };
-            let value = (vm, region, addr, is_own_region);
+            let value = (vm, region, addr, self.link_timeout(&entry.az));
             Some(peer_selection::Candidate {
                 distance,
                 busy: entry.busy,
@@ -211,17 +211,14 @@
         };
         peer_selection::select(among_equals, MAX_CANDIDATES, candidates)
             .into_iter()
-            .map(|(vm, region, addr, is_own_region)| Peer {
+            .map(|(vm, region, addr, link_timeout)| Peer {
                 via: Via {
                     vm: vm.clone(),
                     region: region.cloned(),
                     opened: time::Instant::now(),
                 },
                 addr,
-                link_timeout: match is_own_region {
-                    true => links::SAME_AZ_OPEN_TIMEOUT,
-                    false => links::OPEN_TIMEOUT,
-                },
+                link_timeout,
             })
             .collect()
     }
@@ -261,7 +258,31 @@
         Ok(wire)
     }
 
-    fn skip_peer(&self, vm: &id::VmId, period: time::Duration) {
+    /// Whether an entry VM accepts links.
+    pub(super) async fn answers_peers(&self, vm: &id::VmId) -> bool {
+        let (addr, timeout) = {
+            let entries = self.entries.borrow();
+            let Some(entry) = entries.get(vm) else {
+                return false;
+            };
+            let Some(addr) = entry.peer_addr else {
+                return false;
+            };
+            (addr, self.link_timeout(&entry.az))
+        };
+        let link = links::Link::open_for(links::Purpose::Tunnel, addr, timeout);
+        link.await.is_ok()
+    }
+
+    /// How long opening a link to a VM of an availability zone may take.
+    fn link_timeout(&self, az: &id::AzId) -> time::Duration {
+        match self.cfg.regions.get(az) == self.region.as_ref() {
+            true => links::SAME_AZ_OPEN_TIMEOUT,
+            false => links::OPEN_TIMEOUT,
+        }
+    }
+
+    pub(super) fn skip_peer(&self, vm: &id::VmId, period: time::Duration) {
         let now = self.now();
         self.skipped_peers.borrow_mut().skip(now, vm, period);
     }
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -10,6 +10,7 @@
 use super::harness::{self, Reaction, get, post, read_all, route, run_test, table};
 use super::linked_vms::LinkedVms;
 use super::support::cut::{self, Cut};
+use super::support::proxy;
 
 /// Cuts off one of two VMs, and expects that it serves all first tries once it has noticed.
 fn check_that_a_cut_off_vm_serves(way: Cut) {
@@ -341,6 +342,28 @@
     });
 }
 
+/// A VM that carries requests freezes. Its system goes on acknowledging them, so all slots would be
+/// taken by requests that wait in vain.
+#[test]
+fn reads_through_a_vm_that_freezes_are_served_through_another() {
+    run_test(|| async {
+        let vms = LinkedVms::new(3, 4, &[]).await;
+        vms.vms[0].cx.remove_entry(&"vm-2".into());
+        vms.cut(0, Cut::Resets).await;
+        vms.wait_until_serving(0).await;
+        vms.harness.script.borrow_mut().push_back(Reaction::Hang);
+        let mut caller = vms.caller(0).await;
+        caller.send(&get("/read/a", "held")).await;
+        let is_sent = |seen: &harness::Seen| seen.ran.iter().any(|(id, _)| id == "held");
+        vms.harness.until("the read runs", is_sent).await;
+        vms.vms[0].list(&vms.vms[2]);
+        vms.vms[1].peer_proxy.set(proxy::Fault::DropsRequests);
+        assert_eq!(caller.receive().await.unwrap().status, 200);
+        let failed = vms.failed_first_tries(0, 2).await;
+        assert!(failed.is_empty(), "{failed:?}");
+    });
+}
+
 /// Tunnels that end with a planned stop cut off the requests of other VMs.
 #[test]
 fn a_planned_stop_of_the_other_vm_loses_no_request() {
--- a/tests/gateway/linked_vms.rs
+++ b/tests/gateway/linked_vms.rs
@@ -9,7 +9,7 @@
 use tokio::task;
 
 use super::harness::{self, Caller, Harness, LONG, Reaction, get_object, post};
-use super::support::cut;
+use super::support::{cut, proxy};
 
 /// An entry VM with its links.
 pub(crate) struct LinkedVm {
@@ -17,7 +17,8 @@
     pub(crate) links: Vec<cut::Link>,
     pub(crate) name: String,
     pub(crate) caller_addr: net::SocketAddr,
-    peer_addr: net::SocketAddr,
+    /// In front of its address for other VMs.
+    pub(crate) peer_proxy: proxy::Proxy,
 }
 
 /// Entry VMs that know each other and the same backend servers.
@@ -106,7 +107,7 @@
 impl LinkedVm {
     fn start(harness: &Harness, az: &str, name: &str) -> Self {
         let (cx, caller_addr) = harness::start_vm_in(az, name);
-        let peer_addr = harness::serve_peers(&cx);
+        let peer_proxy = proxy::Proxy::start(harness::serve_peers(&cx));
         task::spawn_local(cx.clone().upkeep());
         let links = harness
             .listed
@@ -127,14 +128,14 @@
             links,
             name: name.to_owned(),
             caller_addr,
-            peer_addr,
+            peer_proxy,
         }
     }
 
     /// Lists another VM on this one.
     pub(crate) fn list(&self, other: &Self) {
         let entry = entries::Entry {
-            peer_addr: Some(other.peer_addr),
+            peer_addr: Some(other.peer_proxy.addr),
             az: other.cx.cfg.az.clone(),
             ..harness::entry_at(other.caller_addr)
         };
