--- a/examples/soak/cuts.rs
+++ b/examples/soak/cuts.rs
@@ -74,6 +74,10 @@
 /// The side of a first try at a VM; `None` if other faults may decide how it ends.
 pub(crate) fn side_of(scene: &Scene, vm: &Vm, started_at: time::Instant) -> Option<Side> {
     let since = started_at.checked_sub(STABILITY_WINDOW)?;
+    // Requests through a VM that is paused wait until this one has found out.
+    if scene.vms.iter().any(|vm| vm.was_paused_since(since)) {
+        return None;
+    }
     // Faults of backend servers concern one region, so only its VMs are compared.
     let is_near = |other: &Vm| other.options.region() == vm.options.region();
     let is_open = |vm: &Vm| {
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -152,9 +152,12 @@
 async fn pause(scene: rc::Rc<Scene>, n: usize, duration: time::Duration) {
     let vm = &scene.vms[n];
     vm.disturbed_at.set(Some(time::Instant::now()));
+    vm.pauses.set(vm.pauses.get() + 1);
     vm.signal(Signal::STOP);
     tokio::time::sleep(duration).await;
     vm.signal(Signal::CONT);
+    vm.pauses.set(vm.pauses.get() - 1);
+    vm.resumed_at.set(Some(time::Instant::now()));
     vm.disturbed_at.set(Some(time::Instant::now()));
 }
 
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -56,6 +56,9 @@
     pub(crate) store_proxy: proxy::Proxy,
     /// Time at which the process was last killed, paused, restarted or resumed.
     pub(crate) disturbed_at: cell::Cell<Option<time::Instant>>,
+    /// Number of pauses in progress, and when the last one ended.
+    pub(crate) pauses: cell::Cell<u32>,
+    pub(crate) resumed_at: cell::Cell<Option<time::Instant>>,
     /// Whether a stop or kill is in progress and the process is yet to restart.
     pub(crate) restarting: cell::Cell<bool>,
     /// Number of times that the process was started, and when it last was.
@@ -94,6 +97,10 @@
         is_running && !self.restarting.get() && !self.was_disturbed_since(since)
     }
 
+    pub(crate) fn was_paused_since(&self, since: time::Instant) -> bool {
+        self.pauses.get() > 0 || self.resumed_at.get().is_some_and(|at| at >= since)
+    }
+
     pub(crate) fn was_disturbed_since(&self, since: time::Instant) -> bool {
         self.disturbed_at.get().is_some_and(|at| at >= since)
     }
@@ -209,6 +216,8 @@
                     gateway: cell::RefCell::default(),
                     store_proxy,
                     disturbed_at: cell::Cell::default(),
+                    pauses: cell::Cell::default(),
+                    resumed_at: cell::Cell::default(),
                     restarting: cell::Cell::default(),
                     start_count: cell::Cell::default(),
                     started_at: cell::Cell::default(),
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -349,6 +349,13 @@
     run_test(|| async {
         let vms = LinkedVms::new(3, 4, &[]).await;
         vms.vms[0].cx.remove_entry(&"vm-2".into());
+        // No hedge before the caller's deadline.
+        let unhedged = routes::Route {
+            latency_target: harness::LONG,
+            ..route("/read/", true)
+        };
+        let routes = vec![unhedged, route("/book/", false)];
+        vms.vms[0].cx.update_routes(table(2, routes));
         vms.cut(0, Cut::Resets).await;
         vms.wait_until_serving(0).await;
         vms.harness.script.borrow_mut().push_back(Reaction::Hang);
