Leave reads alone that a VM in a planned stop still carries

A VM in a planned stop leaves the list of entry VMs at once and ends the requests that it carries. The check of carriers took one that is no longer listed for one that does not answer, so a read with no answer for 0.3 s was broken off and, with no other VM to go through, lost. One that is not listed is no longer taken for silent. The new test failed before: the read got no answer.

--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -258,15 +258,16 @@
         Ok(wire)
     }
 
-    /// Whether an entry VM accepts links.
+    /// Whether an entry VM accepts links. One that is no longer listed counts as if it did: in a planned
+    /// stop it still ends the requests that it carries.
     pub(super) async fn answers_peers(&self, vm: &id::VmId) -> bool {
         let (addr, timeout) = {
             let entries = self.entries.borrow();
             let Some(entry) = entries.get(vm) else {
-                return false;
+                return true;
             };
             let Some(addr) = entry.peer_addr else {
-                return false;
+                return true;
             };
             (addr, self.link_timeout(&entry.az))
         };
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -371,6 +371,35 @@
     });
 }
 
+/// A VM in a planned stop would be taken for one that does not answer, and reads that it carries would
+/// be broken off and run again.
+#[test]
+fn a_read_through_a_vm_in_a_planned_stop_runs_once() {
+    /// Longer than a VM that carries requests may be silent before it is checked.
+    const SILENCE: time::Duration = time::Duration::from_millis(1500);
+    run_test(|| async {
+        let vms = LinkedVms::new(2, 4, &[]).await;
+        vms.cut(0, Cut::Resets).await;
+        vms.wait_until_serving(0).await;
+        let reaction = Reaction::AfterNext("late");
+        vms.harness.script.borrow_mut().push_back(reaction);
+        let mut caller = vms.caller(0).await;
+        caller.send(&get("/read/a", "held")).await;
+        let is_sent = |seen: &harness::Seen| seen.ran.iter().any(|(id, _)| id == "held");
+        vms.harness.until("the read runs", is_sent).await;
+        vms.vms[1].cx.stop();
+        vms.vms[0].cx.remove_entry(&"vm-1".into());
+        tokio::time::sleep(SILENCE).await;
+        vms.harness
+            .caller()
+            .await
+            .request(&get("/read/b", "next"))
+            .await;
+        assert_eq!(caller.receive().await.unwrap().text(), "late");
+        assert_eq!(vms.harness.runs("held"), 1);
+    });
+}
+
 /// Tunnels that end with a planned stop cut off the requests of other VMs.
 #[test]
 fn a_planned_stop_of_the_other_vm_loses_no_request() {
