Log the weights of a route, the version that chose a request's service and each VM's shares

A line `request` named the version in force when the request ended, and neither weights nor a VM's own shares stood anywhere, so counts of earlier weights, an object's hash and a late version looked alike. Trials of ejected backend servers and their end leave a line too. `explain` shows them.

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -25,8 +25,8 @@
 }
 
 /// Messages of log lines that record an entry VM's state. If a field is given, the line matters
-/// only if that field names one of the request's backend servers.
-const STATE_MESSAGES: [(&str, Option<&str>); 18] = [
+/// only if that field names the request's route or one of its backend servers.
+const STATE_MESSAGES: [(&str, Option<&str>); 21] = [
     ("start", None),
     ("routes", None),
     ("routes not taken", None),
@@ -46,6 +46,9 @@
     ("backend server asks for a pause", Some("backend")),
     ("backend server gone", Some("backend")),
     ("backend server ejected", Some("backend")),
+    ("ejected backend server on trial", Some("backend")),
+    ("backend server's trial passed", Some("backend")),
+    ("weights of a route", Some("route")),
     ("backend server states a rate limit", Some("backend")),
     (
         "backend server no longer states a rate limit",
@@ -86,13 +89,20 @@
         self.text("request") == request
     }
 
-    /// Whether the line records state of one of these backend servers, or state that concerns all.
-    fn is_state_of(&self, backends: &collections::BTreeSet<String>) -> bool {
-        STATE_MESSAGES.iter().any(|(message, subject)| {
+    /// Whether the line records state of one of these subjects, or state that concerns all.
+    fn is_state_of(&self, subjects: &collections::BTreeSet<String>) -> bool {
+        STATE_MESSAGES.iter().any(|(message, field)| {
             *message == self.message
-                && subject.is_none_or(|field| backends.contains(self.text(field)))
+                && field.is_none_or(|field| subjects.contains(self.text(field)))
         })
     }
+
+    /// What the state concerns: a backend server, a route or an availability zone.
+    fn subject(&self) -> &str {
+        let fields = ["backend", "route", "az"];
+        let mut texts = fields.into_iter().map(|field| self.text(field));
+        texts.find(|text| !text.is_empty()).unwrap_or_default()
+    }
 }
 
 /// Log lines that explain a request, in order of time.
@@ -101,9 +111,9 @@
         .iter()
         .filter(|line| line.belongs_to(request))
         .collect();
-    let backends: collections::BTreeSet<String> = request_lines
+    let subjects: collections::BTreeSet<String> = request_lines
         .iter()
-        .flat_map(|line| [line.text("backend"), line.text("backends")])
+        .flat_map(|line| ["backend", "backends", "route"].map(|field| line.text(field)))
         .flat_map(|text| text.split(','))
         .filter(|name| !name.is_empty())
         .map(str::to_owned)
@@ -125,12 +135,8 @@
             .iter()
             .filter(|line| line.vm == *vm && Some(&line.time) <= last)
         {
-            if line.is_state_of(&backends) {
-                let subject = match line.text("backend") {
-                    "" => line.text("az"),
-                    backend => backend,
-                };
-                latest_state.insert((line.message.as_str(), subject), line);
+            if line.is_state_of(&subjects) {
+                latest_state.insert((line.message.as_str(), line.subject()), line);
             }
         }
         found.extend(latest_state.into_values().cloned());
--- a/src/decisions/split.rs
+++ b/src/decisions/split.rs
@@ -44,6 +44,12 @@
         chosen
     }
 
+    /// The parts' shares of the counted requests.
+    pub fn shares(&self) -> impl Iterator<Item = f64> {
+        let total: f64 = self.counts.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        self.counts.iter().map(move |n| n / total)
+    }
+
     fn corrected(&self, weights: &[f64], sum: f64, preferred: usize) -> usize {
         let total: f64 = self.counts.iter().sum();
         if total < MIN_REQUEST_COUNT {
--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -121,6 +121,7 @@
         }
         slog::info!(self.log, "routes"; "version" => table.version, "before" => known, "routes" => table.len(),
             "customers" => table.customers.len(), "keys" => table.customers.key_count(), "homed" => table.customers.region_bound().to_text());
+        self.log_changed_weights(self.table().as_deref(), &table);
         *self.table.borrow_mut() = Some(rc::Rc::new(table));
         if known.is_none() {
             self.data_arrived.notify_one();
@@ -337,7 +338,9 @@
         };
         let (eject, down) = match outcome {
             attempt::Outcome::Answer { failed: false, .. } => {
-                backend.health.answered(cfg);
+                if backend.health.answered(cfg) {
+                    slog::info!(self.log, "backend server's trial passed"; "backend" => %id, "service" => %job.service);
+                }
                 backend.limit.answered(&self.cfg.thresholds.limit);
                 (false, false)
             }
--- a/src/gateway/facts.rs
+++ b/src/gateway/facts.rs
@@ -7,7 +7,6 @@
 
 use super::Gateway;
 use crate::decisions::{affinity, policy, regions};
-use crate::id;
 use crate::protocol::{customers, http1, names, routes};
 use crate::transport::{callers, upstream};
 
@@ -232,19 +231,6 @@
         }))
     }
 
-    /// The service that serves a request, chosen by the weights of the route's parts.
-    pub(super) fn service_for(&self, facts: &Facts) -> id::ServiceId {
-        let parts = &facts.route.parts;
-        if let [only] = parts.as_slice() {
-            return only.service.clone();
-        }
-        let weights: Vec<f64> = parts.iter().map(|part| part.weight).collect();
-        let mut splits = self.splits.borrow_mut();
-        let split = splits.entry(facts.route.name.clone()).or_default();
-        let point = facts.key.unwrap_or_else(rand::random);
-        parts[split.pick(&weights, point)].service.clone()
-    }
-
     /// Refuses a request that this VM cannot serve now but another VM may.
     pub(super) fn refuse_temporarily(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod record;
 pub mod registering;
 pub mod request;
+mod split_routes;
 mod stated;
 pub mod thresholds;
 mod tunnels;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -144,6 +144,7 @@
             counter!(metric_names::RATE_LIMITED_SENDS, "service" => service).increment(1);
         }
         if backend.health.probe_due(now) {
+            slog::info!(self.log, "ejected backend server on trial"; "backend" => %chosen, "service" => %need.service);
             backend
                 .health
                 .probed(&self.cfg.thresholds.ejection, now, true);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -32,6 +32,8 @@
 pub(super) struct RequestOutcome<'a> {
     pub(super) id: &'a [u8],
     pub(super) route: &'a routes::Route,
+    /// The version of the routes that chose the service.
+    pub(super) version: u64,
     /// The customer's name; empty on routes that need no key.
     pub(super) customer: &'a str,
     pub(super) service: &'a str,
@@ -114,7 +116,7 @@
             "via" => outcome.via.map_or("", |vm| vm.as_str()), "sends" => outcome.sends,
             "waited_ms" => ms(waited), "took_ms" => ms(took),
             "left_ms" => ms(outcome.deadline.saturating_sub(now)),
-            "version" => self.table().map(|t| t.version),
+            "version" => outcome.version, "shares" => self.shares_text(outcome.route),
             "store_age_ms" => self.store_age().map(ms), "left_out" => left_out);
     }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -140,6 +140,7 @@
         self.record(&record::RequestOutcome {
             id: &facts.id,
             route: &facts.route,
+            version: facts.table.version,
             customer: facts.customer_name(),
             service: dispatch.job.service.as_str(),
             remote,
--- /dev/null
+++ b/src/gateway/split_routes.rs
@@ -0,0 +1,62 @@
+//! Split routes: chooses the service of each request, and logs weights and shares.
+
+use super::Gateway;
+use super::facts::Facts;
+use crate::id;
+use crate::protocol::routes;
+
+impl Gateway {
+    /// The service that serves a request, chosen by the weights of the route's parts.
+    pub(super) fn service_for(&self, facts: &Facts) -> id::ServiceId {
+        let parts = &facts.route.parts;
+        if let [only] = parts.as_slice() {
+            return only.service.clone();
+        }
+        let weights: Vec<f64> = parts.iter().map(|part| part.weight).collect();
+        let mut splits = self.splits.borrow_mut();
+        let split = splits.entry(facts.route.name.clone()).or_default();
+        let point = facts.key.unwrap_or_else(rand::random);
+        parts[split.pick(&weights, point)].service.clone()
+    }
+
+    /// This VM's shares of a route's parts as text; empty if the route is not split.
+    pub(super) fn shares_text(&self, route: &routes::Route) -> String {
+        let splits = self.splits.borrow();
+        let Some(split) = splits.get(&route.name).filter(|_| route.parts.len() > 1) else {
+            return String::new();
+        };
+        let services = route.parts.iter().map(|part| &part.service);
+        join_values(services.zip(split.shares()))
+    }
+
+    /// Logs the weights of the split routes that differ between two versions.
+    pub(super) fn log_changed_weights(
+        &self,
+        before: Option<&routes::Table>,
+        after: &routes::Table,
+    ) {
+        for route in after.routes() {
+            let old = before.and_then(|table| table.at(&route.host, &route.prefix));
+            let was_split = old.is_some_and(|old| old.parts.len() > 1);
+            let is_same = old.is_some_and(|old| old.parts == route.parts);
+            if is_same || !(was_split || route.parts.len() > 1) {
+                continue;
+            }
+            let Some(left_out) = self.log_limiter.admit("weights", self.now()) else {
+                continue;
+            };
+            slog::info!(self.log, "weights of a route"; "route" => &route.name, "version" => after.version,
+                "weights" => weights_text(route), "before" => old.map(|old| weights_text(old)), "left_out" => left_out);
+        }
+    }
+}
+
+fn weights_text(route: &routes::Route) -> String {
+    join_values(route.parts.iter().map(|part| (&part.service, part.weight)))
+}
+
+/// Formats values by service, as in `a=0.9,b=0.1`.
+fn join_values<'a>(values: impl Iterator<Item = (&'a id::ServiceId, f64)>) -> String {
+    let texts = values.map(|(service, value)| format!("{service}={:.3}", value));
+    texts.collect::<Vec<_>>().join(",")
+}
--- a/src/protocol/routes.rs
+++ b/src/protocol/routes.rs
@@ -206,6 +206,11 @@
         self.by_host.values().flat_map(|routes| routes.values())
     }
 
+    /// The route of exactly this host and prefix.
+    pub fn at(&self, host: &str, prefix: &str) -> Option<&rc::Rc<Route>> {
+        self.by_host.get(host)?.get(prefix)
+    }
+
     /// Selects the route of a host with the longest matching path prefix. Prefixes end with a slash,
     /// so one look-up per slash of the path suffices, from the last to the first. The cost does not
     /// depend on the number of routes.
--- a/tests/platform/explaining.rs
+++ b/tests/platform/explaining.rs
@@ -167,6 +167,39 @@
     });
 }
 
+/// A new version of a service gets more than its part of a route.
+#[test]
+fn a_request_of_a_split_route() {
+    run_scenario(|| async {
+        let deployment = Deployment::new();
+        let (ports, _gateway) = deployment.start("vm-1", deployment.store.addr, &[]);
+        wait_for_status(ports.front, "/read/a", 200).await;
+        let mut config = config(9, &["/read/", "/new/"]);
+        let route = config["routes"][0].as_object_mut().unwrap();
+        route.remove("service");
+        route.insert(
+            "split".into(),
+            json!([{"service": "canary", "weight": 1.0}, {"service": "svc", "weight": 3.0}]),
+        );
+        deployment.store.write("op/config", &config);
+        wait_for_status(ports.front, "/new/a", 200).await;
+        let begun = time::Instant::now();
+        while get(ports.front, "/read/a", "split-1").await.unwrap().0 != 503 {
+            assert!(begun.elapsed() < TEST_TIMEOUT, "the canary gets nothing");
+        }
+        let wanted = [
+            "weights of a route: ",
+            "before=svc=1.000",
+            "weights=canary=1.000,svc=3.000",
+            "request: ",
+            "service=canary",
+            "shares=canary=",
+            "version=9",
+        ];
+        wait_for_explanation(&deployment, "split-1", &wanted).await;
+    });
+}
+
 const KEY_HEADER: &str = "Bulrushwind-Key: right-secret-1\r\n";
 
 /// A deployment with one customer, whose quota allows a few requests.
