--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod at_most_once;
 mod bodies;
+mod bookings_only;
 mod callers;
 mod customers;
 mod cut_off;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,3 +9,4 @@
 mod explaining;
 mod processes;
 mod restored_store;
+mod split_routes;
--- /dev/null
+++ b/tests/split.rs
@@ -0,0 +1,215 @@
+//! Shares of the parts of split routes, summed over all entry VMs, as operators change the weights.
+
+use bulrushwind::decisions::{affinity, split};
+use rand::distr::Distribution;
+use rand::distr::weighted::WeightedIndex;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The largest deviation of a part's share from its weight in any 200 consecutive requests.
+const MAX_DEVIATION_OF_200: f64 = 0.2;
+
+/// The same in any 300.
+const MAX_DEVIATION_OF_300: f64 = 0.1;
+
+/// Weights by service.
+type Parts = &'static [(&'static str, f64)];
+
+/// Which objects callers request.
+#[derive(Clone, Copy, Debug)]
+enum Demand {
+    /// Each request is for no object.
+    NoObject,
+    /// 72 objects with about the same number of requests.
+    Even,
+    /// Each of three objects gets a quarter of the requests.
+    FewBusy,
+}
+
+impl Demand {
+    fn objects(self) -> WeightedIndex<f64> {
+        let rates: Vec<f64> = match self {
+            Self::NoObject => vec![1.0],
+            Self::Even => (1..=72).map(|n| f64::from(n).powf(-0.2)).collect(),
+            Self::FewBusy => [0.25; 3].into_iter().chain([0.25 / 141.0; 141]).collect(),
+        };
+        WeightedIndex::new(rates).unwrap()
+    }
+}
+
+/// Entry VMs that get the requests of one route at random.
+struct Fleet {
+    vms: Vec<split::Split>,
+    demand: Demand,
+    objects: WeightedIndex<f64>,
+    seed: u64,
+    rng: ChaCha8Rng,
+}
+
+impl Fleet {
+    fn new(vms: usize, demand: Demand, seed: u64) -> Self {
+        Self {
+            vms: vec![split::Split::default(); vms],
+            demand,
+            objects: demand.objects(),
+            seed,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// The services that the next requests go to.
+    fn play(&mut self, parts: Parts, requests: usize) -> Vec<&'static str> {
+        let weights: Vec<f64> = parts.iter().map(|(_, weight)| *weight).collect();
+        (0..requests)
+            .map(|_| {
+                let point = match self.demand {
+                    Demand::NoObject => self.rng.random(),
+                    Demand::Even | Demand::FewBusy => {
+                        let object = self.objects.sample(&mut self.rng) as u64;
+                        affinity::mix(affinity::hash(&object.to_le_bytes()), self.seed)
+                    }
+                };
+                let vm = self.rng.random_range(0..self.vms.len());
+                parts[self.vms[vm].pick(&weights, point)].0
+            })
+            .collect()
+    }
+
+    /// Plays weights and checks the shares of all of these requests.
+    fn check(&mut self, parts: Parts, requests: usize) {
+        let services = self.play(parts, requests);
+        for (window, allowed) in [(200, MAX_DEVIATION_OF_200), (300, MAX_DEVIATION_OF_300)] {
+            let deviation = max_deviation(&services, parts, window);
+            assert!(
+                deviation <= allowed,
+                "{} VMs, {:?}, seed {}, {parts:?}: a share is {deviation:.3} off in {window} requests",
+                self.vms.len(),
+                self.demand,
+                self.seed
+            );
+        }
+    }
+}
+
+/// The largest deviation of a share from its weight in any window of consecutive requests.
+fn max_deviation(services: &[&str], parts: Parts, window: usize) -> f64 {
+    let sum: f64 = parts.iter().map(|(_, weight)| weight).sum();
+    let deviations = services.windows(window).flat_map(|requests| {
+        parts.iter().map(move |(service, weight)| {
+            let got = requests.iter().filter(|s| *s == service).count();
+            (got as f64 / window as f64 - weight / sum).abs()
+        })
+    });
+    deviations.fold(0.0, f64::max)
+}
+
+/// Plays a series of weights on fleets of several sizes.
+fn check_series(series: &[Parts], demands: &[Demand], vms: &[usize]) {
+    for seed in 1..=6 {
+        for demand in demands {
+            for vms in vms {
+                let mut fleet = Fleet::new(*vms, *demand, seed);
+                // VMs have served a while before the first change.
+                fleet.play(series[0], 24 * vms);
+                series.iter().for_each(|parts| fleet.check(parts, 600));
+            }
+        }
+    }
+}
+
+const ALL: [Demand; 3] = [Demand::NoObject, Demand::Even, Demand::FewBusy];
+
+/// Guards against counts of earlier weights that draw all requests to one part after a change.
+#[test]
+fn shares_follow_weights_that_change_in_series() {
+    let series: [Parts; 6] = [
+        &[("a", 0.9), ("b", 0.1)],
+        &[("a", 0.5), ("b", 0.5)],
+        &[("a", 0.8), ("b", 0.2)],
+        &[("a", 0.2), ("b", 0.8)],
+        &[("a", 0.5), ("b", 0.5)],
+        &[("a", 0.6), ("b", 0.4)],
+    ];
+    check_series(&series, &ALL, &[1, 6, 18]);
+}
+
+/// Guards against the same with more parts, also where one has no weight for a time.
+#[test]
+fn shares_of_three_parts_follow_their_weights() {
+    let series: [Parts; 5] = [
+        &[("a", 70.0), ("b", 20.0), ("c", 10.0)],
+        &[("a", 10.0), ("b", 20.0), ("c", 70.0)],
+        &[("a", 0.0), ("b", 50.0), ("c", 50.0)],
+        &[("a", 1.0), ("b", 1.0), ("c", 1.0)],
+        &[("a", 100.0), ("b", 0.0), ("c", 0.0)],
+    ];
+    check_series(&series, &ALL, &[1, 6, 18]);
+}
+
+/// Guards against counts by position that are taken over by another service.
+#[test]
+fn shares_follow_parts_that_change_their_order_and_services() {
+    let series: [Parts; 5] = [
+        &[("a", 0.9), ("b", 0.1)],
+        &[("b", 0.1), ("a", 0.9)],
+        &[("b", 0.9), ("a", 0.1)],
+        &[("c", 0.6), ("a", 0.4)],
+        &[("a", 0.4), ("c", 0.6)],
+    ];
+    check_series(&series, &ALL, &[1, 6, 18]);
+}
+
+/// Guards against a route whose first requests as a split one are counted with those before.
+#[test]
+fn shares_follow_weights_when_a_route_becomes_split_and_stops_being_so() {
+    let series: [Parts; 4] = [
+        &[("a", 1.0)],
+        &[("a", 0.7), ("b", 0.3)],
+        &[("a", 1.0)],
+        &[("a", 0.3), ("b", 0.7)],
+    ];
+    check_series(&series, &ALL, &[1, 6, 18]);
+}
+
+/// Guards against shares that hold only at VMs with many requests: each of these gets two in any
+/// 200 requests.
+#[test]
+fn shares_are_kept_by_vms_with_few_requests_each() {
+    let series: [Parts; 4] = [
+        &[("a", 0.9), ("b", 0.1)],
+        &[("a", 0.5), ("b", 0.5)],
+        &[("a", 0.2), ("b", 0.8)],
+        &[("a", 0.6), ("b", 0.4)],
+    ];
+    check_series(&series, &ALL, &[85]);
+    check_series(&series, &[Demand::NoObject], &[984]);
+}
+
+/// Guards against a VM that starts again and sends the requests of a busy object to one part.
+#[test]
+fn shares_are_kept_while_vms_start_again_in_turn() {
+    const PARTS: Parts = &[("a", 0.5), ("b", 0.5)];
+    for seed in 1..=6 {
+        for demand in ALL {
+            let mut fleet = Fleet::new(6, demand, seed);
+            fleet.play(PARTS, 144);
+            for vm in 0..6 {
+                fleet.vms[vm] = split::Split::default();
+                fleet.check(PARTS, 600);
+            }
+        }
+    }
+}
+
+/// Guards against an object that becomes busy at once and draws its part above its weight.
+#[test]
+fn shares_are_kept_when_an_object_becomes_busy() {
+    const PARTS: Parts = &[("a", 0.7), ("b", 0.3)];
+    for seed in 1..=6 {
+        let mut fleet = Fleet::new(6, Demand::Even, seed);
+        fleet.check(PARTS, 1200);
+        fleet.demand = Demand::FewBusy;
+        fleet.objects = fleet.demand.objects();
+        fleet.check(PARTS, 1200);
+    }
+}
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -23,6 +23,17 @@
     pub(crate) runs: collections::BTreeMap<String, u32>,
     /// Requests that arrived later than [`DRAIN_GRACE`] after their backend server began to drain.
     pub(crate) late_requests: Vec<String>,
+    /// Requests in the order in which they arrived, also those that were turned away.
+    pub(crate) arrivals: Vec<Arrival>,
+}
+
+/// A request that arrived at a backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) at: time::Instant,
+    pub(crate) id: String,
+    pub(crate) target: String,
+    pub(crate) service: &'static str,
 }
 
 /// A backend server.
@@ -152,6 +163,12 @@
         if fields.text(FIELDS.instance).is_some_and(|i| i != self.id) {
             return self.not_run(421, &id);
         }
+        self.log.borrow_mut().arrivals.push(Arrival {
+            at: time::Instant::now(),
+            id: id.clone(),
+            target: req.head.target().to_owned(),
+            service: self.service,
+        });
         if self.statement.borrow().sheds || self.running.get() >= SLOTS + QUEUE_LENGTH {
             return self.not_run(503, &id);
         }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod cut;
 pub(crate) mod process;
 pub(crate) mod proxy;
+pub(crate) mod shares;
 pub(crate) mod store;
 
 use std::net;
