Give the parts of a split route their weights from the next request on, over all VMs

What callers saw: after a change of weights one part got all or none of the next 200 requests and more, on every VM that had served 20 before, until the mean of 400 requests, most of them of the old weights, met the new ones. With fixed weights, VMs with fewer than 20 requests sent each object to one part by its hash, the same on all of them: three busy objects put 18 VMs 0.34 off.

Cause: counts by position, kept whatever the parts were, were compared with the weights in force; below 20 requests there was nothing but the hash.

Change: what a VM keeps is how requests are distributed over the objects, which doesn't belong to any weights, and each part gets the range of objects that holds its weight. Busy objects at a border are divided. Requests without an object follow a low-discrepancy sequence. Counts bound the excess, and begin anew when parts change. Parts are ordered by service, so their written order decides nothing; state is kept by host and prefix, and dropped with the route.

New: objects keep their part.

--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -122,6 +122,7 @@
         slog::info!(self.log, "routes"; "version" => table.version, "before" => known, "routes" => table.len(),
             "customers" => table.customers.len(), "keys" => table.customers.key_count(), "homed" => table.customers.region_bound().to_text());
         self.log_changed_weights(self.table().as_deref(), &table);
+        self.forget_removed_routes(&table);
         *self.table.borrow_mut() = Some(rc::Rc::new(table));
         if known.is_none() {
             self.data_arrived.notify_one();
--- a/src/gateway/split_routes.rs
+++ b/src/gateway/split_routes.rs
@@ -1,28 +1,38 @@
 //! Split routes: chooses the service of each request, and logs weights and shares.
 
+use std::collections;
+
 use super::Gateway;
 use super::facts::Facts;
+use crate::decisions::affinity;
 use crate::id;
 use crate::protocol::routes;
 
 impl Gateway {
     /// The service that serves a request, chosen by the weights of the route's parts.
     pub(super) fn service_for(&self, facts: &Facts) -> id::ServiceId {
-        let parts = &facts.route.parts;
-        if let [only] = parts.as_slice() {
+        let route = &facts.route;
+        if let ([only], None) = (route.parts.as_slice(), facts.key) {
             return only.service.clone();
         }
-        let weights: Vec<f64> = parts.iter().map(|part| part.weight).collect();
+        // Requests for objects count also while the route isn't split, so that the shares are right
+        // from its first request as a split one.
         let mut splits = self.splits.borrow_mut();
-        let split = splits.entry(facts.route.name.clone()).or_default();
-        let point = facts.key.unwrap_or_else(rand::random);
-        parts[split.pick(&weights, point)].service.clone()
+        let split = splits.entry(key_of(route)).or_default();
+        let part = split.pick(&route.parts, facts.key, self.jitter());
+        route.parts[part].service.clone()
+    }
+
+    /// Drops what is known of routes that a version no longer has.
+    pub(super) fn forget_removed_routes(&self, table: &routes::Table) {
+        let keys: collections::HashSet<u64> = table.routes().map(|route| key_of(route)).collect();
+        self.splits.borrow_mut().retain(|key, _| keys.contains(key));
     }
 
     /// This VM's shares of a route's parts as text; empty if the route is not split.
     pub(super) fn shares_text(&self, route: &routes::Route) -> String {
         let splits = self.splits.borrow();
-        let Some(split) = splits.get(&route.name).filter(|_| route.parts.len() > 1) else {
+        let Some(split) = splits.get(&key_of(route)).filter(|_| route.parts.len() > 1) else {
             return String::new();
         };
         let services = route.parts.iter().map(|part| &part.service);
@@ -51,6 +61,14 @@
     }
 }
 
+/// Identifies a route over all versions. Names needn't be unique.
+fn key_of(route: &routes::Route) -> u64 {
+    affinity::mix(
+        affinity::hash(route.host.as_bytes()),
+        affinity::hash(route.prefix.as_bytes()),
+    )
+}
+
 fn weights_text(route: &routes::Route) -> String {
     join_values(route.parts.iter().map(|part| (&part.service, part.weight)))
 }
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::time;
 
-use crate::decisions::policy;
+use crate::decisions::{policy, split};
 use crate::gateway::cluster_state;
 use crate::id;
 use crate::protocol::{customers, routes};
@@ -212,7 +212,7 @@
         .split
         .into_iter()
         .chain(unsplit)
-        .map(|part| routes::WeightedService {
+        .map(|part| split::Part {
             service: part.service.as_str().into(),
             weight: part.weight,
         })
--- a/src/protocol/routes.rs
+++ b/src/protocol/routes.rs
@@ -8,17 +8,9 @@
 use std::time;
 
 use super::customers;
+use crate::decisions::split;
 use crate::id;
 
-/// A service to which a route sends a share of its traffic.
-#[derive(Clone, Debug, PartialEq)]
-pub struct WeightedService {
-    /// The service that gets the share.
-    pub service: id::ServiceId,
-    /// The service's weight relative to the other services of the route.
-    pub weight: f64,
-}
-
 /// A route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -43,7 +35,7 @@
     /// Whether backend servers answer faster for an object that they handled recently (affinity).
     pub sticky: bool,
     /// The services, with their weights.
-    pub parts: Vec<WeightedService>,
+    pub parts: Vec<split::Part>,
     /// Regions that may serve it; empty: all.
     pub regions: Vec<id::RegionId>,
 }
@@ -134,7 +126,9 @@
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
         let mut by_host: collections::HashMap<_, collections::HashMap<_, _>> =
             collections::HashMap::new();
-        for route in routes {
+        for mut route in routes {
+            // An object keeps its part whatever order operators write the parts in.
+            route.parts.sort_by(|a, b| a.service.cmp(&b.service));
             by_host
                 .entry(route.host.clone())
                 .or_default()
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -6,6 +6,7 @@
 use std::rc;
 use std::time;
 
+use bulrushwind::decisions::split;
 use bulrushwind::gateway::{self, front, mirror};
 use bulrushwind::id;
 use bulrushwind::logging;
@@ -179,7 +180,7 @@
         priority: 1,
         public: false,
         sticky: true,
-        parts: vec![routes::WeightedService {
+        parts: vec![split::Part {
             service: "svc".into(),
             weight: 1.0,
         }],
--- a/tests/route_decisions.rs
+++ b/tests/route_decisions.rs
@@ -285,13 +285,18 @@
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     for weights in [[90.0, 10.0], [50.0, 50.0], [20.0, 80.0]] {
         let mut split = split::Split::default();
+        let parts = [("a", weights[0]), ("b", weights[1])].map(|(service, weight)| split::Part {
+            service: service.into(),
+            weight,
+        });
         let mut counts = [0.0, 0.0];
         for _ in 0..2000 {
             let object: u64 = match rng.random_range(0..10) {
                 0..7 => rng.random_range(0..3),
                 _ => rng.random_range(0..144),
             };
-            counts[split.pick(&weights, affinity::hash(&object.to_le_bytes()))] += 1.0;
+            let object = affinity::hash(&object.to_le_bytes());
+            counts[split.pick(&parts, Some(object), rng.random())] += 1.0;
         }
         let share = counts[0] / 2000.0;
         let wanted = weights[0] / 100.0;
--- a/tests/split.rs
+++ b/tests/split.rs
@@ -59,18 +59,32 @@
 
     /// The services that the next requests go to.
     fn play(&mut self, parts: Parts, requests: usize) -> Vec<&'static str> {
-        let weights: Vec<f64> = parts.iter().map(|(_, weight)| *weight).collect();
+        let played = self.play_objects(parts, requests);
+        played.into_iter().map(|(_, service)| service).collect()
+    }
+
+    /// The objects of the next requests, and the services that they go to.
+    fn play_objects(&mut self, parts: Parts, requests: usize) -> Vec<(u64, &'static str)> {
+        let names: Vec<&'static str> = parts.iter().map(|(service, _)| *service).collect();
+        let parts: Vec<split::Part> = parts
+            .iter()
+            .map(|(service, weight)| split::Part {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect();
         (0..requests)
             .map(|_| {
-                let point = match self.demand {
-                    Demand::NoObject => self.rng.random(),
-                    Demand::Even | Demand::FewBusy => {
-                        let object = self.objects.sample(&mut self.rng) as u64;
-                        affinity::mix(affinity::hash(&object.to_le_bytes()), self.seed)
-                    }
+                let object = self.objects.sample(&mut self.rng) as u64;
+                let hash = affinity::mix(affinity::hash(&object.to_le_bytes()), self.seed);
+                let key = match self.demand {
+                    Demand::NoObject => None,
+                    Demand::Even | Demand::FewBusy => Some(hash),
                 };
+                let random = self.rng.random();
                 let vm = self.rng.random_range(0..self.vms.len());
-                parts[self.vms[vm].pick(&weights, point)].0
+                let part = self.vms[vm].pick(&parts, key, random);
+                (object, names[part])
             })
             .collect()
     }
@@ -213,3 +227,23 @@
         fleet.check(PARTS, 1200);
     }
 }
+
+/// Guards against objects that are cold in both parts, since their requests go to either.
+#[test]
+fn objects_keep_their_part_while_weights_stay() {
+    /// Requests that go to the part that gets most of their object's.
+    const MIN_AT_MAIN_PART: f64 = 0.85;
+    const PARTS: Parts = &[("a", 0.5), ("b", 0.5)];
+    for seed in 1..=6 {
+        let mut fleet = Fleet::new(6, Demand::Even, seed);
+        fleet.play(PARTS, 600);
+        let mut counts = std::collections::BTreeMap::new();
+        for (object, service) in fleet.play_objects(PARTS, 2000) {
+            *counts.entry((object, service)).or_insert(0) += 1;
+        }
+        let at = |object, service| counts.get(&(object, service)).copied().unwrap_or(0);
+        let main: i32 = (0..72).map(|n| at(n, "a").max(at(n, "b"))).sum();
+        let share = f64::from(main) / 2000.0;
+        assert!(share >= MIN_AT_MAIN_PART, "seed {seed}: {share:.3}");
+    }
+}
