Let bookings try ejected backend servers of services that get no reads

What callers saw: a service of bookings whose backend servers a VM could not reach for a moment, or half of which failed for a moment, got nothing from that VM any more, until it or they started again; with all of them out, `no usable backend server` for good. The other part of a split route came back within a second.

Cause: only a read may try an ejected backend server, as a booking can be lost there. uitbetaling gets no reads.

Change: where no read came for 5 s, other requests do the trying, one at a time: 2 s after an ejection for connections that failed (nothing runs there), 5 s after one for failures.

--- a/benches/capacity/gateway.rs
+++ b/benches/capacity/gateway.rs
@@ -73,6 +73,7 @@
                         remote: false,
                         homes: routes::AllowedRegions::default(),
                         idempotent: true,
+                        may_try: true,
                         low_priority: false,
                         tried: &[],
                     };
--- a/src/decisions/ejection.rs
+++ b/src/decisions/ejection.rs
@@ -10,6 +10,11 @@
 //! ejected as outliers: when all fail alike, the cause lies elsewhere, and ejecting them would only
 //! overload the rest. One that refuses or breaks connections is always ejected, since it runs
 //! nothing.
+//!
+//! Reads do the trying, since a request that may run only once can be lost. A service that gets no
+//! reads would never use an ejected backend server again; the symptom is a service of bookings that
+//! refuses all of them long after its backend servers are back. There bookings do the trying, later
+//! than reads would.
 
 use std::time;
 
@@ -211,6 +216,21 @@
         matches!(self.state, State::Ejected { until, .. } if until <= now)
     }
 
+    /// Whether a request may try it now.
+    pub fn trial_due(&self, now: policy::Moment, idempotent: bool) -> bool {
+        /// Time after which a request that may run only once tries one that couldn't be reached.
+        /// Where it still can't, the request is sent elsewhere, later.
+        const UNREACHABLE_WAIT: time::Duration = time::Duration::from_secs(2);
+        /// The same for one that failed. Where it still fails, the request is lost.
+        const FAILED_WAIT: time::Duration = time::Duration::from_secs(5);
+        let wait = match self.state {
+            _ if idempotent => time::Duration::ZERO,
+            State::Ejected { down: true, .. } => UNREACHABLE_WAIT,
+            _ => FAILED_WAIT,
+        };
+        self.probe_due(now) && now >= self.ejected_at + wait
+    }
+
     /// Records the result of a probe. Returns whether a trial has begun.
     pub fn probed(&mut self, cfg: &Config, now: policy::Moment, answered: bool) -> bool {
         let State::Ejected { down, .. } = self.state else {
@@ -229,6 +249,26 @@
     }
 }
 
+/// Selects the requests of a service that may try its ejected backend servers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trials {
+    last_read: Option<policy::Moment>,
+}
+
+impl Trials {
+    /// Records a request that may run more than once.
+    pub fn record_read(&mut self, now: policy::Moment) {
+        self.last_read = Some(now);
+    }
+
+    /// Whether a request may try backend servers that aren't active.
+    pub fn admit(&self, now: policy::Moment, idempotent: bool) -> bool {
+        /// Time without a read after which other requests do the trying.
+        const READ_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+        idempotent || self.last_read.is_none_or(|at| now >= at + READ_TIMEOUT)
+    }
+}
+
 /// Whether one more of `members` may be ejected as an outlier, while `out` are ejected already for
 /// any cause.
 pub fn may_eject_outlier(cfg: &Config, members: usize, out: usize) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,7 +37,7 @@
 
 use crate::coordination::removal_guard;
 use crate::decisions::{
-    affinity, crashes, declines, departures, entry_selection, policy, precedence, quota,
+    affinity, crashes, declines, departures, ejection, entry_selection, policy, precedence, quota,
     reachability, regions, resend, split, warming,
 };
 use crate::protocol::{names, routes};
@@ -112,6 +112,8 @@
     pub remote_share: regions::Share,
     /// Decides when less urgent requests yield to more urgent ones.
     pub precedence: precedence::Precedence,
+    /// Decides which requests try ejected backend servers.
+    pub trials: ejection::Trials,
     /// How often backend servers decline requests although they have free slots.
     pub declines: declines::Declines,
     /// How often answers for objects that are new to the chosen backend server are late.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -27,6 +27,8 @@
     pub homes: routes::AllowedRegions<'a>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether the request may try a backend server that was ejected.
+    pub may_try: bool,
     /// Whether other requests of the service have a higher priority.
     pub low_priority: bool,
     /// Backend servers that the request was already sent to.
@@ -293,7 +295,7 @@
         if need.tried.contains(&b.id) {
             return false;
         }
-        !b.health.is_ejected() || (b.health.probe_due(now) && need.idempotent)
+        !b.health.is_ejected() || (need.may_try && b.health.trial_due(now, need.idempotent))
     }
 
     /// Whether a backend server can be chosen now. One that is paused, whose rate is limited or that
@@ -301,7 +303,7 @@
     /// its objects.
     fn is_eligible(&self, b: &backends::Backend, need: &Need<'_>, now: policy::Moment) -> bool {
         let on_trial = b.health.state() != ejection::State::Active;
-        if on_trial && (b.in_flight > 0 || !need.idempotent) {
+        if on_trial && (b.in_flight > 0 || !need.may_try) {
             return false;
         }
         self.wait_for(b, now).is_some_and(|wait| wait.is_zero())
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -94,6 +94,9 @@
         let remote = self.with_service(&service, |state| {
             state.resends.count_request(bound, now);
             state.traffic += 1.0;
+            if facts.route.idempotent {
+                state.trials.record_read(now);
+            }
             match reach {
                 regions::Reach::Anywhere => state
                     .remote_share
@@ -303,12 +306,16 @@
     }
 
     fn need(&self) -> placement::Need<'_> {
+        let idempotent = self.facts.route.idempotent;
         placement::Need {
             service: &self.job.service,
             key: self.facts.key,
             remote: self.remote,
             homes: self.job.homes(),
-            idempotent: self.facts.route.idempotent,
+            idempotent,
+            may_try: self.cx.with_service(&self.job.service, |state| {
+                state.trials.admit(self.cx.now(), idempotent)
+            }),
             low_priority: self
                 .facts
                 .table
--- a/tests/gateway/customers.rs
+++ b/tests/gateway/customers.rs
@@ -270,6 +270,7 @@
         remote: false,
         homes,
         idempotent: true,
+        may_try: true,
         low_priority: false,
         tried: &[],
     };
--- a/tests/gateway/restart.rs
+++ b/tests/gateway/restart.rs
@@ -128,6 +128,7 @@
         remote: false,
         homes: bulrushwind::protocol::routes::AllowedRegions::default(),
         idempotent: true,
+        may_try: true,
         low_priority: false,
         tried: &[],
     };
--- a/tests/platform/entries.rs
+++ b/tests/platform/entries.rs
@@ -33,6 +33,7 @@
         remote: false,
         homes: bulrushwind::protocol::routes::AllowedRegions::default(),
         idempotent: true,
+        may_try: true,
         low_priority: false,
         tried: &others,
     };
