Soak: check the shares of a split route under changes in series

A second service shares a split route whose weights change with each version. After the faults weights change four times: without a disturbance, while half of the VMs are cut off, around a return of the store, and with a killed process.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -11,8 +11,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::cuts;
 use super::scene::{Scene, Vm};
+use super::{cuts, shares};
 
 /// Time that a caller waits for a response, and for a connection.
 const REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(3000);
@@ -101,6 +101,29 @@
     }
 }
 
+/// Sends reads to the split route at one VM until the scene ends.
+pub(crate) async fn read_split_route(scene: rc::Rc<Scene>, n: usize) {
+    let vm = &scene.vms[n];
+    let mut sequence = 0;
+    loop {
+        let Ok(mut wire) = socket::Wire::connect(vm.options.ports.front, CONNECT_TIMEOUT).await
+        else {
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+            continue;
+        };
+        let mut reusable = true;
+        while reusable {
+            sequence += 1;
+            let id = format!("split-{n}-{}", rand::random::<u64>());
+            // Its length selects the object.
+            let path = format!("{}{}", shares::ROUTE, "x".repeat(sequence % 40));
+            let end = exchange(&mut wire, "GET", &path, &id).await;
+            reusable = matches!(end, RequestEnd::Answer { close: false, .. });
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    }
+}
+
 /// Sends one request and checks the result. Returns whether the connection can be reused.
 async fn send_and_check(
     scene: &Scene,
--- a/examples/soak/cuts.rs
+++ b/examples/soak/cuts.rs
@@ -129,7 +129,12 @@
 }
 
 /// Cuts off those of a group that are not cut off already.
-async fn cut_off(scene: rc::Rc<Scene>, group: Vec<usize>, way: cut::Cut, duration: time::Duration) {
+pub(crate) async fn cut_off(
+    scene: rc::Rc<Scene>,
+    group: Vec<usize>,
+    way: cut::Cut,
+    duration: time::Duration,
+) {
     let vms: Vec<&Vm> = group.iter().map(|n| &scene.vms[*n]).collect();
     let vms: Vec<&Vm> = vms
         .into_iter()
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -106,7 +106,7 @@
 }
 
 /// Kills a process and starts it again after `duration`.
-async fn kill(scene: rc::Rc<Scene>, n: usize, duration: time::Duration) {
+pub(crate) async fn kill(scene: rc::Rc<Scene>, n: usize, duration: time::Duration) {
     let vm = &scene.vms[n];
     if vm.restarting.replace(true) {
         return;
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -3,7 +3,8 @@
 //! checks that no booking runs twice, that each caller gets the complete answer to its own request,
 //! that requests reported as not run did not run, that a planned stop interrupts no request, that
 //! no VM returns to an older configuration, that VMs which are cut off from all backend servers
-//! serve first tries as the others do, and that all VMs recover.
+//! serve first tries as the others do, that the parts of a split route get their weights over all
+//! VMs, and that all VMs recover.
 //!
 //! ```text
 //! cargo run --release --example soak -- --seeds 10
@@ -15,6 +16,7 @@
 mod faults;
 mod restores;
 mod scene;
+mod shares;
 
 #[path = "../../tests/support/mod.rs"]
 #[expect(dead_code, reason = "shared with the tests of the platform's adapter")]
--- a/examples/soak/restores.rs
+++ b/examples/soak/restores.rs
@@ -37,7 +37,7 @@
 }
 
 /// Lets the store be away and return from a copy.
-async fn restore(scene: &Scene, copy: store::Contents, away: time::Duration) {
+pub(crate) async fn restore(scene: &Scene, copy: store::Contents, away: time::Duration) {
     scene.store.set_mode(store::Mode::Silent);
     tokio::time::sleep(away).await;
     scene.counts.borrow_mut().restores += 1;
@@ -46,21 +46,12 @@
 }
 
 /// Writes again what operators and backend servers have written, after `delay`.
-async fn write_again(scene: rc::Rc<Scene>, delay: time::Duration) {
+pub(crate) async fn write_again(scene: rc::Rc<Scene>, delay: time::Duration) {
     tokio::time::sleep(delay).await;
     scene
         .store
         .write("op/config", &scene::config(scene.version.get()));
-    let live: Vec<_> = {
-        let leaving = scene.leaving.borrow();
-        scene
-            .backends
-            .borrow()
-            .iter()
-            .chain(leaving.iter())
-            .cloned()
-            .collect()
-    };
+    let live = scene.running_backends();
     for key in scene.store.keys("servers/") {
         if live.iter().all(|backend| backend.key() != key) {
             scene.store.remove(&key);
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -15,7 +15,7 @@
 use tokio::task;
 
 use super::support::{backend, cut, process, proxy, store};
-use super::{callers, cuts, faults, restores};
+use super::{callers, cuts, faults, restores, shares};
 
 /// Parameters of one seed's run.
 #[derive(Clone, Debug)]
@@ -112,6 +112,8 @@
     pub(crate) store: store::Store,
     pub(crate) vms: Vec<Vm>,
     pub(crate) backends: cell::RefCell<Vec<backend::Backend>>,
+    /// Backend servers of the other service of the split route.
+    pub(crate) alternates: cell::RefCell<Vec<backend::Backend>>,
     /// Backend servers that leave and still serve.
     pub(crate) leaving: cell::RefCell<Vec<backend::Backend>>,
     pub(crate) log: rc::Rc<cell::RefCell<backend::Log>>,
@@ -173,18 +175,28 @@
     }
 }
 
-/// The configuration of a version: two permanent routes and one that exists only in this version.
+/// The configuration of a version: three permanent routes, of which one is split with weights of the
+/// version, and one that exists only in this version.
 pub(crate) fn config(version: u64) -> Value {
     let route = |prefix: String, kind: &str| {
         json!({"name": prefix, "host": "example.test", "prefix": prefix, "kind": kind,
             "timeout_s": 3.0, "target_latency_s": 0.5, "priority": 1, "service": "svc",
             "attempts": 2, "sticky": true})
     };
+    let mut split = route(shares::ROUTE.into(), "safe");
+    let weights = shares::weights(version).into_iter();
+    split["split"] = weights
+        .map(|(service, weight)| json!({"service": service, "weight": weight}))
+        .collect();
+    if let Some(fields) = split.as_object_mut() {
+        fields.remove("service");
+    }
+    let service = |name: &str| json!({"name": name, "health_path": "/health", "max_conns": 330, "cold_s": 1.0, "cold_per_s": 5.0});
     json!({
         "version": format!("{version:08x}"),
         "routes": [route("/read/".into(), "safe"), route("/book/".into(), "unsafe"),
-            route(format!("/v{version}/"), "safe")],
-        "services": [{"name": "svc", "health_path": "/health", "max_conns": 330, "cold_s": 1.0, "cold_per_s": 5.0}],
+            route(format!("/v{version}/"), "safe"), split],
+        "services": [service("svc"), service(shares::SERVICE)],
         "limits": {"header_bytes": 16384, "body_bytes": 1048576, "header_timeout_s": 3, "idle_timeout_s": 15},
     })
 }
@@ -230,6 +242,7 @@
             store,
             vms,
             backends: cell::RefCell::default(),
+            alternates: cell::RefCell::default(),
             leaving: cell::RefCell::default(),
             log: rc::Rc::default(),
             version: cell::Cell::new(1),
@@ -242,9 +255,18 @@
     }
 
     pub(crate) fn add_backend(&self, n: usize) {
+        let added = self.start_backend(&format!("i-{n}"), "svc", n);
+        self.backends.borrow_mut().push(added);
+    }
+
+    fn add_alternate(&self, n: usize) {
+        let added = self.start_backend(&format!("alt-{n}"), shares::SERVICE, n);
+        self.alternates.borrow_mut().push(added);
+    }
+
+    fn start_backend(&self, id: &str, service: &'static str, n: usize) -> backend::Backend {
         let zone = AZS[n % AZS.len()];
-        let id = format!("i-{n}");
-        let added = backend::Backend::start(&id, "svc", zone, SERVICE_TIME, self.log.clone());
+        let added = backend::Backend::start(id, service, zone, SERVICE_TIME, self.log.clone());
         for vm in &self.vms {
             if let Some((way, _)) = vm.cut.get() {
                 let mut sources = added.sources.borrow_mut();
@@ -252,13 +274,15 @@
             }
         }
         added.register(&self.store, "ready");
-        self.backends.borrow_mut().push(added);
+        added
     }
 
     /// All backend servers that run, also those that leave.
     pub(crate) fn running_backends(&self) -> Vec<backend::Backend> {
         let (backends, leaving) = (self.backends.borrow(), self.leaving.borrow());
-        backends.iter().chain(leaving.iter()).cloned().collect()
+        let alternates = self.alternates.borrow();
+        let all = backends.iter().chain(leaving.iter());
+        all.chain(alternates.iter()).cloned().collect()
     }
 
     pub(crate) fn add_violation(&self, what: String) {
@@ -276,7 +300,7 @@
     }
 
     /// Checks that all entry VMs serve the newest version within the recovery time.
-    async fn check_all_serve(&self) {
+    pub(crate) async fn check_all_serve(&self) {
         let started_at = time::Instant::now();
         for vm in &self.vms {
             let path = format!("/v{}/x", self.version.get());
@@ -338,6 +362,7 @@
     let seed = cfg.seed;
     let scene = rc::Rc::new(Scene::new(cfg, dir));
     (0..scene.cfg.backends).for_each(|n| scene.add_backend(n));
+    (0..shares::BACKENDS).for_each(|n| scene.add_alternate(n));
     scene.vms.iter().for_each(Vm::spawn);
     scene.check_all_serve().await;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -351,6 +376,7 @@
     // Draws of its own, so that a seed's faults stay the same.
     let mut statement_rng = ChaCha8Rng::seed_from_u64(!seed);
     let mut cut_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16) ^ u64::MAX);
+    let mut share_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48) ^ 1);
     let mut restore_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) | 1);
     tokio::join!(
         faults::inject(&scene, &mut rng),
@@ -361,6 +387,7 @@
     cuts::check_first_tries(&scene);
     scene.check_no_exits();
     scene.check_all_serve().await;
+    shares::check_series(&scene, &mut share_rng).await;
     scene.log.borrow_mut().late_requests.clear();
     scene.check_drain().await;
     scene.log.borrow_mut().late_requests.clear();
--- a/tests/platform/split_routes.rs
+++ b/tests/platform/split_routes.rs
@@ -145,16 +145,8 @@
             .write("op/config", &config(self.version.get(), weights));
     }
 
-    /// The services of the requests of a route that arrived since, in order of arrival. Further
-    /// sends of a request are left out.
     fn services_since(&self, route: &str, since: time::Instant) -> Vec<&'static str> {
-        let log = self.log.borrow();
-        let mut seen = std::collections::BTreeSet::new();
-        let arrivals = log.arrivals.iter();
-        arrivals
-            .filter(|a| a.at >= since && a.target.starts_with(route) && seen.insert(&a.id))
-            .map(|a| a.service)
-            .collect()
+        self.log.borrow().services_since(route, since)
     }
 
     /// Checks the shares of the next requests of each route.
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -27,6 +27,19 @@
     pub(crate) arrivals: Vec<Arrival>,
 }
 
+impl Log {
+    /// The services of the requests that arrived since for targets with a prefix, in order of
+    /// arrival. Further sends of a request are left out.
+    pub(crate) fn services_since(&self, prefix: &str, since: time::Instant) -> Vec<&'static str> {
+        let mut seen = collections::BTreeSet::new();
+        self.arrivals
+            .iter()
+            .filter(|a| a.at >= since && a.target.starts_with(prefix) && seen.insert(&a.id))
+            .map(|a| a.service)
+            .collect()
+    }
+}
+
 /// A request that arrived at a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct Arrival {
