Reject routes without a service, and weights that give no shares

A route with neither a service nor parts ended the process at its first request; negative weights, or none above 0, made any share right. The configuration is rejected as a whole with the route's name, and the one before stays in force. The test failed before.

--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -30,6 +30,9 @@
     /// A duration is negative, too large or not a number.
     #[error("`{0}` is not a valid duration in seconds")]
     Time(f64),
+    /// A route has no usable parts.
+    #[error(transparent)]
+    Parts(#[from] routes::PartsError),
     /// A rate or burst of a customer is negative or not finite.
     #[error("`{0}` is not a valid number of requests for customer `{1}`")]
     Quota(f64, String),
@@ -217,7 +220,7 @@
             weight: part.weight,
         })
         .collect();
-    Ok(routes::Route {
+    let route = routes::Route {
         name: route.name,
         host: route.host.to_ascii_lowercase(),
         prefix: route.prefix,
@@ -230,7 +233,9 @@
         sticky: route.sticky,
         parts,
         regions: regions(&route.residency),
-    })
+    };
+    route.check_parts()?;
+    Ok(route)
 }
 
 /// Whether requests of a kind may run more than once. Unknown kinds may not.
--- a/src/protocol/routes.rs
+++ b/src/protocol/routes.rs
@@ -40,7 +40,33 @@
     pub regions: Vec<id::RegionId>,
 }
 
+/// Why the parts of a route cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum PartsError {
+    /// There are none.
+    #[error("route `{0}` names no service; give it one, or services with weights")]
+    NoService(String),
+    /// No shares follow from the weights.
+    #[error(
+        "the weights of route `{0}` give no shares; none may be negative, and one must be above 0"
+    )]
+    Weights(String),
+}
+
 impl Route {
+    /// Returns an error if no part can be chosen for a request.
+    pub fn check_parts(&self) -> Result<(), PartsError> {
+        if self.parts.is_empty() {
+            return Err(PartsError::NoService(self.name.clone()));
+        }
+        let is_valid = |part: &split::Part| part.weight >= 0.0 && part.weight.is_finite();
+        let has_share = self.parts.iter().any(|part| part.weight > 0.0);
+        match has_share && self.parts.iter().all(is_valid) {
+            true => Ok(()),
+            false => Err(PartsError::Weights(self.name.clone())),
+        }
+    }
+
     /// Priority of a request of `customer` on this route; 0 is the highest.
     pub fn rank(&self, customer: Option<&customers::Customer>) -> u32 {
         customer.and_then(|c| c.priority).unwrap_or(self.priority)
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -112,6 +112,25 @@
     }
 }
 
+/// Guards against a process that ends at the first request of a route without a service, and
+/// against weights of which no shares follow.
+#[test]
+fn routes_without_services_or_usable_weights_are_rejected() {
+    let bad = [
+        ("\"service\":\"s1\",\"attempts\":2,", "\"attempts\":2,"),
+        ("\"weight\":90", "\"weight\":-90"),
+        (
+            "\"weight\":90},{\"service\":\"s2\",\"weight\":10}",
+            "\"weight\":0}",
+        ),
+    ];
+    for (valid, invalid) in bad {
+        assert!(CONFIG.contains(valid));
+        let err = decode::config(CONFIG.replace(valid, invalid).as_bytes()).unwrap_err();
+        assert!(err.to_string().contains("`r"), "{err}");
+    }
+}
+
 /// The configuration with these customers.
 fn with_customers(tenants: &Value) -> String {
     let mut config: Value = serde_json::from_str(CONFIG).unwrap();
