--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -160,8 +160,8 @@
     Ok(routes::Table::new(version, routes?, services, limits).with_customers(customers))
 }
 
-/// Replaces each customer key in the operators' configuration by its digest, as entry VMs store and
-/// forward it. Invalid JSON becomes empty, since a key may be anywhere in it.
+/// Replaces each customer key in the operators' configuration by its digest. Invalid JSON becomes
+/// empty, since a key may be anywhere in it.
 pub fn hash_keys(value: &[u8]) -> Vec<u8> {
     let Ok(mut config) = serde_json::from_slice::<serde_json::Value>(value) else {
         return Vec::new();
@@ -220,7 +220,7 @@
             weight: part.weight,
         })
         .collect();
-    let route = routes::Route {
+    Ok(routes::Route {
         name: route.name,
         host: route.host.to_ascii_lowercase(),
         prefix: route.prefix,
@@ -233,9 +233,8 @@
         sticky: route.sticky,
         parts,
         regions: regions(&route.residency),
-    };
-    route.check_parts()?;
-    Ok(route)
+    }
+    .checked()?)
 }
 
 /// Whether requests of a kind may run more than once. Unknown kinds may not.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -76,7 +76,7 @@
     pub seeds: Vec<net::SocketAddr>,
     /// How long callers may cache the entry VM addresses.
     pub lookup_ttl: time::Duration,
-    /// How long callers may still be given the address of an entry VM that died.
+    /// How long callers may still be given the address of an entry VM that has ended.
     pub dead_vm_ttl: time::Duration,
 }
 
@@ -162,8 +162,7 @@
     })
 }
 
-/// Upper limit of the look-up TTL: short enough that callers soon stop using a VM that died, and long
-/// enough that look-ups remain a small share of the requests.
+/// Upper limit of the look-up TTL, after which callers no longer use a VM that has ended.
 const MAX_LOOKUP_TTL_S: f64 = 2.0;
 
 /// Time that a dead entry VM may be listed beyond the platform's stability window.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -19,9 +19,8 @@
 /// milliseconds, and in 0.12 s from the farthest region; a response fifty times slower is still useful.
 const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
 
-/// Timeout for a response body, from the end of the head. The longest value is 1.4 MB as text, which
-/// takes two seconds over a shared 10 Mbit/s link. With a timeout of one second, every retry would
-/// time out as well and the value would never be read.
+/// Timeout for a response body. The longest value takes two seconds over a shared 10 Mbit/s link;
+/// with a shorter timeout every retry would fail as well, and the value would never be read.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 
 /// Maximum number of keys that one call may write.
--- a/src/protocol/routes.rs
+++ b/src/protocol/routes.rs
@@ -54,16 +54,16 @@
 }
 
 impl Route {
-    /// Returns an error if no part can be chosen for a request.
-    pub fn check_parts(&self) -> Result<(), PartsError> {
+    /// Returns the route, or an error if no part can be chosen for a request.
+    pub fn checked(self) -> Result<Self, PartsError> {
         if self.parts.is_empty() {
-            return Err(PartsError::NoService(self.name.clone()));
+            return Err(PartsError::NoService(self.name));
         }
         let is_valid = |part: &split::Part| part.weight >= 0.0 && part.weight.is_finite();
         let has_share = self.parts.iter().any(|part| part.weight > 0.0);
         match has_share && self.parts.iter().all(is_valid) {
-            true => Ok(()),
-            false => Err(PartsError::Weights(self.name.clone())),
+            true => Ok(self),
+            false => Err(PartsError::Weights(self.name)),
         }
     }
 
