--- a/src/decisions/split.rs
+++ b/src/decisions/split.rs
@@ -11,7 +11,8 @@
 //! weights, so new weights apply from the next request on. Requests without an object follow a
 //! sequence that keeps the shares in each short run of requests.
 //!
-//! The estimate lags behind an object that becomes busy at once. Counts since the parts last
+//! A VM that has just started knows no distribution, so its first requests go to any part. The
+//! estimate also lags behind an object that becomes busy at once: counts since the parts last
 //! changed bound what a part gets beyond its weight meanwhile.
 
 use super::affinity;
@@ -31,7 +32,7 @@
 const ESTIMATE_REQUESTS: f64 = 50.0;
 
 /// Requests, evenly distributed over all objects, that the estimate starts with.
-const PRIOR_REQUESTS: f64 = 2.0;
+const PRIOR_REQUESTS: f64 = 1.0;
 
 /// Requests that the counts cover. Each VM's excess is bounded over these alone, since a VM sees few
 /// of the requests over which operators compare the shares.
@@ -52,6 +53,8 @@
 struct Demand {
     counts: [f64; BUCKETS],
     total: f64,
+    /// Number of requests counted so far.
+    seen: f64,
 }
 
 impl Default for Demand {
@@ -59,6 +62,7 @@
         Self {
             counts: [PRIOR_REQUESTS / BUCKETS as f64; BUCKETS],
             total: PRIOR_REQUESTS,
+            seen: 0.0,
         }
     }
 }
@@ -70,8 +74,14 @@
     }
 
     /// The quantile of a request in the order of objects, from 0 to 1. `random`, in the same range,
-    /// orders the requests of a bucket.
+    /// orders the requests of a bucket. The first requests of a VM get any quantile: it knows no
+    /// distribution yet, and many such VMs would all decide alike.
     fn quantile(&self, object: u64, random: f64) -> f64 {
+        let unknown = 1.0 / (1.0 + self.seen);
+        if random < unknown {
+            return random / unknown;
+        }
+        let random = (random - unknown) / (1.0 - unknown);
         let bucket = Self::bucket(object);
         let before: f64 = self.counts[..bucket].iter().sum();
         (before + self.counts[bucket] * random) / self.total
@@ -80,6 +90,7 @@
     fn count(&mut self, object: u64) {
         self.counts[Self::bucket(object)] += 1.0;
         self.total += 1.0;
+        self.seen += 1.0;
         if self.total > ESTIMATE_REQUESTS * 2.0 {
             self.counts.iter_mut().for_each(|n| *n /= 2.0);
             self.total /= 2.0;
--- a/tests/split.rs
+++ b/tests/split.rs
@@ -199,6 +199,20 @@
     check_series(&series, &[Demand::NoObject], &[984]);
 }
 
+/// Guards against VMs that have just started and all send an object to the same part.
+#[test]
+fn shares_are_kept_from_the_first_requests_of_vms() {
+    for seed in 1..=6 {
+        for vms in [85, 300, 984] {
+            for demand in ALL {
+                let mut fleet = Fleet::new(vms, demand, seed);
+                fleet.check(&[("a", 0.5), ("b", 0.5)], 600);
+                fleet.check(&[("a", 0.2), ("b", 0.8)], 600);
+            }
+        }
+    }
+}
+
 /// Guards against a VM that starts again and sends the requests of a busy object to one part.
 #[test]
 fn shares_are_kept_while_vms_start_again_in_turn() {
