--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use bulrushwind::decisions::{affinity, cross_az, dispatch, peer_selection, policy};
+use bulrushwind::decisions::{affinity, cross_az, dispatch, peer_selection, policy, split};
 use criterion::{criterion_group, criterion_main};
 use policy::{Action, AttemptOutcome, Policy};
 
@@ -31,6 +31,21 @@
     }
 }
 
+fn split_routes(c: &mut criterion::Criterion) {
+    let parts = [("a", 0.9), ("b", 0.1)].map(|(service, weight)| split::Part {
+        service: service.into(),
+        weight,
+    });
+    let mut split = split::Split::default();
+    let mut n: u64 = 0;
+    c.bench_function("part of a split route/request for an object", |b| {
+        b.iter(|| {
+            n += 1;
+            split.pick(&parts, Some(affinity::hash(&n.to_le_bytes())), 0.5)
+        });
+    });
+}
+
 struct RequestLoop {
     dispatch: dispatch::Dispatch,
     now: policy::Moment,
@@ -83,5 +98,5 @@
     }
 }
 
-criterion_group!(benches, decisions, peers);
+criterion_group!(benches, decisions, peers, split_routes);
 criterion_main!(benches);
