Keep the shares of customers with homes and of all others apart

The estimate of the requests of a route counted all customers together. Requests that may run in some regions only now have an estimate and counts of their own. A request's line takes what it says of the request from its facts.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -168,8 +168,7 @@
     is_sole_entry: cell::Cell<bool>,
     removal_guard: cell::RefCell<removal_guard::RemovalGuard>,
     services: cell::RefCell<collections::HashMap<id::ServiceId, ServiceState>>,
-    /// What is known of the requests of each route, by the route's key.
-    splits: cell::RefCell<collections::HashMap<u64, split::Split>>,
+    splits: cell::RefCell<collections::HashMap<split_routes::RequestGroup, split::Split>>,
     pool: cell::RefCell<pool::Pool>,
     reachability: cell::RefCell<reachability::Reachability>,
     /// Whether a check of the links to backend servers is running.
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -12,7 +12,6 @@
 use crate::decisions::{affinity, policy, quota};
 use crate::logging;
 use crate::metrics as metric_names;
-use crate::protocol::routes;
 
 /// Rate limit for each kind of line. At 250 bytes per line this is 10 KB per second, and costs less
 /// than 1 % of the processor of a VM with a fifth of a core.
@@ -30,12 +29,7 @@
 /// How a request ended.
 #[derive(Debug)]
 pub(super) struct RequestOutcome<'a> {
-    pub(super) id: &'a [u8],
-    pub(super) route: &'a routes::Route,
-    /// The version of the routes that chose the service.
-    pub(super) version: u64,
-    /// The customer's name; empty on routes that need no key.
-    pub(super) customer: &'a str,
+    pub(super) facts: &'a facts::Facts,
     pub(super) service: &'a str,
     /// Whether the request was to run in another region.
     pub(super) remote: bool,
@@ -53,10 +47,7 @@
     /// The entry VM that the latest send went through; `None`: it was direct.
     pub(super) via: Option<&'a crate::id::VmId>,
     pub(super) sends: u32,
-    /// When it arrived, and when it was first sent.
-    pub(super) received: policy::Moment,
     pub(super) first_sent: Option<policy::Moment>,
-    pub(super) deadline: policy::Moment,
 }
 
 /// A send that failed.
@@ -79,9 +70,10 @@
 impl Gateway {
     pub(super) fn record(&self, outcome: &RequestOutcome<'_>) {
         let now = self.now();
-        let took = now.saturating_sub(outcome.received);
+        let facts = outcome.facts;
+        let took = now.saturating_sub(facts.received);
         let service = self.labels.label(outcome.service);
-        counter!(metric_names::REQUESTS, "service" => service.clone(), "operation" => self.labels.label(&outcome.route.name),
+        counter!(metric_names::REQUESTS, "service" => service.clone(), "operation" => self.labels.label(&facts.route.name),
             "fate" => outcome.fate, "why" => outcome.why)
         .increment(1);
         histogram!(metric_names::LATENCY, "service" => service.clone()).record(took.as_secs_f64());
@@ -89,7 +81,7 @@
             counter!(metric_names::RETRIES, "service" => service.clone())
                 .increment(u64::from(outcome.sends - 1));
         }
-        let in_time = outcome.fate == "answered" && took <= outcome.route.latency_target;
+        let in_time = outcome.fate == "answered" && took <= facts.route.latency_target;
         if in_time {
             counter!(metric_names::IN_TIME, "service" => service).increment(1);
         }
@@ -97,7 +89,7 @@
             "answered" if !in_time => "late",
             fate => fate,
         };
-        if in_time && !affinity::hash(outcome.id).is_multiple_of(SAMPLED_ONE_IN) {
+        if in_time && !affinity::hash(&facts.id).is_multiple_of(SAMPLED_ONE_IN) {
             return;
         }
         let Some(left_out) = self.log_limiter.admit(kind, now) else {
@@ -107,16 +99,16 @@
         let waited = outcome
             .first_sent
             .unwrap_or(now)
-            .saturating_sub(outcome.received);
+            .saturating_sub(facts.received);
         let backends: Vec<&str> = outcome.tried.iter().map(|id| id.as_str()).collect();
         slog::info!(self.log, "request";
-            "request" => %String::from_utf8_lossy(outcome.id), "fate" => kind, "why" => outcome.why,
-            "status" => outcome.status, "route" => &outcome.route.name, "customer" => outcome.customer, "service" => outcome.service,
+            "request" => %String::from_utf8_lossy(&facts.id), "fate" => kind, "why" => outcome.why,
+            "status" => outcome.status, "route" => &facts.route.name, "customer" => facts.customer_name(), "service" => outcome.service,
             "away" => outcome.remote, "new" => outcome.new_object, "ahead" => outcome.ahead.round() as u64, "backends" => backends.join(","),
             "via" => outcome.via.map_or("", |vm| vm.as_str()), "sends" => outcome.sends,
             "waited_ms" => ms(waited), "took_ms" => ms(took),
-            "left_ms" => ms(outcome.deadline.saturating_sub(now)),
-            "version" => outcome.version, "shares" => self.shares_text(outcome.route),
+            "left_ms" => ms(facts.deadline.saturating_sub(now)),
+            "version" => facts.table.version, "shares" => self.shares_text(facts),
             "store_age_ms" => self.store_age().map(ms), "left_out" => left_out);
     }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -141,10 +141,7 @@
         }
         self.count_answer(&answer);
         self.record(&record::RequestOutcome {
-            id: &facts.id,
-            route: &facts.route,
-            version: facts.table.version,
-            customer: facts.customer_name(),
+            facts: &facts,
             service: dispatch.job.service.as_str(),
             remote,
             new_object: dispatch.new_object,
@@ -155,9 +152,7 @@
             tried: &dispatch.tried,
             via: dispatch.job.via.borrow().as_ref(),
             sends: dispatch.sends,
-            received: facts.received,
             first_sent: dispatch.first_sent,
-            deadline: facts.deadline,
         });
         answer
     }
--- a/src/gateway/split_routes.rs
+++ b/src/gateway/split_routes.rs
@@ -8,6 +8,25 @@
 use crate::id;
 use crate::protocol::routes;
 
+/// The requests of a route whose parts get the route's weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct RequestGroup {
+    /// The hash of the route's host and prefix. Names needn't be unique.
+    route: u64,
+    /// Whether they may run in some regions only. Else the busy objects of a customer with homes
+    /// would fill one part, and all other customers would get the other.
+    is_homed: bool,
+}
+
+impl RequestGroup {
+    fn of(route: &routes::Route, homes: routes::AllowedRegions<'_>) -> Self {
+        Self {
+            route: hash_of(route),
+            is_homed: !homes.is_unrestricted(),
+        }
+    }
+}
+
 impl Gateway {
     /// The service that serves a request, chosen by the weights of the route's parts.
     pub(super) fn service_for(&self, facts: &Facts) -> id::ServiceId {
@@ -18,21 +37,27 @@
         // Requests for objects count also while the route isn't split, so that the shares are right
         // from its first request as a split one.
         let mut splits = self.splits.borrow_mut();
-        let split = splits.entry(key_of(route)).or_default();
+        let group = RequestGroup::of(route, facts.homes());
+        let split = splits.entry(group).or_default();
         let part = split.pick(&route.parts, facts.key, self.jitter());
         route.parts[part].service.clone()
     }
 
     /// Drops what is known of routes that a version no longer has.
     pub(super) fn forget_removed_routes(&self, table: &routes::Table) {
-        let keys: collections::HashSet<u64> = table.routes().map(|route| key_of(route)).collect();
-        self.splits.borrow_mut().retain(|key, _| keys.contains(key));
+        let hashes: collections::HashSet<u64> = table.routes().map(|r| hash_of(r)).collect();
+        let mut splits = self.splits.borrow_mut();
+        splits.retain(|group, _| hashes.contains(&group.route));
     }
 
-    /// This VM's shares of a route's parts as text; empty if the route is not split.
-    pub(super) fn shares_text(&self, route: &routes::Route) -> String {
+    /// This VM's shares of the parts of a request's route as text; empty if the route is not split.
+    pub(super) fn shares_text(&self, facts: &Facts) -> String {
+        let route = &facts.route;
+        if route.parts.len() < 2 {
+            return String::new();
+        }
         let splits = self.splits.borrow();
-        let Some(split) = splits.get(&key_of(route)).filter(|_| route.parts.len() > 1) else {
+        let Some(split) = splits.get(&RequestGroup::of(route, facts.homes())) else {
             return String::new();
         };
         let services = route.parts.iter().map(|part| &part.service);
@@ -61,8 +86,8 @@
     }
 }
 
-/// Identifies a route over all versions. Names needn't be unique.
-fn key_of(route: &routes::Route) -> u64 {
+/// Identifies a route over all versions.
+fn hash_of(route: &routes::Route) -> u64 {
     affinity::mix(
         affinity::hash(route.host.as_bytes()),
         affinity::hash(route.prefix.as_bytes()),
--- a/tests/gateway/customers.rs
+++ b/tests/gateway/customers.rs
@@ -1,11 +1,12 @@
 //! Callers' keys, their customers, and the regions where their requests may run.
 
+use bulrushwind::decisions::split;
 use bulrushwind::gateway::placement;
 use bulrushwind::id;
 use bulrushwind::protocol::{customers, routes};
 use bulrushwind::state::{backends, entries};
 
-use super::harness::{Caller, Harness, Reaction, get, post, route, run_test, table};
+use super::harness::{Caller, Harness, Reaction, get, get_object, post, route, run_test, table};
 
 fn customer(name: &str) -> customers::Customer {
     customers::Customer {
@@ -429,3 +430,62 @@
     assert!(table.is_below_top_rank(route.rank(None), &service));
     assert!(!table.is_below_top_rank(route.rank(Some(&urgent)), &service));
 }
+
+/// The requests of a customer among those that ran, and how many of them ran at some backend servers.
+fn count_runs(harness: &Harness, customer: &str, backends: &str) -> (usize, usize) {
+    let seen = harness.seen.borrow();
+    let ran = seen.ran.iter().filter(|(id, _)| id.starts_with(customer));
+    let all: Vec<&str> = ran.map(|(_, backend)| backend.as_str()).collect();
+    let there = all.iter().filter(|name| name.starts_with(backends));
+    (all.len(), there.count())
+}
+
+/// Guards against customers without homes that get one part of a split route because the busy object
+/// of a customer with homes fills the other.
+#[test]
+pub(crate) fn customers_without_homes_get_the_weights_beside_a_busy_one_with_homes() {
+    const REQUESTS: usize = 400;
+    run_test(async || {
+        let harness = Harness::new(2, &[]).await;
+        for name in ["b-0", "b-1"] {
+            let listed = harness.start_backend(name, None).await;
+            let other = backends::Listed {
+                service: "svc-b".into(),
+                ..listed
+            };
+            harness.cx.update_backend(&name.into(), other);
+        }
+        let part = |service: &str| split::Part {
+            service: service.into(),
+            weight: 1.0,
+        };
+        let split = routes::Route {
+            parts: vec![part("svc"), part("svc-b")],
+            ..route("/read/", true)
+        };
+        let homed = customers::Customer {
+            regions: vec!["region".into()],
+            ..customer("homed")
+        };
+        let free = customer("free");
+        let list = customer_list(&[(&homed, &["k-homed"]), (&free, &["k-free"])]);
+        harness
+            .cx
+            .update_routes(table(2, vec![split]).with_customers(list));
+        harness.cx.record_store_answer();
+        let mut caller = harness.caller().await;
+        for busy in 0..4 {
+            for n in 0..REQUESTS {
+                let id = format!("homed{busy}-{n}");
+                let read = get_object("/read/a", &id, busy);
+                caller.request(&with(&read, "x-key: k-homed\r\n")).await;
+                let id = format!("free{busy}-{n}");
+                let read = get_object("/read/a", &id, 100 + n * 7 % 72);
+                caller.request(&with(&read, "x-key: k-free\r\n")).await;
+            }
+            let (all, there) = count_runs(&harness, &format!("free{busy}-"), "b-");
+            let share = there as f64 / all as f64;
+            assert!((share - 0.5).abs() <= 0.1, "object {busy}: {share:.3}");
+        }
+    });
+}
