--- a/tests/split.rs
+++ b/tests/split.rs
@@ -1,19 +1,16 @@
 //! Shares of the parts of split routes, summed over all entry VMs, as operators change the weights.
 
+#[path = "support/shares.rs"]
+mod shares;
+
 use bulrushwind::decisions::{affinity, split};
 use rand::distr::Distribution;
 use rand::distr::weighted::WeightedIndex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// The largest deviation of a part's share from its weight in any 200 consecutive requests.
-const MAX_DEVIATION_OF_200: f64 = 0.2;
-
-/// The same in any 300.
-const MAX_DEVIATION_OF_300: f64 = 0.1;
-
-/// Weights by service.
-type Parts = &'static [(&'static str, f64)];
+/// The services of a route with their weights.
+type Parts = &'static [shares::Weight];
 
 /// Which objects callers request.
 #[derive(Clone, Copy, Debug)]
@@ -92,31 +89,16 @@
     /// Plays weights and checks the shares of all of these requests.
     fn check(&mut self, parts: Parts, requests: usize) {
         let services = self.play(parts, requests);
-        for (window, allowed) in [(200, MAX_DEVIATION_OF_200), (300, MAX_DEVIATION_OF_300)] {
-            let deviation = max_deviation(&services, parts, window);
-            assert!(
-                deviation <= allowed,
-                "{} VMs, {:?}, seed {}, {parts:?}: a share is {deviation:.3} off in {window} requests",
-                self.vms.len(),
-                self.demand,
-                self.seed
+        if let Some(violation) = shares::violation(&services, parts) {
+            let Self { demand, seed, .. } = self;
+            panic!(
+                "{} VMs, {demand:?}, seed {seed}: {violation}",
+                self.vms.len()
             );
         }
     }
 }
 
-/// The largest deviation of a share from its weight in any window of consecutive requests.
-fn max_deviation(services: &[&str], parts: Parts, window: usize) -> f64 {
-    let sum: f64 = parts.iter().map(|(_, weight)| weight).sum();
-    let deviations = services.windows(window).flat_map(|requests| {
-        parts.iter().map(move |(service, weight)| {
-            let got = requests.iter().filter(|s| *s == service).count();
-            (got as f64 / window as f64 - weight / sum).abs()
-        })
-    });
-    deviations.fold(0.0, f64::max)
-}
-
 /// Plays a series of weights on fleets of several sizes.
 fn check_series(series: &[Parts], demands: &[Demand], vms: &[usize]) {
     for seed in 1..=6 {
