--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -341,7 +341,7 @@
         }
     }
 
-    /// An entry VM dies while the platform's list still has it as live. Look-ups that still name it
+    /// An entry VM ends while the platform's list still has it as live. Look-ups that still name it
     /// make callers wait for a timeout.
     #[test]
     fn a_dead_entry_vm_is_marked_before_the_list_shows_it() {
--- a/src/coordination/mirror.rs
+++ b/src/coordination/mirror.rs
@@ -31,7 +31,7 @@
 use crate::protocol::mirror;
 
 /// How many VMs of its own availability zone a VM tries before one outside it. Two, because a VM
-/// that has died stays registered for some seconds.
+/// that has ended stays registered for some seconds.
 pub const MAX_LEADERS_IN_AZ: usize = 2;
 
 /// How long a VM that did not answer is skipped.
@@ -45,7 +45,7 @@
 /// each reads first; within this time all have registered.
 pub const LEADER_RECHECK_DELAY: time::Duration = time::Duration::from_millis(700);
 
-/// How long a reader may be silent. It sends a message after each answer of the store: every 0.6 s
+/// Longest time between messages of a reader. It sends a message after each answer of the store: every 0.6 s
 /// plus a round trip, or every 0.9 s with a slow store. With a read of the store on top, a change
 /// is in force within the required 2.5 s.
 pub const SILENCE_TIMEOUT: time::Duration = time::Duration::from_millis(1200);
--- a/src/coordination/read_schedule.rs
+++ b/src/coordination/read_schedule.rs
@@ -1,6 +1,6 @@
 //! Decides when a VM without a leader reads the platform's store itself.
 //!
-//! Load pattern: the store fails for a second or two, or its reader dies, and all VMs of a region
+//! Load pattern: the store fails for a second or two, or its reader fails, and all VMs of a region
 //! lose their leader at the same moment. If all then read the store, a fleet of hundreds requests
 //! the whole list at once. The symptoms are waves of calls, a store whose link is saturated for
 //! seconds, and VMs without data long after their start.
--- a/src/coordination/registration.rs
+++ b/src/coordination/registration.rs
@@ -1,7 +1,7 @@
 //! Decides how long an entry VM's registration lasts between renewals.
 //!
 //! Load: a fleet of a thousand VMs constantly renews a thousand leases, and each renewal costs
-//! money. Callers are sent to few VMs; if one of these dies, answers to look-ups must soon stop
+//! money. Callers are sent to few VMs; if one of these fails, answers to look-ups must soon stop
 //! naming it. The other VMs are on standby: callers are sent to them only when the active VMs are
 //! busy or gone. So their leases may be as long as operators allow a dead VM to be named.
 
--- a/src/coordination/unconfirmed.rs
+++ b/src/coordination/unconfirmed.rs
@@ -18,11 +18,11 @@
 use crate::decisions::policy;
 use crate::protocol::mirror;
 
-/// The longest time between two answers of the store that counts as time to write again. Readers hear
-/// it every 0.6 s, or every 0.9 s if it is slow.
+/// The longest time between two answers of the store that counts as time to write again. Readers get
+/// one every 0.6 s, or every 0.9 s if it is slow.
 const MAX_ANSWER_GAP: time::Duration = time::Duration::from_millis(1000);
 
-/// The longest wait of a record that is back in the store. It may also have been written anew, and an
+/// The longest wait of a record that is back in the store. It may also have been written again, and an
 /// evacuation must be in force within five seconds.
 const MAX_WITHHELD: time::Duration = time::Duration::from_secs(3);
 
@@ -49,10 +49,10 @@
     /// When this VM learnt of the store's present epoch; `None` while it has known only one.
     epoch_began: Option<policy::Moment>,
     waiting: collections::BTreeMap<String, Waiting>,
-    /// When the store was last heard.
-    heard: Option<policy::Moment>,
-    /// Changes that wait and have not been told to followers.
-    untold: Vec<mirror::Record>,
+    /// When the store last answered.
+    answered_at: Option<policy::Moment>,
+    /// Changes that wait and have not been sent to followers.
+    unsent: Vec<mirror::Record>,
     version: u64,
 }
 
@@ -60,7 +60,7 @@
     /// Begins an epoch of the store.
     pub fn begin_epoch(&mut self, now: policy::Moment) {
         self.epoch_began = Some(now);
-        self.heard = Some(now);
+        self.answered_at = Some(now);
     }
 
     /// A counter that grows with each change of the records that wait.
@@ -154,7 +154,7 @@
     /// Lets a change wait until writers had time to write again since the store's return.
     pub fn wait(&mut self, now: policy::Moment, record: mirror::Record, hold: Hold) {
         self.version += 1;
-        self.untold.push(record.clone());
+        self.unsent.push(record.clone());
         let lasts = match record.value {
             Some(_) => hold.lasts.min(MAX_WITHHELD),
             None => hold.lasts,
@@ -190,10 +190,10 @@
         due
     }
 
-    /// Extends all waits by a time in which the store was not heard.
+    /// Extends all waits by a time in which the store did not answer.
     fn skip_silence(&mut self, now: policy::Moment) {
-        let heard = self.heard.replace(now).unwrap_or(now);
-        let silence = now.saturating_sub(heard);
+        let answered_at = self.answered_at.replace(now).unwrap_or(now);
+        let silence = now.saturating_sub(answered_at);
         if silence <= MAX_ANSWER_GAP {
             return;
         }
@@ -216,8 +216,8 @@
 
     /// Takes the changes that have begun to wait since the last call.
     pub fn take_untold(&mut self) -> Vec<mirror::Record> {
-        let untold = std::mem::take(&mut self.untold);
+        let unsent = std::mem::take(&mut self.unsent);
         let still_waits = |record: &mirror::Record| self.waiting.contains_key(&record.key);
-        untold.into_iter().filter(still_waits).collect()
+        unsent.into_iter().filter(still_waits).collect()
     }
 }
--- a/src/decisions/cross_az.rs
+++ b/src/decisions/cross_az.rs
@@ -433,7 +433,7 @@
     }
 
     /// Guards against an availability zone that grants slots on frozen load reports after its
-    /// backend servers died and then refuses each request sent to it.
+    /// backend servers ended and then refuses each request sent to it.
     #[test]
     fn an_az_that_grants_and_refuses_loses_its_traffic() {
         let mut cross_az = cross_az();
--- a/src/decisions/withdrawal.rs
+++ b/src/decisions/withdrawal.rs
@@ -33,7 +33,7 @@
 }
 
 impl Withdrawal {
-    /// Records an answer that says that the backend server leaves. Returns whether this is news.
+    /// Records an answer that says that the backend server leaves. Returns whether it was not known.
     pub fn leaves(&mut self, now: policy::Moment) -> bool {
         let was_leaving = self.is_leaving(now);
         self.leaving_until = now + LEAVING_HOLD;
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -503,7 +503,7 @@
         self.cx.record_store_answer();
         let own = self.records.borrow().position();
         slog::info!(self.cx.log, "all records read"; "records" => records.len(), "epoch" => position.epoch, "revision" => position.revision, "before" => own.revision);
-        // Where the store states no epoch that can be read, only the revision tells.
+        // Where the store states no epoch that can be read, only the revision shows a return.
         let restored = match position.epoch == own.epoch && position.revision < own.revision {
             true => Some(self.rebase(position)),
             false => self.enter_epoch(position),
--- a/src/gateway/registering.rs
+++ b/src/gateway/registering.rs
@@ -92,7 +92,7 @@
     pub registry: R,
     /// The peer address of this VM.
     pub peers: Option<net::SocketAddr>,
-    /// How long callers may be given the address of an entry VM that died.
+    /// How long callers may be given the address of an entry VM that has ended.
     pub dead_vm_ttl: time::Duration,
     /// Crashes that may have to be published again.
     pub published: PublishedCrashes,
