Callers that pause while they read keep their answers

Cause: accepted connections had the limit on unacknowledged bytes (TCP_USER_TIMEOUT, 2.2 s) that detects dead servers. On Linux it also counts the time in which the peer's window is closed. In the same way, one write of a whole answer had to end within 10 s however much of it the caller had taken.

Change: accepted connections keep the keepalive probes alone, which find a dead caller after three seconds while nothing is being sent; the limit of 10 s counts from the last byte that the caller took.

Evidence: callers::a_caller_that_pauses_while_it_reads_gets_its_answers failed before (the connection ended in the long answer) and passes; it failed again with the limit put back.

--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -41,7 +41,7 @@
 /// Pieces of a streamed body that are queued for the request's task.
 const MAX_QUEUED_PIECES: usize = 4;
 
-/// How long one write of an answer may take before its caller counts as disconnected.
+/// How long a caller may take no byte of its answer before it counts as disconnected.
 const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
 /// How long a connection is still read in total after the server has shut down its sending side.
@@ -202,7 +202,7 @@
             slot,
             held: _held,
         } = self;
-        if socket::set_failure_detection(&stream).is_err() {
+        if socket::set_keepalive(&stream).is_err() {
             // The caller disconnected before the connection was accepted.
             return;
         }
@@ -652,13 +652,25 @@
             Err(err) => return Err(err),
         };
         let started = time::Instant::now();
-        let rest = self.wr.write_all(&bytes[written..]);
-        let ended = tokio::time::timeout(WRITE_TIMEOUT, rest).await;
+        let sent = self.send_rest(&bytes[written..]).await;
         let now = time::Instant::now();
         let blocked = now.duration_since(started);
         let blocked = blocked.saturating_sub(self.handler.read_lag(now));
         metrics::histogram!(known::WRITE_BLOCKED).record(blocked.as_secs_f64());
-        ended.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+        sent
+    }
+
+    /// Writes as fast as the caller reads.
+    async fn send_rest(&mut self, mut rest: &[u8]) -> io::Result<()> {
+        while !rest.is_empty() {
+            let write = self.wr.write(rest);
+            let written = tokio::time::timeout(WRITE_TIMEOUT, write).await;
+            match written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                n => rest = &rest[n..],
+            }
+        }
+        Ok(())
     }
 
     /// Closes the connection without a reset, so that the last answer arrives.
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -54,11 +54,19 @@
     Ok(socket)
 }
 
-/// Sets the socket options that make a connection fail soon after its peer has failed.
+/// Sets the socket options that make a connection to a server fail soon after the server has failed.
 pub fn set_failure_detection(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    set_keepalive(stream)
+}
+
+/// Sets the socket options of an accepted connection, which fails soon after its peer has failed while
+/// nothing is being sent. A limit on unacknowledged bytes would also end the connection of a caller
+/// that pauses while it reads an answer.
+pub fn set_keepalive(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -654,6 +654,20 @@
         answered
     }
 
+    /// Connects as over an Ethernet with a small window: the system takes little of an answer before the
+    /// caller reads.
+    pub(crate) async fn connect_slow(addr: net::SocketAddr) -> Self {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        let options = socket2::SockRef::from(&socket);
+        options.set_tcp_mss(1460).unwrap();
+        options.set_recv_buffer_size(8 << 10).unwrap();
+        let stream = socket.connect(addr).await.unwrap();
+        let held = descriptors::Held::new(descriptors::Use::Callers);
+        Self {
+            wire: socket::Wire::new(stream, held),
+        }
+    }
+
     pub(crate) async fn send(&mut self, text: &str) {
         self.wire.send(text.as_bytes()).await.unwrap();
     }
