A planned stop waits until callers have their answers

The process ended 2.5 s after SIGTERM with three seconds of grace left.

Cause: a request counted as ended when its handler had returned its answer, which is written after that. The log line at the end said in_hand=0 while answers were being written.

Change: a caller's connection is in use unless it waits between two requests, which it already declares so that it can be closed for want of file descriptors. The wait for the end of the registration no longer comes before that for callers. A body or head that still arrives counts too: its caller gets a refusal, not a closed connection.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -72,7 +72,7 @@
                 let accepted = callers::Accepted {
                     stream,
                     waited,
-                    slot: cx.connections().add(),
+                    slot: cx.reading.connections().add(),
                     held,
                 };
                 task::spawn_local(accepted.serve(handler.clone(), cx.subscribe_stop()));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod shares;
 mod split_routes;
 mod stated;
+mod stopping;
 pub mod thresholds;
 mod tunnels;
 mod waiting;
@@ -51,10 +52,6 @@
 use crate::state::{backends, entries};
 use crate::{id, logging, metrics};
 
-/// How long a planned stop still accepts requests: callers cache where to connect, and some connect
-/// here until their cached answer expires.
-const STOP_ACCEPT_PERIOD: time::Duration = time::Duration::from_millis(2500);
-
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -355,24 +352,6 @@
         self.data_arrived.notified().await;
     }
 
-    /// Begins a planned stop: connections are closed after their running requests are answered.
-    pub fn stop(&self) {
-        self.closes_at.set(Some(self.now() + STOP_ACCEPT_PERIOD));
-        self.stop.send_replace(true);
-    }
-
-    /// Whether a planned stop no longer accepts requests. A request accepted later could still be
-    /// running when the grace time ends, and would be cut off.
-    pub fn is_closed(&self) -> bool {
-        self.closes_at.get().is_some_and(|at| self.now() >= at)
-    }
-
-    /// Whether a planned stop is complete: it accepts no requests, none is running, and no other VM
-    /// has connections through this one.
-    pub fn is_drained(&self) -> bool {
-        self.is_closed() && self.in_progress.get() == 0 && self.tunnels.get() == 0
-    }
-
     /// Number of tunnels that this VM carries for others.
     pub fn carried_tunnels(&self) -> usize {
         self.tunnels.get()
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -14,7 +14,7 @@
 use metrics::counter;
 use tokio::net::UdpSocket;
 
-use super::{Gateway, STOP_ACCEPT_PERIOD, facts, shares};
+use super::{Gateway, facts, shares, stopping};
 use crate::decisions::{affinity, entry_selection, policy, quota, retry_delay};
 use crate::id;
 use crate::metrics as metric_names;
@@ -434,9 +434,9 @@
         let now = self.now();
         let mut ending = self.ending_vms.borrow_mut();
         ending.retain(|_, (_, until)| now <= *until);
-        let until = now + left.min(STOP_ACCEPT_PERIOD) + MAX_REPORT_INTERVAL;
+        let until = now + left.min(stopping::ACCEPT_PERIOD) + MAX_REPORT_INTERVAL;
         ending.entry(vm).or_insert((from.ip(), until));
-        let left = left.min(STOP_ACCEPT_PERIOD);
+        let left = left.min(stopping::ACCEPT_PERIOD);
         self.quotas.borrow_mut().end_peer(now, vm, left);
     }
 
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -44,6 +44,10 @@
             ..Self::default()
         }
     }
+
+    pub(super) fn connections(&self) -> &idle::Connections {
+        &self.connections
+    }
 }
 
 /// Whether a call failed because the process or the system has no free file descriptors.
@@ -121,10 +125,6 @@
         self.reading.shortage.set(shortage);
     }
 
-    pub(super) fn connections(&self) -> &idle::Connections {
-        &self.reading.connections
-    }
-
     /// Notes that file descriptors are short, and closes callers' connections that have been idle
     /// longest; one with a request in progress is never closed. Returns the number of closed ones.
     pub(super) fn make_room(&self) -> u64 {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,9 +23,6 @@
 use crate::transport::{callers, socket};
 use crate::{error, gateway, metrics};
 
-/// A planned stop ends requests that are still in flight this long before the grace period is over.
-const SHUTDOWN_MARGIN: time::Duration = time::Duration::from_millis(400);
-
 /// Runs an entry VM's process until SIGTERM. Fails if the runtime or a required listener cannot start.
 pub fn run(settings: settings::Settings, log: &slog::Logger) -> Result<(), error::Error> {
     let settings = rc::Rc::new(settings);
@@ -83,7 +80,10 @@
     task::spawn_local(cx.clone().measure_lag());
     task::spawn_local(update_metrics(cx.clone()));
     wait_for_sigterm(&cx).await?;
-    drain(&cx, registration_task).await;
+    cx.stop();
+    // The task logs its own panic; the registration's lease then expires.
+    let deregistered = async { drop(registration_task.await) };
+    cx.finish_stop(deregistered).await;
     slog::info!(log, "stop"; "in_hand" => cx.requests_in_progress());
     Ok(())
 }
@@ -143,19 +143,3 @@
         }
     }
 }
-
-/// Deregisters this VM and waits until its requests have ended, at most for the grace period.
-async fn drain(cx: &gateway::Gateway, registration: task::JoinHandle<()>) {
-    let started = cx.now();
-    slog::info!(cx.log, "planned stop"; "in_hand" => cx.requests_in_progress());
-    cx.stop();
-    // The task logs its own panic; the registration's lease then expires.
-    let _ = registration.await;
-    let deadline = started + cx.cfg.grace.saturating_sub(SHUTDOWN_MARGIN);
-    loop {
-        tokio::time::sleep(time::Duration::from_millis(50)).await;
-        if cx.is_drained() || cx.now() >= deadline {
-            return;
-        }
-    }
-}
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -224,6 +224,7 @@
         };
         // An error means that the caller has disconnected, so it cannot get an answer.
         if connection.run().await.is_ok() {
+            connection.slot.set_lingering();
             connection.linger().await;
         }
     }
--- a/src/transport/idle.rs
+++ b/src/transport/idle.rs
@@ -1,5 +1,6 @@
-//! Callers' connections that are between two requests, of which some can be closed where file
-//! descriptors are short.
+//! What callers' connections are doing. A connection is in use from its accept to its end, except
+//! while it waits between two requests. Those that wait can be closed where file descriptors are
+//! short; a planned stop waits for the others.
 
 use std::cell;
 use std::rc;
@@ -22,9 +23,20 @@
     idle_since: cell::Cell<Option<time::Instant>>,
     /// Whether it is being closed to make room for others.
     closing: cell::Cell<bool>,
+    /// Whether its last answer is written and it waits for the caller to close.
+    lingering: cell::Cell<bool>,
     close: sync::Notify,
 }
 
+/// Numbers of connections that are not between two requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct InUse {
+    /// Those with a request that is read, runs, or has an answer that is not written yet.
+    pub active: usize,
+    /// Those whose last answer is written and whose caller has not closed yet.
+    pub lingering: usize,
+}
+
 impl Connections {
     /// Adds a connection, which is removed some time after its end.
     pub fn add(&self) -> rc::Rc<Slot> {
@@ -40,6 +52,20 @@
         slot
     }
 
+    /// The connections that are not between two requests.
+    pub fn in_use(&self) -> InUse {
+        let slots = self.slots.borrow();
+        let open = slots.iter().filter_map(rc::Weak::upgrade);
+        let in_use = open.filter(|slot| slot.idle_since.get().is_none());
+        let (lingering, active) = in_use.fold((0, 0), |(lingering, active), slot| {
+            match slot.lingering.get() {
+                true => (lingering + 1, active),
+                false => (lingering, active + 1),
+            }
+        });
+        InUse { active, lingering }
+    }
+
     /// Number of connections that are being closed to make room for others.
     pub fn closing(&self) -> usize {
         let slots = self.slots.borrow();
@@ -73,6 +99,11 @@
         self.closing.set(closing);
     }
 
+    /// Notes that the last answer is written.
+    pub(super) fn set_lingering(&self) {
+        self.lingering.set(true);
+    }
+
     /// Waits until the connection is to be closed.
     pub(super) async fn wait_closed(&self) {
         self.close.notified().await;
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -1,6 +1,11 @@
 //! Planned stops of an entry VM.
 
-use super::harness::{Harness, Reaction, get, run_test};
+use std::future;
+use std::time;
+
+use futures_util::future as futures;
+
+use super::harness::{Caller, Harness, LONG, Reaction, get, get_object, post, run_test};
 
 /// An entry VM stops as planned. Running requests must be answered, and callers sent elsewhere.
 #[test]
@@ -45,3 +50,111 @@
         assert!(harness.cx.is_drained());
     });
 }
+
+/// What a caller still waits for when a planned stop accepts no more requests.
+#[derive(Clone, Copy, Debug)]
+enum Waits {
+    /// The rest of answers that are written whole.
+    WholeAnswers,
+    /// The rest of an answer that is relayed.
+    RelayedAnswer,
+    /// The answer to a request whose body it is still sending.
+    BodyBeingSent,
+    /// The answer to a request that it has sent in part.
+    HeadBeingSent,
+}
+
+impl Waits {
+    const ALL: [Self; 4] = [
+        Self::WholeAnswers,
+        Self::RelayedAnswer,
+        Self::BodyBeingSent,
+        Self::HeadBeingSent,
+    ];
+
+    /// The lengths of the answers, which are more than the system takes; none if the request has not run.
+    fn answers(self) -> Vec<usize> {
+        match self {
+            Self::WholeAnswers => vec![250_000; 6],
+            Self::RelayedAnswer => vec![2 << 20],
+            Self::BodyBeingSent | Self::HeadBeingSent => Vec::new(),
+        }
+    }
+
+    /// The request in two parts. The second is sent when the stop accepts no more requests.
+    fn request(self) -> (String, String) {
+        let (whole, split) = match self {
+            Self::WholeAnswers | Self::RelayedAnswer => {
+                let objects = 0..self.answers().len();
+                let requests = objects.map(|n| get_object("/read/a", &format!("r{n}"), n));
+                (requests.collect(), 0)
+            }
+            Self::BodyBeingSent => (post("/book/a", "b1", "0123456789"), 5),
+            Self::HeadBeingSent => (get("/read/a", "r1"), 40),
+        };
+        let (first, rest) = whole.split_at(whole.len() - split);
+        (first.to_owned(), rest.to_owned())
+    }
+
+    async fn play(self) {
+        let answers = self.answers();
+        let script: Vec<_> = answers.iter().map(|n| Reaction::Long(*n)).collect();
+        let harness = Harness::new(6, &script).await;
+        let mut caller = Caller::connect_slow(harness.caller_addr).await;
+        let (first, rest) = self.request();
+        caller.send(&first).await;
+        harness
+            .until("all run", |seen| seen.ran.len() == answers.len())
+            .await;
+        harness.cx.stop();
+        while !harness.cx.is_closed() {
+            tokio::time::sleep(time::Duration::from_millis(500)).await;
+            if !answers.is_empty() {
+                caller.wire.fill().await.unwrap();
+            }
+        }
+        assert!(!harness.cx.is_drained(), "{self:?}: the caller waits");
+        caller.send(&rest).await;
+        for len in &answers {
+            let answer = caller.receive().await.unwrap();
+            assert_eq!((answer.status, answer.body.len()), (200, *len), "{self:?}");
+        }
+        if answers.is_empty() {
+            assert_eq!(caller.receive().await.unwrap().status, 503, "{self:?}");
+        }
+        drop(caller);
+        let finished = harness.cx.finish_stop(future::ready(()));
+        tokio::time::timeout(LONG, finished).await.unwrap();
+        assert!(harness.cx.is_drained(), "{self:?}: nothing is pending");
+    }
+}
+
+async fn until(holds: impl Fn() -> bool) {
+    let started = time::Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < LONG);
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a planned stop that ends while callers still send a request or read their answer.
+#[test]
+pub(crate) fn a_planned_stop_waits_until_callers_have_their_answers() {
+    run_test(|| async {
+        futures::join_all(Waits::ALL.map(Waits::play)).await;
+    });
+}
+
+/// Guards against a planned stop that waits for callers which wait for nothing.
+#[test]
+pub(crate) fn a_planned_stop_does_not_wait_for_idle_connections() {
+    run_test(|| async {
+        let harness = Harness::new(1, &[]).await;
+        let mut caller = harness.caller().await;
+        assert_eq!(caller.request(&get("/read/a", "r1")).await.status, 200);
+        harness.cx.stop();
+        until(|| harness.cx.is_closed()).await;
+        assert!(harness.cx.is_drained());
+        drop(caller);
+    });
+}
