A planned stop answers each caller before its grace period ends

Cause: the process ended with whatever was unfinished. Nothing was written to callers whose requests still ran, so nothing behind them could be written either.

Change: in the last sixth of the grace period a request ends that holds up ready answers; shortly before the process ends, all others do. The outcome is 502 where a send was in flight or may have run, 503 with a time to come back where not, also for a request whose body still arrives. Answers behind are then written in order. When which is ended is a decision of its own (decisions/planned_stop).

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -26,7 +26,7 @@
 
 /// Messages of log lines that record an entry VM's state. If a field is given, the line matters
 /// only if that field names the request's route or one of its backend servers.
-const STATE_MESSAGES: [(&str, Option<&str>); 21] = [
+const STATE_MESSAGES: [(&str, Option<&str>); 23] = [
     ("start", None),
     ("routes", None),
     ("routes not taken", None),
@@ -36,6 +36,8 @@
     ("not following", None),
     ("evacuation", None),
     ("planned stop", None),
+    ("planned stop ends requests before ready answers", None),
+    ("planned stop ends all requests", None),
     (
         "cut off from backend servers; connecting through other entry VMs",
         None,
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -32,6 +32,7 @@
 pub mod peer_selection;
 pub mod placement;
 pub mod plan;
+pub mod planned_stop;
 pub mod policy;
 pub mod precedence;
 pub mod probe;
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -24,8 +24,8 @@
         self.loop_lag(at)
     }
 
-    fn refuse(&self, head: &http1::RequestHead) -> callers::Answer {
-        self.refuse_connection(head)
+    fn refuse(&self, head: &http1::RequestHead, why: callers::Refusal) -> callers::Answer {
+        self.refuse_unread(head, why)
     }
 
     fn answer(&self, req: callers::Request) -> impl Future<Output = callers::Answer> + 'static {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,9 +44,9 @@
 
 use crate::coordination::removal_guard;
 use crate::decisions::{
-    affinity, crashes, declines, departures, ejection, entry_selection, pace as work_pace, policy,
-    precedence, quota, reachability, regions, resend, returns as return_schedule, split,
-    usual_time, waiting as queueing, warming,
+    affinity, crashes, declines, departures, ejection, entry_selection, pace as work_pace,
+    planned_stop, policy, precedence, quota, reachability, regions, resend,
+    returns as return_schedule, split, usual_time, waiting as queueing, warming,
 };
 use crate::protocol::{names, routes};
 use crate::state::{backends, entries};
@@ -224,7 +224,7 @@
     pending_crashes: cell::RefCell<Vec<cluster_state::Crash>>,
     pub(crate) log_limiter: logging::Limiter,
     labels: metrics::BoundedLabel,
-    stop: watch::Sender<bool>,
+    stop: watch::Sender<planned_stop::Phase>,
     /// Notified when the first routes or backend servers are known.
     data_arrived: sync::Notify,
     /// Notified when a customer sends a request after an idle period.
@@ -305,7 +305,7 @@
             pending_crashes: cell::RefCell::default(),
             log_limiter: logging::Limiter::new(record::LOG_RATE),
             labels: metrics::BoundedLabel::default(),
-            stop: watch::channel(false).0,
+            stop: watch::channel(planned_stop::Phase::Serving).0,
             data_arrived: sync::Notify::new(),
             customer_active: sync::Notify::new(),
             closes_at: cell::Cell::new(None),
@@ -339,7 +339,7 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        *self.stop.borrow()
+        self.stop.borrow().is_stopping()
     }
 
     /// Whether callers can be served: routes and backend servers are known, and no stop has begun.
@@ -357,8 +357,8 @@
         self.tunnels.get()
     }
 
-    /// Subscribes to the start of a planned stop.
-    pub fn subscribe_stop(&self) -> watch::Receiver<bool> {
+    /// Subscribes to the course of a planned stop.
+    pub fn subscribe_stop(&self) -> watch::Receiver<planned_stop::Phase> {
         self.stop.subscribe()
     }
 
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -8,7 +8,7 @@
 use metrics::{counter, gauge, histogram};
 use tokio::sync;
 
-use super::{Gateway, facts};
+use super::{Gateway, facts, waiting};
 use crate::decisions::{descriptors, policy, read_lag, retry_delay};
 use crate::metrics as metric_names;
 use crate::protocol::http1;
@@ -164,11 +164,19 @@
         self.reading.refusal_ended.notify_one();
     }
 
-    /// The answer to the first request of a refused connection. It has not run.
-    pub(super) fn refuse_connection(&self, head: &http1::RequestHead) -> callers::Answer {
+    /// The answer to a request that is refused before it was read whole. It has not run.
+    pub(super) fn refuse_unread(
+        &self,
+        head: &http1::RequestHead,
+        why: callers::Refusal,
+    ) -> callers::Answer {
         let id = head.fields.get(self.cfg.names.id).unwrap_or_default();
         let delay = retry_delay::spread(LATE_RETRY_DELAY, self.jitter());
-        self.refuse_temporarily(id, delay, "no free file descriptors")
+        let why = match why {
+            callers::Refusal::NoDescriptors => "no free file descriptors",
+            callers::Refusal::PlannedStop => waiting::PLANNED_STOP,
+        };
+        self.refuse_temporarily(id, delay, why)
     }
 
     /// Waits until a further connection may be refused.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -142,6 +142,7 @@
             payload: Some(payload),
             tried: Vec::new(),
             sends: 0,
+            in_flight: 0,
             possible_runs: 0,
             first_sent: None,
             last_sent: now,
@@ -163,7 +164,11 @@
             departure,
             waited: waiting::Waited::default(),
         };
-        let answer = dispatch.answer().await;
+        let answer = tokio::select! {
+            biased;
+            answer = dispatch.answer() => answer,
+            () = req.cancellation.ended() => dispatch.break_off(),
+        };
         in_progress.answered = true;
         if dispatch.possible_runs == 0 && dispatch.fate.0 != "answered" {
             self.uncount_departure(departure);
@@ -241,7 +246,9 @@
     pub(super) payload: Option<upstream::Payload>,
     pub(super) tried: Vec<id::VmId>,
     pub(super) sends: u32,
-    /// Number of sends that may have run.
+    /// Number of sends that have not ended.
+    in_flight: u32,
+    /// Number of ended sends that may have run.
     pub(super) possible_runs: u32,
     first_sent: Option<policy::Moment>,
     pub(super) last_sent: policy::Moment,
@@ -447,6 +454,7 @@
 
     pub(super) fn note_send(&mut self) {
         self.sends += 1;
+        self.in_flight += 1;
         self.last_sent = self.cx.now();
         self.first_sent.get_or_insert(self.last_sent);
         if !self.facts.route.idempotent {
@@ -475,6 +483,7 @@
         let (name, connect_error) = (outcome.as_str(), outcome.connect_error());
         self.latest_failure = name;
         self.refusal = None;
+        self.in_flight -= 1;
         match outcome {
             attempt::Outcome::Answer {
                 answer,
@@ -545,6 +554,25 @@
         }
     }
 
+    /// The answer to a request that a planned stop ends. Its sends in flight are given up.
+    fn break_off(&mut self) -> callers::Answer {
+        self.possible_runs += std::mem::take(&mut self.in_flight);
+        let answer = match self.possible_runs {
+            0 => {
+                // After a send that has not run, it is refunded already.
+                if self.sends == 0 {
+                    self.refund();
+                }
+                self.refuse_unsent(waiting::PLANNED_STOP)
+            }
+            _ => self.outcome_unknown(waiting::PLANNED_STOP),
+        };
+        callers::Answer {
+            close: true,
+            ..answer
+        }
+    }
+
     /// The answer to a request for which no connection came about since this VM is cut off. The
     /// connection is closed, because another VM can serve the caller.
     fn refuse_cut_off(&mut self) -> callers::Answer {
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use super::{Cx, Gateway};
+use crate::decisions::planned_stop;
 
 /// How long a planned stop still accepts requests: callers cache where to connect, and some connect
 /// here until their cached answer expires.
@@ -16,9 +17,6 @@
 /// How often a planned stop checks whether it is complete.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// A planned stop ends this long before the grace period is over.
-const EXIT_MARGIN: time::Duration = time::Duration::from_millis(400);
-
 /// What is in progress on this VM.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Unfinished {
@@ -43,7 +41,7 @@
     /// Begins a planned stop: connections are closed after their running requests are answered.
     pub fn stop(&self) {
         self.closes_at.set(Some(self.now() + ACCEPT_PERIOD));
-        self.stop.send_replace(true);
+        self.stop.send_replace(planned_stop::Phase::Stopping);
     }
 
     /// Whether a planned stop no longer accepts requests. A request accepted later could still be
@@ -75,13 +73,29 @@
     /// most for the grace period. A store that does not answer takes no time from callers.
     pub async fn finish_stop(&self, deregistered: impl Future<Output = ()>) {
         self.log_unfinished("planned stop");
-        let exit_at = self.now() + self.cfg.grace.saturating_sub(EXIT_MARGIN);
         let complete = async { tokio::join!(self.completed(), deregistered) };
-        // What is still unfinished then is logged.
-        let _ = tokio::time::timeout_at(self.instant(exit_at), complete).await;
+        tokio::select! {
+            _ = complete => {}
+            () = self.advance_stop() => {}
+        }
         self.log_unfinished("planned stop ends");
     }
 
+    /// Goes through the phases of the planned stop, until the process has to end.
+    async fn advance_stop(&self) {
+        let begun = self.now();
+        let schedule = planned_stop::Schedule::new(self.cfg.grace);
+        for (at, phase) in [
+            (schedule.yield_at, planned_stop::Phase::Yielding),
+            (schedule.end_at, planned_stop::Phase::Ending),
+        ] {
+            tokio::time::sleep_until(self.instant(begun + at)).await;
+            self.log_unfinished(phase.as_str());
+            self.stop.send_replace(phase);
+        }
+        tokio::time::sleep_until(self.instant(begun + schedule.exit_at)).await;
+    }
+
     async fn completed(&self) {
         while !self.is_drained() || self.unfinished().lingering > 0 {
             tokio::time::sleep(CHECK_INTERVAL).await;
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -18,10 +18,11 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, tcp};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{self, mpsc, oneshot, watch};
 use tokio::task;
 
 use super::{descriptors, idle, socket, upstream};
+use crate::decisions::planned_stop;
 use crate::metrics as known;
 use crate::protocol::{http1, routes};
 
@@ -85,6 +86,28 @@
     pub committed: cell::Cell<bool>,
     /// Set once the caller has disconnected; the request then starts at no other backend server.
     pub caller_left: cell::Cell<bool>,
+    ended: sync::Notify,
+}
+
+impl Cancellation {
+    /// Asks the request's handler for its answer at once.
+    pub fn end(&self) {
+        self.ended.notify_one();
+    }
+
+    /// Waits until the answer is due at once.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+}
+
+/// Why a request is refused before it was read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// File descriptors are short.
+    NoDescriptors,
+    /// A planned stop ends.
+    PlannedStop,
 }
 
 /// Answers the requests of callers' connections.
@@ -101,8 +124,8 @@
         time::Duration::ZERO
     }
 
-    /// The answer to the first request of a connection that is refused for want of file descriptors.
-    fn refuse(&self, _head: &http1::RequestHead) -> Answer {
+    /// The answer to a request that is refused before it was read whole.
+    fn refuse(&self, _head: &http1::RequestHead, _why: Refusal) -> Answer {
         Answer::empty(503)
     }
 
@@ -119,6 +142,26 @@
     framing: answer::AnswerFraming,
 }
 
+impl Pending {
+    /// A request that is answered already. Nothing is read after it.
+    fn answered(answer: Answer) -> Self {
+        let (tx, rx) = oneshot::channel();
+        // Cannot fail: the receiver is still held in this function.
+        let _ = tx.send(answer);
+        Self {
+            rx,
+            task: None,
+            cancellation: rc::Rc::default(),
+            keep_alive: false,
+            framing: answer::AnswerFraming::default(),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.rx.is_empty()
+    }
+}
+
 impl Drop for Pending {
     fn drop(&mut self) {
         self.cancellation.caller_left.set(true);
@@ -158,7 +201,9 @@
     pending: collections::VecDeque<Pending>,
     /// Whether no further request is read.
     reading_closed: bool,
-    stop: watch::Receiver<bool>,
+    stop: watch::Receiver<planned_stop::Phase>,
+    /// Notified when a handler has ended.
+    ready: rc::Rc<sync::Notify>,
     last_active: time::Instant,
     /// How late the last bytes were read.
     delay: time::Duration,
@@ -170,7 +215,11 @@
 }
 
 /// Serves one connection until it ends.
-pub async fn serve<H: Handler>(stream: TcpStream, handler: H, stop: watch::Receiver<bool>) {
+pub async fn serve<H: Handler>(
+    stream: TcpStream,
+    handler: H,
+    stop: watch::Receiver<planned_stop::Phase>,
+) {
     let accepted = Accepted {
         stream,
         waited: time::Duration::ZERO,
@@ -195,7 +244,7 @@
 
 impl Accepted {
     /// Serves the connection until it ends.
-    pub async fn serve<H: Handler>(self, handler: H, stop: watch::Receiver<bool>) {
+    pub async fn serve<H: Handler>(self, handler: H, stop: watch::Receiver<planned_stop::Phase>) {
         let Accepted {
             stream,
             waited,
@@ -216,6 +265,7 @@
             pending: collections::VecDeque::new(),
             reading_closed: false,
             stop,
+            ready: rc::Rc::default(),
             last_active: time::Instant::now(),
             delay: time::Duration::ZERO,
             waited,
@@ -236,6 +286,8 @@
     PieceReady(bool),
     TimedOut,
     Evicted,
+    /// The planned stop has gone on, or an answer is ready behind another in its course.
+    Stopping,
 }
 
 impl<H: Handler> Connection<H> {
@@ -244,6 +296,7 @@
             self.start_requests().await?;
             // Heads that are parsed later were read in time, or waited for this connection's answers.
             self.delay = time::Duration::ZERO;
+            self.end_requests();
             if self.reading_closed && self.pending.is_empty() {
                 return Ok(());
             }
@@ -268,8 +321,31 @@
                         return Ok(());
                     }
                 }
+                Step::Stopping => {}
+            }
+        }
+    }
+
+    /// Ends the requests that a planned stop does not wait for any longer.
+    fn end_requests(&mut self) {
+        let phase = *self.stop.borrow_and_update();
+        if phase < planned_stop::Phase::Yielding {
+            return;
+        }
+        let last_ready = self.pending.iter().rposition(Pending::is_ready);
+        for (n, pending) in self.pending.iter().enumerate() {
+            let holds_up = last_ready.is_some_and(|last| n < last);
+            if !pending.is_ready() && phase.ends_request(holds_up) {
+                pending.cancellation.end();
             }
         }
+        if phase.ends_request(false)
+            && let Reading::Buffered { head, .. } = &self.reading
+        {
+            let answer = self.handler.refuse(head, Refusal::PlannedStop);
+            self.reading = Reading::Head;
+            self.refuse_with(answer);
+        }
     }
 
     async fn step(&mut self) -> Step {
@@ -283,6 +359,7 @@
         let has_pending = !self.pending.is_empty();
         let is_idle = !has_pending && self.is_between_requests();
         self.slot.set_idle(is_idle.then_some(self.last_active));
+        let yields = *self.stop.borrow() >= planned_stop::Phase::Yielding;
         let answer = first_answer(&mut self.pending);
         let queue = match &self.reading {
             Reading::Streamed {
@@ -295,6 +372,8 @@
             answer = answer, if has_pending => Step::Answer(answer),
             has_room = wait_for_room(queue.clone()), if queue.is_some() => Step::PieceReady(has_room),
             n = self.rd.read_buf(&mut self.buf), if room => Step::Read(n),
+            () = next_phase(&mut self.stop), if !is_idle => Step::Stopping,
+            () = self.ready.notified(), if yields => Step::Stopping,
             () = tokio::time::sleep_until(deadline.into()), if !has_pending => Step::TimedOut,
             // Last, so that a request that has arrived is served.
             () = self.slot.wait_closed(), if is_idle => Step::Evicted,
@@ -544,9 +623,11 @@
             delay: received.delay,
             cancellation: cancellation.clone(),
         });
+        let ready = self.ready.clone();
         let task = task::spawn_local(async move {
             // The receiver is dropped if the caller disconnected and the request was committed.
             let _ = tx.send(answer.await);
+            ready.notify_one();
         });
         self.reading_closed |= !keep_alive;
         self.pending.push_back(Pending {
@@ -560,31 +641,25 @@
 
     /// Queues an error answer to an invalid request; its end is unknown, so reading stops.
     fn refuse(&mut self, status: u16) -> io::Result<()> {
-        let (tx, rx) = oneshot::channel();
-        let answer = Answer {
-            close: true,
-            ..Answer::empty(status)
-        };
-        // Cannot fail: the receiver is still held in this function.
-        let _ = tx.send(answer);
-        self.reading_closed = true;
-        self.pending.push_back(Pending {
-            rx,
-            task: None,
-            cancellation: rc::Rc::default(),
-            keep_alive: false,
-            framing: answer::AnswerFraming::default(),
-        });
+        self.refuse_with(Answer::empty(status));
         Ok(())
     }
 
+    fn refuse_with(&mut self, answer: Answer) {
+        self.reading_closed = true;
+        self.pending.push_back(Pending::answered(Answer {
+            close: true,
+            ..answer
+        }));
+    }
+
     /// Writes the first pending request's answer. Returns whether the connection ends after it.
     async fn write_first(&mut self, answer: Answer) -> io::Result<bool> {
         let Some(done) = self.pending.pop_front() else {
             return Ok(true);
         };
         let more_requests = !self.pending.is_empty() || !matches!(self.reading, Reading::Head);
-        let stopping = *self.stop.borrow() && !more_requests && self.buf.is_empty();
+        let stopping = self.stop.borrow().is_stopping() && !more_requests && self.buf.is_empty();
         // Later requests of the connection already run; closing now would abort them.
         self.reading_closed |= answer.close || !done.keep_alive || stopping;
         let close = self.reading_closed && self.pending.is_empty();
@@ -709,6 +784,13 @@
     }
 }
 
+/// Waits until the planned stop goes on; forever if nothing can stop.
+async fn next_phase(stop: &mut watch::Receiver<planned_stop::Phase>) {
+    if stop.changed().await.is_err() {
+        future::pending().await
+    }
+}
+
 async fn wait_for_room(tx: Option<mpsc::Sender<upstream::Piece>>) -> bool {
     match tx {
         Some(tx) => tx.reserve().await.is_ok(),
--- a/src/transport/callers/refusing.rs
+++ b/src/transport/callers/refusing.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::{Accepted, EVICTED_LINGER_TIMEOUT, Handler, answer};
+use super::{Accepted, EVICTED_LINGER_TIMEOUT, Handler, Refusal, answer};
 use crate::decisions::descriptors;
 use crate::protocol::http1;
 use crate::transport::idle;
@@ -90,7 +90,7 @@
             Err(_) => return Err(End::Invalid),
         }
     };
-    let refusal = handler.refuse(&head);
+    let refusal = handler.refuse(&head, Refusal::NoDescriptors);
     let mut out = BytesMut::with_capacity(refusal.fields.len() + 256);
     let framing = answer::AnswerFraming::of(&head);
     answer::put_head(&mut out, &refusal, true, framing);
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -3,6 +3,8 @@
 use std::future;
 use std::time;
 
+use bulrushwind::decisions::planned_stop;
+use bulrushwind::gateway;
 use futures_util::future as futures;
 
 use super::harness::{Caller, Harness, LONG, Reaction, get, get_object, post, run_test};
@@ -158,3 +160,71 @@
         drop(caller);
     });
 }
+
+/// Guards against a planned stop that cuts connections at its end, with answers that are ready behind a
+/// request which still runs.
+#[test]
+pub(crate) fn at_the_end_of_a_planned_stop_each_caller_gets_an_answer() {
+    run_test(|| async {
+        let cfg = gateway::Config {
+            grace: time::Duration::from_secs(4),
+            ..gateway::Config::default()
+        };
+        let script = [
+            Reaction::Hang,
+            Reaction::Answer("ready"),
+            Reaction::Hang,
+            Reaction::Hang,
+        ];
+        let harness = Harness::with(cfg, 4, &script).await;
+        let mut callers = Vec::new();
+        let mut runs = 0;
+        for requests in [
+            vec![
+                get_object("/read/a", "r1", 1),
+                get_object("/read/b", "r2", 2),
+            ],
+            vec![post("/book/a", "b1", "x")],
+            vec![get_object("/read/c", "r3", 3)],
+        ] {
+            let mut caller = harness.caller().await;
+            for request in requests {
+                caller.send(&request).await;
+                runs += 1;
+                harness
+                    .until("it runs", |seen| seen.ran.len() == runs)
+                    .await;
+            }
+            callers.push(caller);
+        }
+        let mut uploading = harness.caller().await;
+        let booking = post("/book/b", "b2", "0123456789");
+        uploading.send(&booking[..booking.len() - 5]).await;
+        harness.cx.stop();
+        harness.cx.finish_stop(future::ready(())).await;
+        let expected = [vec![502, 200], vec![502], vec![502]];
+        for (caller, expected) in callers.iter_mut().zip(expected) {
+            for status in expected {
+                assert_eq!(caller.receive().await.unwrap().status, status);
+            }
+            assert!(caller.is_closed().await);
+        }
+        let refused = uploading.receive().await.unwrap();
+        assert_eq!(refused.status, 503, "it has not run");
+        assert!(refused.retry_after() > 0.0);
+    });
+}
+
+/// Guards against requests that are ended while there is time for their own answers.
+#[test]
+pub(crate) fn a_planned_stop_ends_requests_only_in_its_last_part() {
+    for grace in [1, 3, 6, 30].map(time::Duration::from_secs) {
+        let schedule = planned_stop::Schedule::new(grace);
+        assert!(schedule.yield_at <= schedule.end_at && schedule.end_at < schedule.exit_at);
+        assert!(schedule.exit_at < grace);
+    }
+    let schedule = planned_stop::Schedule::new(time::Duration::from_secs(6));
+    assert!(schedule.yield_at > time::Duration::from_secs(5));
+    assert!(!planned_stop::Phase::Stopping.ends_request(true));
+    assert!(!planned_stop::Phase::Yielding.ends_request(false));
+}
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -6,6 +6,7 @@
 use std::rc;
 use std::time;
 
+use bulrushwind::decisions::planned_stop;
 use bulrushwind::platform::names::FIELDS;
 use bulrushwind::protocol::{http1, routes};
 use bulrushwind::transport::callers;
@@ -114,7 +115,7 @@
         };
         let served = backend.clone();
         let accept_task = task::spawn_local(async move {
-            let (_stop, stop) = watch::channel(false);
+            let (_stop, stop) = watch::channel(planned_stop::Phase::Serving);
             while let Ok((stream, from)) = listener.accept().await {
                 let id = served.sources.borrow_mut().add(from.ip(), &stream);
                 let (server, stop) = (served.clone(), stop.clone());
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -7,6 +7,7 @@
 use std::rc;
 use std::time;
 
+use bulrushwind::decisions::planned_stop;
 use bulrushwind::platform::names;
 use bulrushwind::protocol::{http1, routes};
 use bulrushwind::transport::{callers, upstream};
@@ -152,7 +153,7 @@
         store.inner.borrow_mut().revision = 1;
         let served = store.clone();
         task::spawn_local(async move {
-            let (_stop, stop) = watch::channel(false);
+            let (_stop, stop) = watch::channel(planned_stop::Phase::Serving);
             while let Ok((stream, _)) = listener.accept().await {
                 task::spawn_local(callers::serve(stream, served.clone(), stop.clone()));
             }
