Answers through another VM survive a caller that pauses

A caller that read nothing for 2.6 s lost an answer of 16 MB that came through another entry VM.

Cause: as for callers' own connections, the limit on unacknowledged bytes counts the time in which the window is closed; here it was on the carrying VM's connection to the one that asked.

Change: the limit is taken off once the connection is carried. Both kinds of writes share one function, which gives up when the reader takes no byte for 10 s.

Evidence: through_tunnels::callers::a_caller_that_pauses_while_it_reads_gets_its_answers with 16 MB failed before (the connection ended) and passes. The tests of planned stops now run through tunnels as well.

--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -42,9 +42,6 @@
 /// Pieces of a streamed body that are queued for the request's task.
 const MAX_QUEUED_PIECES: usize = 4;
 
-/// How long a caller may take no byte of its answer before it counts as disconnected.
-const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// How long a connection is still read in total after the server has shut down its sending side.
 /// Closing it with unread bytes sends a reset, which can overtake the answer just written.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -728,7 +725,7 @@
             Err(err) => return Err(err),
         };
         let started = time::Instant::now();
-        let sent = self.send_rest(&bytes[written..]).await;
+        let sent = socket::write_all(&mut self.wr, &bytes[written..]).await;
         let now = time::Instant::now();
         let blocked = now.duration_since(started);
         let blocked = blocked.saturating_sub(self.handler.read_lag(now));
@@ -736,19 +733,6 @@
         sent
     }
 
-    /// Writes as fast as the caller reads.
-    async fn send_rest(&mut self, mut rest: &[u8]) -> io::Result<()> {
-        while !rest.is_empty() {
-            let write = self.wr.write(rest);
-            let written = tokio::time::timeout(WRITE_TIMEOUT, write).await;
-            match written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? {
-                0 => return Err(io::ErrorKind::WriteZero.into()),
-                n => rest = &rest[n..],
-            }
-        }
-        Ok(())
-    }
-
     /// Closes the connection without a reset, so that the last answer arrives.
     async fn linger(&mut self) {
         if self.wr.shutdown().await.is_err() {
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -26,6 +26,9 @@
 /// fail without a reset; two unanswered probes close the connection after three seconds.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// How long a reader may take no byte of what is written to it before it counts as disconnected.
+const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
 /// The buffer space reserved for one read: enough for an answer of the usual size with its head.
 const READ_BYTES: usize = 8 << 10;
 
@@ -74,6 +77,21 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Writes all bytes, as fast as the peer reads them.
+pub async fn write_all<W>(tx: &mut W, mut rest: &[u8]) -> io::Result<()>
+where
+    W: AsyncWriteExt + Unpin,
+{
+    while !rest.is_empty() {
+        let written = tokio::time::timeout(WRITE_TIMEOUT, tx.write(rest)).await;
+        match written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            n => rest = &rest[n..],
+        }
+    }
+    Ok(())
+}
+
 /// Passes bytes between a client and a server until both have ended, one has failed, or `failed` is
 /// ready. Any end but an orderly one resets both connections, also that of this process, so that a
 /// truncated answer does not look complete and the server stops its work. A server that no longer
@@ -87,6 +105,8 @@
 ) {
     reset_on_close(&client);
     reset_on_close(&server);
+    // The caller for whom the client reads may pause. This fails only for a closed socket.
+    let _ = socket2::SockRef::from(&client).set_tcp_user_timeout(None);
     let (client_rx, client_tx) = client.split();
     let (server_rx, server_tx) = server.split();
     let (client_failed, server_failed) = (cell::Cell::new(false), cell::Cell::new(false));
@@ -141,7 +161,7 @@
             Ok(_) => received(),
             Err(_) => return End::Failed,
         }
-        if tx.write_all(&buf).await.is_err() {
+        if write_all(&mut tx, &buf).await.is_err() {
             return End::Unwanted;
         }
         buf.clear();
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -188,13 +188,13 @@
 #[test]
 pub(crate) fn a_caller_that_pauses_while_it_reads_gets_its_answers() {
     run_test(|| async {
-        let script = [Reaction::Long(540_000), Reaction::Answer("next")];
+        let script = [Reaction::Long(16_000_000), Reaction::Answer("next")];
         let harness = Harness::new(1, &script).await;
         let mut caller = Caller::connect_slow(harness.caller_addr).await;
         caller.send(&get("/read/a", "r1")).await;
         caller.send(&get("/read/b", "r2")).await;
         tokio::time::sleep(time::Duration::from_millis(2600)).await;
-        assert_eq!(caller.receive().await.unwrap().body.len(), 540_000);
+        assert_eq!(caller.receive().await.unwrap().body.len(), 16_000_000);
         assert_eq!(caller.receive().await.unwrap().text(), "next");
     });
 }
--- a/tests/gateway/through_tunnels.rs
+++ b/tests/gateway/through_tunnels.rs
@@ -50,10 +50,13 @@
         malformed_requests_are_refused_and_their_connections_closed
         requests_without_a_host_an_id_or_a_route_are_refused_and_the_connection_stays_open
         a_connection_is_closed_after_the_answer_if_the_caller_asks_for_it
-        the_connection_of_an_abandoned_send_is_reset;
+        the_connection_of_an_abandoned_send_is_reset
+        a_caller_that_pauses_while_it_reads_gets_its_answers;
     stop:
         a_planned_stop_answers_running_requests_and_closes_their_connections
-        late_in_a_planned_stop_requests_are_refused_and_nothing_is_sent;
+        late_in_a_planned_stop_requests_are_refused_and_nothing_is_sent
+        a_planned_stop_waits_until_callers_have_their_answers
+        at_the_end_of_a_planned_stop_each_caller_gets_an_answer;
     pauses:
         a_backend_server_that_asks_for_a_pause_gets_no_requests_meanwhile
         pauses_hold_where_all_backend_servers_ask_for_them
