Long answers end when the time of their request is up

Cause: the time limit of a request ended with its handler. A task that relays long answers ran on without one, and began before the answer was classified.

Change: the relay reads nothing more at the end of the request's time, or when its caller leaves; answers are classified before they are relayed; lines between chunks, trailers, interim answers, skipped answers and bodies have bounds in bytes. Cut answers are logged and counted by reason.

Evidence: five of six tests of tests/gateway/endless.rs (with those through tunnels) failed before, the relayed answers by not ending; all pass.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,14 @@
 /// truncated, another backend server can still answer.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// Extra time beyond the deadline to wait for a backend server's answer. The backend server stops at
+/// the deadline itself, and its answer says more than a timeout.
+const ANSWER_GRACE: time::Duration = time::Duration::from_millis(120);
+
+/// The longest answer that is relayed. The deadline ends an answer without end before that, unless it is
+/// far away and the links are fast.
+const MAX_ANSWER_BYTES: u64 = 1 << 30;
+
 /// Pieces of a long answer that may wait for a slow caller.
 const RELAY_QUEUE_PIECES: usize = 8;
 
@@ -51,6 +59,11 @@
 }
 
 impl Job {
+    /// When backend servers are no longer waited for.
+    pub(super) fn ends_at(&self) -> policy::Moment {
+        self.deadline + ANSWER_GRACE
+    }
+
     /// The regions where the request may run.
     pub fn homes(&self) -> routes::AllowedRegions<'_> {
         routes::AllowedRegions {
@@ -207,7 +220,7 @@
         };
         let is_direct = connection.via.is_none();
         let outcome = match received {
-            Ok(received) => self.finish(connection, received, reservation).await,
+            Ok(received) => self.finish(job, connection, received, reservation).await,
             Err(upstream::Failure::Unsent) => {
                 Outcome::NotRun(NotRun::NoConnection(ConnectError::Broke))
             }
@@ -374,6 +387,7 @@
     /// Reads the answer's body and classifies the outcome.
     async fn finish(
         &self,
+        job: &Job,
         mut connection: Connection,
         received: upstream::Received,
         reservation: placement::Reservation,
@@ -387,34 +401,42 @@
         };
         let not_run = head.fields.get(names.not_run).is_some();
         let misdirected = head.status == hyper::StatusCode::MISDIRECTED_REQUEST;
+        let is_success = (200..300).contains(&head.status);
+        // An answer that is not passed on, whatever its body is.
+        let withheld = match head.framing {
+            _ if misdirected => Some(Outcome::NotRun(NotRun::Misdirected)),
+            _ if not_run => Some(Outcome::NotRun(refusal)),
+            // Only a signed success proves that the backend server itself answered.
+            _ if is_success && head.fields.get(names.proof).is_none() => {
+                Some(Outcome::Unknown(upstream::Failure::InvalidAnswer))
+            }
+            http1::Framing::Length(n) if n > MAX_ANSWER_BYTES => {
+                return Outcome::Unknown(upstream::Failure::InvalidAnswer);
+            }
+            _ => None,
+        };
         let mut reader = http1::BodyReader::new(head.framing);
         let mut body = BytesMut::new();
         loop {
             match upstream::next_piece(&mut connection.wire, &mut reader).await {
                 Ok(None) => break,
                 Ok(Some(piece)) => body.extend_from_slice(&piece),
-                Err(_) if misdirected => return Outcome::NotRun(NotRun::Misdirected),
-                Err(_) if not_run => return Outcome::NotRun(refusal),
-                Err(failure) => return Outcome::Unknown(failure),
+                Err(failure) => return withheld.unwrap_or(Outcome::Unknown(failure)),
             }
-            if body.len() > MAX_BUFFERED_BYTES {
-                return self.relay(connection, head, reader, body, reservation);
+            if body.len() <= MAX_BUFFERED_BYTES {
+                continue;
             }
+            return match withheld {
+                Some(outcome) => outcome,
+                None => self.relay(job, connection, head, reader, body, reservation),
+            };
         }
         if received.reusable && connection.wire.is_idle() {
             let stated = stated_keep_alive(&head.fields);
             self.keep(&reservation.run.id, connection, stated);
         }
-        if misdirected {
-            return Outcome::NotRun(NotRun::Misdirected);
-        }
-        if not_run {
-            return Outcome::NotRun(refusal);
-        }
-        let good = (200..300).contains(&head.status);
-        if good && head.fields.get(names.proof).is_none() {
-            // Only a signed success proves that the backend server itself answered.
-            return Outcome::Unknown(upstream::Failure::InvalidAnswer);
+        if let Some(outcome) = withheld {
+            return outcome;
         }
         let answer = callers::Answer {
             status: head.status,
@@ -426,12 +448,14 @@
         Outcome::Answer { answer, failed }
     }
 
-    /// Streams a long answer to the caller; the reservation is held until its end.
+    /// Streams a long answer to the caller; the reservation is held until its end. Nothing more is read of
+    /// the answer once the request's time is up, whether the backend server is silent or sends without end.
     fn relay(
         &self,
-        mut connection: Connection,
+        job: &Job,
+        connection: Connection,
         head: http1::ResponseHead,
-        mut reader: http1::BodyReader,
+        reader: http1::BodyReader,
         body: BytesMut,
         reservation: placement::Reservation,
     ) -> Outcome {
@@ -439,33 +463,29 @@
             http1::Framing::Length(n) => Some(n),
             http1::Framing::Chunked | http1::Framing::UntilClose => None,
         };
+        let (tx, rx) = mpsc::channel(RELAY_QUEUE_PIECES);
+        let (cx, id) = (self.clone(), job.id.clone());
+        let end = self.instant(job.ends_at());
+        task::spawn_local(async move {
+            let mut relay = Relay {
+                connection,
+                reader,
+                tx,
+            };
+            let ended = tokio::time::timeout_at(end, relay.run(body.freeze())).await;
+            let cut = ended.map_or(Some("time is up"), Result::err);
+            if let Some(why) = cut {
+                cx.record_cut_answer(&id, &reservation.run.id, why, relay.reader.bytes_read());
+            }
+        });
         let answer = callers::Answer {
             status: head.status,
             fields: fields_for_caller(&head.fields),
-            body: callers::Body::Whole(Bytes::new()),
+            body: callers::Body::Pieces { length, rx },
             close: false,
         };
-        let (tx, rx) = mpsc::channel(RELAY_QUEUE_PIECES);
-        task::spawn_local(async move {
-            let _reservation = reservation;
-            let mut next = Ok(Some(body.freeze()));
-            // A caller that leaves closes the channel, which closes the backend connection. A
-            // truncated answer gets no `End`, so the caller's connection is dropped too.
-            while let Ok(Some(piece)) = next {
-                if tx.send(upstream::Piece::Data(piece)).await.is_err() {
-                    return;
-                }
-                next = upstream::next_piece(&mut connection.wire, &mut reader).await;
-            }
-            if next.is_ok() {
-                let _ = tx.send(upstream::Piece::End).await;
-            }
-        });
         Outcome::Answer {
-            answer: callers::Answer {
-                body: callers::Body::Pieces { length, rx },
-                ..answer
-            },
+            answer,
             failed: false,
         }
     }
@@ -489,6 +509,36 @@
     }
 }
 
+/// A long answer on its way to the caller. Dropping it closes the backend server's connection.
+struct Relay {
+    connection: Connection,
+    reader: http1::BodyReader,
+    tx: mpsc::Sender<upstream::Piece>,
+}
+
+impl Relay {
+    /// Passes the body on from its first piece. An answer that is cut gets no `End`, so its caller's
+    /// connection is dropped too. An error is the reason, as a log and metric value.
+    async fn run(&mut self, first: Bytes) -> Result<(), &'static str> {
+        const CALLER_LEFT: &str = "caller left";
+        let mut next = Some(first);
+        while let Some(piece) = next {
+            let piece = upstream::Piece::Data(piece);
+            self.tx.send(piece).await.map_err(|_| CALLER_LEFT)?;
+            let received = tokio::select! {
+                received = upstream::next_piece(&mut self.connection.wire, &mut self.reader) => received,
+                () = self.tx.closed() => return Err(CALLER_LEFT),
+            };
+            next = received.map_err(|failure| Outcome::Unknown(failure).as_str())?;
+            if self.reader.bytes_read() > MAX_ANSWER_BYTES {
+                return Err("too long");
+            }
+        }
+        let sent = self.tx.send(upstream::Piece::End).await;
+        sent.map_err(|_| CALLER_LEFT)
+    }
+}
+
 fn fields_for_caller(fields: &http1::Fields) -> BytesMut {
     let mut out = BytesMut::with_capacity(256);
     for (name, value) in fields.end_to_end() {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -10,6 +10,7 @@
 
 use super::{Gateway, facts, pace, waiting};
 use crate::decisions::{affinity, policy, quota, returns};
+use crate::id;
 use crate::logging;
 use crate::metrics as metric_names;
 
@@ -234,4 +235,18 @@
             "cold" => known.map(|b| b.is_cold(now)), "rate_limit" => known.and_then(|b| b.stated.rate_limit.get()),
             "left_out" => left_out);
     }
+
+    /// Logs and counts a long answer that ended before it was complete.
+    pub(super) fn record_cut_answer(
+        &self,
+        id: &[u8],
+        backend: &id::VmId,
+        why: &'static str,
+        bytes: u64,
+    ) {
+        counter!(metric_names::ANSWERS_CUT, "why" => why).increment(1);
+        if let Some(left_out) = self.log_limiter.admit("answer cut", self.now()) {
+            slog::info!(self.log, "answer cut"; "request" => %String::from_utf8_lossy(id), "backend" => %backend, "why" => why, "bytes" => bytes, "left_out" => left_out);
+        }
+    }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,10 +15,6 @@
 use crate::protocol::http1;
 use crate::transport::{callers, upstream};
 
-/// Extra time beyond the caller's deadline to wait for a backend server's answer. The backend
-/// server stops at the deadline itself, and its answer says more than a timeout.
-const ANSWER_GRACE: time::Duration = time::Duration::from_millis(120);
-
 /// Retry delay for requests that crash backend servers, which are refused for at least a minute.
 const BANNED_RETRY_DELAY: time::Duration = time::Duration::from_secs(60);
 
@@ -367,7 +363,7 @@
     where
         F: Future<Output = (id::VmId, attempt::Outcome)>,
     {
-        let end = self.cx.instant(self.facts.deadline + ANSWER_GRACE);
+        let end = self.cx.instant(self.job.ends_at());
         let step = hedge_at.and_then(|_| self.pace_check_interval());
         let check_at = hedge_at.map(|at| hedge::next_check(self.cx.now(), at, step));
         let check = check_at.map_or(end, |at| self.cx.instant(at));
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -107,6 +107,8 @@
 pub const LOOP_LAG: &str = "bulrushwind_loop_lag_seconds";
 /// How long answers waited for room on their callers' connections.
 pub const WRITE_BLOCKED: &str = "bulrushwind_write_blocked_seconds";
+/// Long answers that ended before they were complete.
+pub const ANSWERS_CUT: &str = "bulrushwind_answers_cut_total";
 /// How long connections were in the listen queue at least.
 pub const LISTEN_WAIT: &str = "bulrushwind_listen_wait_seconds";
 /// Failed accepts of connections.
@@ -464,6 +466,12 @@
         &[],
         "Seconds for which an answer waited for room on its caller's connection, less the event loop's lag: the link is full or the caller reads slowly.",
     ),
+    metric(
+        ANSWERS_CUT,
+        Kind::Counter,
+        &["why"],
+        "Long answers that ended before they were complete, by reason (time is up, too long, connection broke, not an answer, caller left).",
+    ),
     metric(
         LISTEN_WAIT,
         Kind::Histogram,
--- a/src/protocol/http1.rs
+++ b/src/protocol/http1.rs
@@ -315,12 +315,19 @@
     Trailer,
 }
 
+/// The longest line between chunks, with its extensions. A longer one would have to be held whole.
+const MAX_CHUNK_LINE_BYTES: usize = 8 << 10;
+
+/// The longest trailer of a chunked body.
+const MAX_TRAILER_BYTES: usize = 64 << 10;
+
 /// Incremental decoder of a body.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyReader {
     framing: Framing,
     remaining: u64,
     bytes_read: u64,
+    trailer_bytes: usize,
     chunk_state: ChunkState,
     done: bool,
 }
@@ -336,6 +343,7 @@
             framing,
             remaining,
             bytes_read: 0,
+            trailer_bytes: 0,
             chunk_state: ChunkState::Size,
             done: framing == Framing::Length(0),
         }
@@ -392,8 +400,10 @@
                             _ => ChunkState::Data,
                         };
                     }
-                    Ok(httparse::Status::Partial) => return Ok(None),
-                    Err(_) => return Err(Malformed::Chunk),
+                    Ok(httparse::Status::Partial) if buf.len() <= MAX_CHUNK_LINE_BYTES => {
+                        return Ok(None);
+                    }
+                    Ok(httparse::Status::Partial) | Err(_) => return Err(Malformed::Chunk),
                 },
                 ChunkState::Data => {
                     if buf.is_empty() {
@@ -416,9 +426,14 @@
                     self.chunk_state = ChunkState::Size;
                 }
                 ChunkState::Trailer => {
-                    let Some(end) = buf.iter().position(|b| *b == b'\n') else {
+                    let end = buf.iter().position(|b| *b == b'\n');
+                    if self.trailer_bytes + end.unwrap_or(buf.len()) > MAX_TRAILER_BYTES {
+                        return Err(Malformed::Chunk);
+                    }
+                    let Some(end) = end else {
                         return Ok(None);
                     };
+                    self.trailer_bytes += end;
                     let line = buf.split_to(end + 1);
                     if line.trim_ascii().is_empty() {
                         self.done = true;
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -15,6 +15,12 @@
 /// Answers to earlier requests that are skipped on a connection before it is closed.
 const MAX_STALE_ANSWERS: usize = 4;
 
+/// Interim answers (1xx) that are skipped before an answer.
+const MAX_INTERIM_ANSWERS: usize = 16;
+
+/// The longest body of an answer to an earlier request that is skipped.
+const MAX_STALE_BYTES: u64 = 1 << 20;
+
 /// A piece of a streamed body.
 #[derive(Debug)]
 pub enum Piece {
@@ -181,9 +187,14 @@
 /// reach the wrong caller.
 async fn receive(wire: &mut socket::Wire, tag: Tag<'_>) -> Result<http1::ResponseHead, Failure> {
     let mut stale_answers = 0;
+    let mut interim_answers = 0;
     loop {
         let head = receive_head(wire, tag.to_head).await?;
         if head.status < 200 {
+            interim_answers += 1;
+            if interim_answers > MAX_INTERIM_ANSWERS {
+                return Err(Failure::InvalidAnswer);
+            }
             continue;
         }
         let matches = head.fields.get(tag.field).is_none_or(|id| id == tag.id);
@@ -195,7 +206,11 @@
             return Err(Failure::InvalidAnswer);
         }
         let mut body = http1::BodyReader::new(head.framing);
-        while next_piece(wire, &mut body).await?.is_some() {}
+        while next_piece(wire, &mut body).await?.is_some() {
+            if body.bytes_read() > MAX_STALE_BYTES {
+                return Err(Failure::InvalidAnswer);
+            }
+        }
     }
 }
 
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -69,6 +69,11 @@
     Long(usize),
     /// Never answers.
     Hang,
+    /// Sends this after the HTTP version, and then these bytes again and again until the gateway closes
+    /// the connection.
+    Endless(&'static str, &'static str),
+    /// Sends this many bytes of a longer answer and falls silent.
+    Silent(usize),
 }
 
 /// What backend servers have received.
@@ -88,6 +93,8 @@
     pub(crate) dropped: usize,
     /// Those of them that it reset.
     pub(crate) reset: usize,
+    /// Bytes that were sent of answers without end.
+    pub(crate) endless: usize,
 }
 
 /// What a backend server does in all its answers.
@@ -564,6 +571,27 @@
                 (out + "0\r\n\r\n", true)
             }
             Reaction::Long(n) => (whole(&"x".repeat(n)), true),
+            Reaction::Endless(head, repeated) => {
+                let repeated = repeated.repeat(1 + 4096 / repeated.len());
+                let head = format!("HTTP/1.1 {head}");
+                let mut sent = wire.send(head.as_bytes()).await;
+                while sent.is_ok() {
+                    self.seen.borrow_mut().endless += repeated.len();
+                    sent = wire.send(repeated.as_bytes()).await;
+                    task::yield_now().await;
+                }
+                self.seen.borrow_mut().dropped += 1;
+                return false;
+            }
+            Reaction::Silent(n) => {
+                let head = head_of("200 OK", &format!("Content-Length: {}\r\n", n + 1));
+                let sent = wire.send((head + &"x".repeat(n)).as_bytes()).await;
+                sent.unwrap();
+                // Until the gateway closes the connection.
+                let _ = wire.fill().await;
+                self.seen.borrow_mut().dropped += 1;
+                return false;
+            }
             Reaction::Hang => {
                 let reset = wire.fill().await.is_err();
                 let mut seen = self.seen.borrow_mut();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod customers;
 mod cut_off;
 mod declines;
+mod endless;
 mod following;
 mod harness;
 mod leaving;
--- a/tests/gateway/through_tunnels.rs
+++ b/tests/gateway/through_tunnels.rs
@@ -27,6 +27,9 @@
         an_answer_to_another_request_is_skipped
         chunks_are_joined_and_long_answers_are_relayed_whole
         a_failed_booking_is_answered_with_the_backend_servers_error;
+    endless:
+        a_long_answer_ends_when_the_time_of_its_request_is_up
+        an_answer_that_cannot_be_passed_on_ends_before_the_time_is_up;
     at_most_once:
         a_booking_whose_answer_is_lost_is_neither_resent_nor_reported_as_not_run
         a_booking_that_was_not_run_goes_to_another_backend_server
