A cut answer that would end with its connection is reset

A caller of HTTP/1.0 took a relayed answer for whole that was cut: the end of its connection is that of the answer, and a dropped connection ends in order.

Change: the connection is reset where an answer is cut that has neither a length nor chunks.

Evidence: endless::a_long_answer_ends_when_the_time_of_its_request_is_up, with HTTP/1.0, received the cut answer as whole before and fails to receive it now.

--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -209,6 +209,8 @@
     slot: rc::Rc<idle::Slot>,
     /// Whether the connection is closed to make room for others.
     evicted: bool,
+    /// Whether an answer was cut whose end would be that of the connection.
+    truncated: bool,
 }
 
 /// Serves one connection until it ends.
@@ -268,11 +270,20 @@
             waited,
             slot,
             evicted: false,
+            truncated: false,
         };
-        // An error means that the caller has disconnected, so it cannot get an answer.
-        if connection.run().await.is_ok() {
-            connection.slot.set_lingering();
-            connection.linger().await;
+        // An error means that the caller has disconnected or that its answer was cut.
+        match connection.run().await {
+            Ok(()) => {
+                connection.slot.set_lingering();
+                connection.linger().await;
+            }
+            Err(_) if connection.truncated => {
+                socket::reset_on_close(connection.wr.as_ref());
+                // Otherwise the sending side would be closed first, which ends the answer in order.
+                connection.wr.forget();
+            }
+            Err(_) => {}
         }
     }
 }
@@ -682,7 +693,11 @@
                 out.extend_from_slice(&body);
                 self.send(&out).await?;
             }
-            Body::Pieces { rx, .. } => self.write_pieces(out, rx, chunked).await?,
+            Body::Pieces { rx, .. } => {
+                let written = self.write_pieces(out, rx, chunked).await;
+                self.truncated = ends_at_close && written.is_err();
+                written?;
+            }
         }
         Ok(ends_at_close)
     }
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -176,7 +176,7 @@
 }
 
 /// Makes closing the connection send a reset, as after a machine failure.
-fn reset_on_close(stream: &TcpStream) {
+pub(super) fn reset_on_close(stream: &TcpStream) {
     // This fails only for a closed socket, which needs no reset.
     let _ = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
 }
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -38,7 +38,7 @@
         Reaction::Endless(UNFRAMED, "ab"),
     ];
     for act in acts {
-        for version in ["HTTP/1.1"] {
+        for version in ["HTTP/1.1", "HTTP/1.0"] {
             run_test(|| async {
                 let harness = harness(act.clone()).await;
                 let mut caller = harness.caller().await;
