Soak: callers that read slowly or pipeline across planned stops

Some VMs stop as planned, one a moment after the other. Callers with kept connections pipeline requests of mixed lengths, one of which may outlast the stop, read up to 600 KB at an even pace or after a pause, or book. Each must get the right bytes, unless its request was refused before it ran or outlasts the stop; then an answer that says so.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -124,6 +124,13 @@
     }
 }
 
+/// Whether a read is served on a connection.
+pub(crate) async fn is_served(wire: &mut socket::Wire, id: &str) -> bool {
+    let path = format!("/read/{id}");
+    let end = exchange(wire, &Request::new("GET", &path, id)).await;
+    matches!(end, RequestEnd::Answer { status: 200, .. })
+}
+
 /// A customer's request to one VM.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt<'a> {
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -120,7 +120,7 @@
 }
 
 /// Stops a process with SIGTERM and starts it again once it has exited.
-async fn stop(scene: rc::Rc<Scene>, n: usize) {
+pub(crate) async fn stop(scene: rc::Rc<Scene>, n: usize) {
     /// Grace period after which the settings require a stopped process to have exited.
     const GRACE: time::Duration = time::Duration::from_secs(6);
     let vm = &scene.vms[n];
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -1,7 +1,8 @@
 //! A randomized soak test: gateways run as child processes; the store, backend servers and callers
 //! run in this process, which injects faults. From the view of callers and backend servers, it
 //! checks that no booking runs twice, that each caller gets the complete answer to its own request,
-//! that requests reported as not run did not run, that a planned stop interrupts no request, that
+//! that requests reported as not run did not run, that a planned stop interrupts no request, also of callers that
+//! read slowly or pipeline, that
 //! no VM returns to an older configuration, that VMs which are cut off from all backend servers
 //! serve first tries as the others do, that the parts of a split route get their weights over all
 //! VMs, that customers within their shares are served beside one that asks for far more (every
@@ -19,6 +20,7 @@
 mod restores;
 mod scene;
 mod shares;
+mod stops;
 
 #[path = "../../tests/support/mod.rs"]
 #[expect(dead_code, reason = "shared with the tests of the platform's adapter")]
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -18,7 +18,7 @@
 use tokio::task;
 
 use super::support::{backend, cut, process, proxy, store};
-use super::{callers, competition, cuts, faults, restores, shares};
+use super::{callers, competition, cuts, faults, restores, shares, stops};
 
 /// Parameters of one seed's run.
 #[derive(Clone, Debug)]
@@ -57,6 +57,10 @@
 /// Time that a backend server takes for a request.
 pub(crate) const SERVICE_TIME: time::Duration = time::Duration::from_millis(20);
 
+/// A route whose requests may take longer than a planned stop, and its timeout.
+pub(crate) const LONG_ROUTE: &str = "/long/";
+pub(crate) const LONG_TIMEOUT: time::Duration = time::Duration::from_secs(8);
+
 pub(crate) const AZS: [&str; 3] = ["az-a", "az-b", "az-c"];
 
 /// An entry VM with its process and fault state.
@@ -154,6 +158,9 @@
     pub(crate) calls: usize,
     /// The most crashes of backend servers that VMs hold against one request.
     pub(crate) crashes: usize,
+    /// Requests of callers that read slowly or pipeline across planned stops, and answers to them.
+    pub(crate) stop_requests: u64,
+    pub(crate) stop_answered: u64,
 }
 
 /// Result of one seed's run.
@@ -173,7 +180,7 @@
         let counts = &self.counts;
         write!(
             f,
-            "seed {}: {} faults, {} restores, {} cuts, sent {} answered {} refused {} unknown {}, first tries {}, store calls {}, crash records of one request {}",
+            "seed {}: {} faults, {} restores, {} cuts, sent {} answered {} refused {} unknown {}, first tries {}, store calls {}, crash records of one request {}, across planned stops answered {} of {}",
             self.seed,
             counts.faults,
             counts.restores,
@@ -184,7 +191,9 @@
             counts.unknown,
             self.first_tries,
             counts.calls,
-            counts.crashes
+            counts.crashes,
+            counts.stop_answered,
+            counts.stop_requests
         )?;
         let (steady, surging) = &self.competition;
         if surging.sent > 0 {
@@ -204,7 +213,7 @@
     }
 }
 
-/// The configuration of a version: three permanent routes, of which one is split with weights of the
+/// The configuration of a version: four permanent routes, of which one is split with weights of the
 /// version, and one that exists only in this version.
 pub(crate) fn config(version: u64) -> Value {
     let route = |prefix: String, kind: &str| {
@@ -212,6 +221,8 @@
             "timeout_s": 3.0, "target_latency_s": 0.5, "priority": 1, "service": "svc",
             "attempts": 2, "sticky": true})
     };
+    let mut long = route(LONG_ROUTE.into(), "safe");
+    long["timeout_s"] = json!(LONG_TIMEOUT.as_secs_f64());
     let mut split = route(shares::ROUTE.into(), "safe");
     let weights = shares::weights(version).into_iter();
     split["split"] = weights
@@ -224,7 +235,7 @@
     json!({
         "version": format!("{version:08x}"),
         "routes": [route("/read/".into(), "safe"), route("/book/".into(), "unsafe"),
-            route(format!("/v{version}/"), "safe"), split],
+            route(format!("/v{version}/"), "safe"), split, long],
         "services": [service("svc"), service(shares::SERVICE)],
         "limits": {"header_bytes": 16384, "body_bytes": 1048576, "header_timeout_s": 3, "idle_timeout_s": 15},
     })
@@ -356,6 +367,28 @@
         }
     }
 
+    fn registered(&self) -> usize {
+        self.store.keys("bulrushwind/entry/").len()
+    }
+
+    /// Waits until VMs that have just started are registered, at most for the recovery time.
+    async fn wait_until_registered(&self) {
+        let started_at = time::Instant::now();
+        while self.registered() != self.vms.len() && started_at.elapsed() < RECOVERY_TIMEOUT {
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+    }
+
+    fn check_registrations(&self) {
+        let registered = self.registered();
+        if registered != self.vms.len() {
+            self.add_violation(format!(
+                "{registered} entry VMs are registered, not {}",
+                self.vms.len()
+            ));
+        }
+    }
+
     /// Checks that no process ended by itself.
     fn check_no_exits(&self) {
         for vm in self.vms.iter().filter(|vm| !vm.restarting.get()) {
@@ -444,6 +477,7 @@
     let mut statement_rng = ChaCha8Rng::seed_from_u64(!seed);
     let mut cut_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16) ^ u64::MAX);
     let mut share_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48) ^ 1);
+    let mut stop_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8) ^ 2);
     let mut restore_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) | 1);
     tokio::join!(
         faults::inject(&scene, &mut rng),
@@ -461,19 +495,16 @@
     restores::check_removal_after_a_return(&scene).await;
     restores::check_leaving_is_kept(&scene).await;
     tasks.iter().for_each(task::JoinHandle::abort);
+    scene.check_registrations();
+    stops::check(&scene, &mut stop_rng).await;
     // In the competition most requests are to be refused.
     let before_competition = *scene.counts.borrow();
     scene.check_answered(&before_competition);
     if scene.cfg.is_contended() {
         competition::check(&scene).await;
     }
-    let registered = scene.store.keys("bulrushwind/entry/").len();
-    if registered != scene.vms.len() {
-        scene.add_violation(format!(
-            "{registered} entry VMs are registered, not {}",
-            scene.vms.len()
-        ));
-    }
+    scene.wait_until_registered().await;
+    scene.check_registrations();
     scene.check_crash_records();
     let counts = Counts {
         calls: scene.store.calls(),
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpListener;
 use tokio::task;
 
+use super::support;
+
 /// A timeout far above any expected duration: reaching it means a hang.
 pub(crate) const LONG: time::Duration = time::Duration::from_secs(20);
 
@@ -682,17 +684,10 @@
         answered
     }
 
-    /// Connects as over an Ethernet with a small window: the system takes little of an answer before the
-    /// caller reads.
+    /// Connects so that the system takes little of an answer before the caller reads.
     pub(crate) async fn connect_slow(addr: net::SocketAddr) -> Self {
-        let socket = tokio::net::TcpSocket::new_v4().unwrap();
-        let options = socket2::SockRef::from(&socket);
-        options.set_tcp_mss(1460).unwrap();
-        options.set_recv_buffer_size(8 << 10).unwrap();
-        let stream = socket.connect(addr).await.unwrap();
-        let held = descriptors::Held::new(descriptors::Use::Callers);
         Self {
-            wire: socket::Wire::new(stream, held),
+            wire: support::connect_slow(addr).await,
         }
     }
 
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -89,6 +89,23 @@
 /// How long after its draining state was written a backend server may still receive requests.
 pub(crate) const DRAIN_GRACE: time::Duration = time::Duration::from_millis(2500);
 
+/// The body of the answer to a request, of this length if the request asks for one.
+pub(crate) fn body(id: &str, bytes: Option<usize>) -> Bytes {
+    let text = format!("answer to {id}");
+    match bytes {
+        Some(bytes) => text.bytes().cycle().take(bytes).collect(),
+        None => text.into(),
+    }
+}
+
+/// A number in a target's query.
+fn parameter(target: &str, name: &str) -> Option<u64> {
+    let (_, query) = target.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    value.parse().ok()
+}
+
 impl Backend {
     pub(crate) fn start(
         id: &str,
@@ -197,7 +214,9 @@
         *self.log.borrow_mut().runs.entry(id.clone()).or_default() += 1;
         self.run_count.set(self.run_count.get() + 1);
         let _running = RunningGuard::new(&self.running);
-        tokio::time::sleep(self.service_time.get()).await;
+        let target = req.head.target();
+        let work = parameter(target, "work_ms").map(time::Duration::from_millis);
+        tokio::time::sleep(work.unwrap_or(self.service_time.get())).await;
         if self.drops_responses.get() {
             return std::future::pending().await;
         }
@@ -208,7 +227,8 @@
             FIELDS.proof.as_bytes(),
             self.id.as_bytes(),
         );
-        answer.body = callers::Body::Whole(Bytes::from(format!("answer to {id}")));
+        let bytes = parameter(target, "bytes").and_then(|n| usize::try_from(n).ok());
+        answer.body = callers::Body::Whole(body(&id, bytes));
         answer
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,7 +9,10 @@
 pub(crate) mod shares;
 pub(crate) mod store;
 
-use tokio::net::TcpListener;
+use std::net;
+
+use bulrushwind::transport::{descriptors, socket};
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Listens on a port that only this process uses.
 pub(crate) fn listen() -> TcpListener {
@@ -17,3 +20,15 @@
     bound.set_nonblocking(true).unwrap();
     TcpListener::from_std(bound).unwrap()
 }
+
+/// Connects as over an Ethernet with a small window: the system takes little of an answer before it is
+/// read.
+pub(crate) async fn connect_slow(addr: net::SocketAddr) -> socket::Wire {
+    let socket = TcpSocket::new_v4().unwrap();
+    let options = socket2::SockRef::from(&socket);
+    options.set_tcp_mss(1460).unwrap();
+    options.set_recv_buffer_size(8 << 10).unwrap();
+    let stream = socket.connect(addr).await.unwrap();
+    let held = descriptors::Held::new(descriptors::Use::Callers);
+    socket::Wire::new(stream, held)
+}
