Soak: VMs whose callers all do the same across a planned stop

Callers that waited for long requests kept a stop going for those that read slowly, so that the soak could miss what a stop does to either. Some VMs now have callers of one kind alone, and long requests last longer.

--- a/examples/soak/stops.rs
+++ b/examples/soak/stops.rs
@@ -29,6 +29,26 @@
     time::Duration::from_millis(n)
 }
 
+/// What callers do.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    /// They pipeline short requests behind one that takes longest.
+    LongFirst,
+    /// They read long answers and short ones slowly.
+    SlowReader,
+    /// They do not read a long answer at first, and have sent another request behind it.
+    Pausing,
+    /// They book.
+    Booking,
+}
+
+const KINDS: [Kind; 4] = [
+    Kind::LongFirst,
+    Kind::SlowReader,
+    Kind::Pausing,
+    Kind::Booking,
+];
+
 /// How a caller reads its answers.
 #[derive(Clone, Copy, Debug)]
 enum Reading {
@@ -80,17 +100,16 @@
 impl Plan {
     /// Draws what a caller does. All answers can be read before the stop has to end, but for that of a
     /// request that outlasts it.
-    fn draw(rng: &mut ChaCha8Rng, caller: &str) -> Self {
+    fn draw(rng: &mut ChaCha8Rng, kind: Kind, caller: &str) -> Self {
         let request = |n: usize, work: u64, bytes: usize| Request {
             id: format!("{caller}-{n}"),
             is_booking: false,
             work: ms(work),
             bytes,
         };
-        match rng.random_range(0..4) {
-            // Answers behind one that takes longest.
-            0 => {
-                let mut requests = vec![request(0, rng.random_range(2500..4800), 100)];
+        match kind {
+            Kind::LongFirst => {
+                let mut requests = vec![request(0, rng.random_range(3000..5500), 100)];
                 for n in 1..rng.random_range(2..5) {
                     let (work, bytes) = (rng.random_range(20..800), rng.random_range(20..20_000));
                     requests.push(request(n, work, bytes));
@@ -101,8 +120,7 @@
                     reading: Reading::AtOnce,
                 }
             }
-            // Long answers and short ones, read slowly.
-            1 => {
+            Kind::SlowReader => {
                 let mut left = 600_000;
                 let requests = (0..rng.random_range(1..4))
                     .map(|n| {
@@ -117,8 +135,7 @@
                     reading: Reading::Steadily(rng.random_range(300_000..600_000)),
                 }
             }
-            // A long answer that is not read at first, and one behind it.
-            2 => Self {
+            Kind::Pausing => Self {
                 sent_after: ms(rng.random_range(0..1800)),
                 requests: vec![
                     request(0, 50, rng.random_range(300_000..600_000)),
@@ -126,7 +143,7 @@
                 ],
                 reading: Reading::After(ms(rng.random_range(500..2700))),
             },
-            _ => Self {
+            Kind::Booking => Self {
                 sent_after: ms(rng.random_range(0..2300)),
                 requests: vec![Request {
                     is_booking: true,
@@ -182,8 +199,11 @@
     for n in 0..=stopped {
         let vm = (first + n) % scene.vms.len();
         let stops_at = time::Instant::now() + ms(1000 + rng.random_range(0..2000));
+        // Callers of one kind could hide what a stop does to another, so some VMs have one kind alone.
+        let only = KINDS.get(rng.random_range(0..KINDS.len() + 1)).copied();
         for caller in 0..CALLERS {
-            let plan = Plan::draw(rng, &format!("stop-{vm}-{caller}"));
+            let kind = only.unwrap_or(KINDS[rng.random_range(0..KINDS.len())]);
+            let plan = Plan::draw(rng, kind, &format!("stop-{vm}-{caller}"));
             let scene = scene.clone();
             tasks.push(task::spawn_local(async move {
                 run_caller(&scene, vm, stops_at, &plan).await;
