A VM finds out whether a backend server has crashed

Cause: a broken connection counts as a crash only if a connection is refused soon after. With few requests nothing connects to the backend server before it is back, and the record is dropped.

Change: 0.15 s after a connection broke with a request in flight the VM connects to that backend server itself, once for all requests that broke with it.

--- a/src/decisions/crashes.rs
+++ b/src/decisions/crashes.rs
@@ -19,8 +19,12 @@
 /// Number of crashes after which a request is refused on all VMs.
 pub const BAN_CRASH_COUNT: usize = 3;
 
+/// Time after a broken connection until a new one is tried, which shows whether the backend server has
+/// crashed. By then a crashed process has closed its listener.
+pub const CONFIRM_AFTER: time::Duration = time::Duration::from_millis(150);
+
 /// Time after a broken connection within which a refused connection proves a crash. A restart takes
-/// seconds, and further requests for the backend server arrive within a fraction of a second.
+/// seconds.
 const REFUSAL_CONFIRMS_WITHIN: time::Duration = time::Duration::from_millis(1500);
 
 /// Time after a broken connection within which a restart proves that the previous run crashed: the
@@ -62,6 +66,12 @@
         self.broken.retain(|request| request.broke_at < since);
     }
 
+    /// Whether a connection to this run broke since a moment, and nothing has shown that it crashed.
+    pub fn broke_since(&self, since: policy::Moment, run: &str) -> bool {
+        let mut broken = self.broken.iter();
+        broken.any(|request| request.run == run && request.broke_at >= since)
+    }
+
     /// Records that a backend server refused a connection. Returns the requests that were in flight
     /// when it crashed, for the report to all VMs.
     pub fn connection_refused(&mut self, now: policy::Moment, run: &str) -> Vec<u64> {
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -71,6 +71,8 @@
     Long(usize),
     /// Never answers.
     Hang,
+    /// Closes the connection, and refuses further ones.
+    Crash,
     /// Sends this after the HTTP version, and then these bytes again and again until the gateway closes
     /// the connection.
     Endless(&'static str, &'static str),
@@ -347,9 +349,18 @@
             (self.seen.clone(), self.script.clone(), self.started.clone());
         let behaviors = self.behaviors.clone();
         let name = name.to_owned();
+        let crashed = rc::Rc::new(tokio::sync::Notify::new());
         task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    () = crashed.notified() => return,
+                };
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
                 let backend = Backend {
+                    crashed: crashed.clone(),
                     name: name.clone(),
                     seen: seen.clone(),
                     script: script.clone(),
@@ -451,6 +462,7 @@
     script: Script,
     behaviors: Behaviors,
     started: rc::Rc<tokio::sync::Notify>,
+    crashed: rc::Rc<tokio::sync::Notify>,
 }
 
 impl Backend {
@@ -544,6 +556,10 @@
             Reaction::Shed => (shed, true),
             Reaction::Fail => (head_of("500 Broken", "Content-Length: 3\r\n") + "bad", true),
             Reaction::Lose => (String::new(), false),
+            Reaction::Crash => {
+                self.crashed.notify_one();
+                return false;
+            }
             Reaction::Truncate => (
                 head_of("200 OK", "Content-Length: 100\r\n") + "short",
                 false,
--- a/tests/gateway/restart.rs
+++ b/tests/gateway/restart.rs
@@ -116,6 +116,30 @@
     });
 }
 
+/// Guards against a request that crashes one backend server after the other in a quiet hour, when no other
+/// request connects to them and finds that they have ended.
+#[test]
+pub(crate) fn a_request_that_crashes_backend_servers_is_refused_though_there_are_no_others() {
+    run_test(async || {
+        let crashes = [const { Reaction::Crash }; 4];
+        let harness = Harness::new(5, &crashes).await;
+        let mut caller = harness.caller().await;
+        for n in 1..=3 {
+            let id = format!("b{n}");
+            let answer = caller.request(&post("/book/bad", &id, "x")).await;
+            assert_eq!(answer.status, 502);
+            let cx = &harness.cx;
+            harness
+                .until("the crash is found", |_| {
+                    !cx.take_crash_reports().is_empty()
+                })
+                .await;
+        }
+        let answer = caller.request(&post("/book/bad", "b4", "x")).await;
+        assert_eq!((answer.status, harness.runs("b4")), (503, 0));
+    });
+}
+
 fn reserve(harness: &Harness) -> placement::Reservation {
     try_reserve(harness).unwrap()
 }
