Split the modules of callers' connections and of the test harness

Pure moves: pending requests and the writing of answers out of transport/callers, the detection of crashes out of gateway/cluster_state, the scripted backend server out of the gateway's test harness.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod carriers;
 pub mod cluster_state;
 pub mod connecting;
+mod crash_detection;
 mod facts;
 mod fanout;
 pub mod front;
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -6,9 +6,10 @@
 //! it is read. The concurrent requests and the bytes read ahead are bounded per connection.
 
 mod answer;
+mod pending;
 mod refusing;
+mod writing;
 
-use std::cell;
 use std::collections;
 use std::future;
 use std::io;
@@ -23,10 +24,11 @@
 
 use super::{descriptors, idle, socket, upstream};
 use crate::decisions::planned_stop;
-use crate::metrics as known;
 use crate::protocol::{http1, routes};
 
 pub use answer::{Answer, Body};
+pub use pending::Cancellation;
+use pending::{Pending, first_answer};
 
 /// Concurrent requests per connection. Callers pipeline about four; a higher limit would let one
 /// connection occupy a whole backend server.
@@ -75,29 +77,6 @@
     delay: time::Duration,
 }
 
-/// The cancellation state that a request's task shares with the caller's connection.
-#[derive(Debug, Default)]
-pub struct Cancellation {
-    /// Set once the request must continue after its caller disconnects. It may be running on a
-    /// backend server, and after an abort its outcome would be unknown.
-    pub committed: cell::Cell<bool>,
-    /// Set once the caller has disconnected; the request then starts at no other backend server.
-    pub caller_left: cell::Cell<bool>,
-    ended: sync::Notify,
-}
-
-impl Cancellation {
-    /// Asks the request's handler for its answer at once.
-    pub fn end(&self) {
-        self.ended.notify_one();
-    }
-
-    /// Waits until the answer is due at once.
-    pub async fn ended(&self) {
-        self.ended.notified().await;
-    }
-}
-
 /// Why a request is refused before it was read whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -130,46 +109,6 @@
     fn answer(&self, req: Request) -> impl future::Future<Output = Answer> + 'static;
 }
 
-/// A request without a written answer. Dropping it aborts its task unless it is committed.
-struct Pending {
-    rx: oneshot::Receiver<Answer>,
-    task: Option<task::AbortHandle>,
-    cancellation: rc::Rc<Cancellation>,
-    keep_alive: bool,
-    framing: answer::AnswerFraming,
-}
-
-impl Pending {
-    /// A request that is answered already. Nothing is read after it.
-    fn answered(answer: Answer) -> Self {
-        let (tx, rx) = oneshot::channel();
-        // Cannot fail: the receiver is still held in this function.
-        let _ = tx.send(answer);
-        Self {
-            rx,
-            task: None,
-            cancellation: rc::Rc::default(),
-            keep_alive: false,
-            framing: answer::AnswerFraming::default(),
-        }
-    }
-
-    fn is_ready(&self) -> bool {
-        !self.rx.is_empty()
-    }
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        self.cancellation.caller_left.set(true);
-        if let Some(task) = self.task.take()
-            && !self.cancellation.committed.get()
-        {
-            task.abort();
-        }
-    }
-}
-
 /// The state of reading from a connection.
 enum Reading {
     /// Between requests.
@@ -661,93 +600,6 @@
         }));
     }
 
-    /// Writes the first pending request's answer. Returns whether the connection ends after it.
-    async fn write_first(&mut self, answer: Answer) -> io::Result<bool> {
-        let Some(done) = self.pending.pop_front() else {
-            return Ok(true);
-        };
-        let more_requests = !self.pending.is_empty() || !matches!(self.reading, Reading::Head);
-        let stopping = self.stop.borrow().is_stopping() && !more_requests && self.buf.is_empty();
-        // Later requests of the connection already run; closing now would abort them.
-        self.reading_closed |= answer.close || !done.keep_alive || stopping;
-        let close = self.reading_closed && self.pending.is_empty();
-        let ends_at_close = self.write_answer(answer, close, done.framing).await?;
-        self.last_active = time::Instant::now();
-        Ok(close || ends_at_close)
-    }
-
-    /// Writes an answer. Returns whether the connection must be closed to mark the body's end.
-    async fn write_answer(
-        &mut self,
-        answer: Answer,
-        close: bool,
-        framing: answer::AnswerFraming,
-    ) -> io::Result<bool> {
-        let unknown_length = answer.has_unknown_length();
-        let chunked = unknown_length && framing.chunks;
-        let ends_at_close = unknown_length && !framing.chunks;
-        let mut out = BytesMut::with_capacity(answer.fields.len() + 256);
-        answer::put_head(&mut out, &answer, close, framing);
-        match answer.body {
-            Body::Whole(body) => {
-                out.extend_from_slice(&body);
-                self.send(&out).await?;
-            }
-            Body::Pieces { rx, .. } => {
-                let written = self.write_pieces(out, rx, chunked).await;
-                self.truncated = ends_at_close && written.is_err();
-                written?;
-            }
-        }
-        Ok(ends_at_close)
-    }
-
-    /// Streams an answer. A truncated answer must not look complete, so the connection is dropped
-    /// before the last chunk or before the stated length.
-    async fn write_pieces(
-        &mut self,
-        mut out: BytesMut,
-        mut rx: mpsc::Receiver<upstream::Piece>,
-        chunked: bool,
-    ) -> io::Result<()> {
-        loop {
-            let piece = tokio::select! {
-                biased;
-                piece = rx.recv() => piece,
-                err = read_ahead(&mut self.rd, &mut self.buf) => return Err(err),
-            };
-            match piece {
-                None => return Err(io::ErrorKind::ConnectionAborted.into()),
-                Some(upstream::Piece::Data(data)) if chunked => http1::put_chunk(&mut out, &data),
-                Some(upstream::Piece::Data(data)) => out.extend_from_slice(&data),
-                Some(upstream::Piece::End) => {
-                    if chunked {
-                        out.extend_from_slice(http1::LAST_CHUNK);
-                    }
-                    return self.send(&out).await;
-                }
-            }
-            self.send(&out).await?;
-            out.clear();
-        }
-    }
-
-    async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let written = match self.wr.try_write(bytes) {
-            Ok(n) if n == bytes.len() => return Ok(()),
-            Ok(n) => n,
-            Err(err) if err.kind() == io::ErrorKind::WouldBlock => 0,
-            Err(err) => return Err(err),
-        };
-        let started = time::Instant::now();
-        let sent = socket::write_all(&mut self.wr, &bytes[written..]).await;
-        let now = time::Instant::now();
-        let blocked = now.duration_since(started);
-        let blocked = blocked.saturating_sub(self.handler.read_lag(now));
-        metrics::histogram!(known::WRITE_BLOCKED).record(blocked.as_secs_f64());
-        sent
-    }
-
     /// Closes the connection without a reset, so that the last answer arrives.
     async fn linger(&mut self) {
         if self.wr.shutdown().await.is_err() {
@@ -769,20 +621,6 @@
     }
 }
 
-async fn first_answer(pending: &mut collections::VecDeque<Pending>) -> Answer {
-    let Some(first) = pending.front_mut() else {
-        return future::pending().await;
-    };
-    match (&mut first.rx).await {
-        Ok(answer) => answer,
-        // The handler ended without an answer (a bug), so the request's outcome is unknown.
-        Err(_) => Answer {
-            close: true,
-            ..Answer::empty(502)
-        },
-    }
-}
-
 /// Waits until the planned stop goes on; forever if nothing can stop.
 async fn next_phase(stop: &mut watch::Receiver<planned_stop::Phase>) {
     if stop.changed().await.is_err() {
@@ -796,17 +634,3 @@
         None => future::pending().await,
     }
 }
-
-/// Reads while an answer is written, to detect that the caller disconnects.
-async fn read_ahead(rd: &mut tcp::OwnedReadHalf, buf: &mut BytesMut) -> io::Error {
-    loop {
-        if buf.len() >= MAX_READ_AHEAD_BYTES {
-            return future::pending().await;
-        }
-        match rd.read_buf(buf).await {
-            Ok(0) => return io::ErrorKind::UnexpectedEof.into(),
-            Ok(_) => {}
-            Err(err) => return err,
-        }
-    }
-}
--- /dev/null
+++ b/src/transport/callers/writing.rs
@@ -0,0 +1,119 @@
+//! Writes answers to a caller, in the order of the requests.
+
+use std::future;
+use std::io;
+use std::time;
+
+use bytes::BytesMut;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp;
+use tokio::sync::mpsc;
+
+use super::answer::{self, Answer, Body};
+use super::{Connection, Handler, MAX_READ_AHEAD_BYTES, Reading};
+use crate::metrics as known;
+use crate::protocol::http1;
+use crate::transport::{socket, upstream};
+
+impl<H: Handler> Connection<H> {
+    /// Writes the first pending request's answer. Returns whether the connection ends after it.
+    pub(super) async fn write_first(&mut self, answer: Answer) -> io::Result<bool> {
+        let Some(done) = self.pending.pop_front() else {
+            return Ok(true);
+        };
+        let more_requests = !self.pending.is_empty() || !matches!(self.reading, Reading::Head);
+        let stopping = self.stop.borrow().is_stopping() && !more_requests && self.buf.is_empty();
+        // Later requests of the connection already run; closing now would abort them.
+        self.reading_closed |= answer.close || !done.keep_alive || stopping;
+        let close = self.reading_closed && self.pending.is_empty();
+        let ends_at_close = self.write_answer(answer, close, done.framing).await?;
+        self.last_active = time::Instant::now();
+        Ok(close || ends_at_close)
+    }
+
+    /// Writes an answer. Returns whether the connection must be closed to mark the body's end.
+    pub(super) async fn write_answer(
+        &mut self,
+        answer: Answer,
+        close: bool,
+        framing: answer::AnswerFraming,
+    ) -> io::Result<bool> {
+        let unknown_length = answer.has_unknown_length();
+        let chunked = unknown_length && framing.chunks;
+        let ends_at_close = unknown_length && !framing.chunks;
+        let mut out = BytesMut::with_capacity(answer.fields.len() + 256);
+        answer::put_head(&mut out, &answer, close, framing);
+        match answer.body {
+            Body::Whole(body) => {
+                out.extend_from_slice(&body);
+                self.send(&out).await?;
+            }
+            Body::Pieces { rx, .. } => {
+                let written = self.write_pieces(out, rx, chunked).await;
+                self.truncated = ends_at_close && written.is_err();
+                written?;
+            }
+        }
+        Ok(ends_at_close)
+    }
+
+    /// Streams an answer. A truncated answer must not look complete, so the connection is dropped
+    /// before the last chunk or before the stated length.
+    async fn write_pieces(
+        &mut self,
+        mut out: BytesMut,
+        mut rx: mpsc::Receiver<upstream::Piece>,
+        chunked: bool,
+    ) -> io::Result<()> {
+        loop {
+            let piece = tokio::select! {
+                biased;
+                piece = rx.recv() => piece,
+                err = read_ahead(&mut self.rd, &mut self.buf) => return Err(err),
+            };
+            match piece {
+                None => return Err(io::ErrorKind::ConnectionAborted.into()),
+                Some(upstream::Piece::Data(data)) if chunked => http1::put_chunk(&mut out, &data),
+                Some(upstream::Piece::Data(data)) => out.extend_from_slice(&data),
+                Some(upstream::Piece::End) => {
+                    if chunked {
+                        out.extend_from_slice(http1::LAST_CHUNK);
+                    }
+                    return self.send(&out).await;
+                }
+            }
+            self.send(&out).await?;
+            out.clear();
+        }
+    }
+
+    async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let written = match self.wr.try_write(bytes) {
+            Ok(n) if n == bytes.len() => return Ok(()),
+            Ok(n) => n,
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => 0,
+            Err(err) => return Err(err),
+        };
+        let started = time::Instant::now();
+        let sent = socket::write_all(&mut self.wr, &bytes[written..]).await;
+        let now = time::Instant::now();
+        let blocked = now.duration_since(started);
+        let blocked = blocked.saturating_sub(self.handler.read_lag(now));
+        metrics::histogram!(known::WRITE_BLOCKED).record(blocked.as_secs_f64());
+        sent
+    }
+}
+
+/// Reads while an answer is written, to detect that the caller disconnects.
+async fn read_ahead(rd: &mut tcp::OwnedReadHalf, buf: &mut BytesMut) -> io::Error {
+    loop {
+        if buf.len() >= MAX_READ_AHEAD_BYTES {
+            return future::pending().await;
+        }
+        match rd.read_buf(buf).await {
+            Ok(0) => return io::ErrorKind::UnexpectedEof.into(),
+            Ok(_) => {}
+            Err(err) => return err,
+        }
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod restart;
 mod restored;
 mod returns;
+mod scripted_backend;
 mod stop;
 #[path = "../support/mod.rs"]
 #[expect(dead_code, reason = "shared with the tests of the platform's adapter")]
