One function says which answers are not passed on

No change of behaviour, but that an answer whose stated length is beyond the bound is read as far as any answer that is buffered before it is dropped.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -393,28 +393,12 @@
         reservation: placement::Reservation,
     ) -> Outcome {
         let head = received.head;
-        let names = &self.cfg.names;
         self.note_stated(&reservation.run, &head);
         let refusal = match self.note_load(&reservation.run, &head) {
             true => NotRun::Declined,
             false => NotRun::Shed,
         };
-        let not_run = head.fields.get(names.not_run).is_some();
-        let misdirected = head.status == hyper::StatusCode::MISDIRECTED_REQUEST;
-        let is_success = (200..300).contains(&head.status);
-        // An answer that is not passed on, whatever its body is.
-        let withheld = match head.framing {
-            _ if misdirected => Some(Outcome::NotRun(NotRun::Misdirected)),
-            _ if not_run => Some(Outcome::NotRun(refusal)),
-            // Only a signed success proves that the backend server itself answered.
-            _ if is_success && head.fields.get(names.proof).is_none() => {
-                Some(Outcome::Unknown(upstream::Failure::InvalidAnswer))
-            }
-            http1::Framing::Length(n) if n > MAX_ANSWER_BYTES => {
-                return Outcome::Unknown(upstream::Failure::InvalidAnswer);
-            }
-            _ => None,
-        };
+        let withheld = self.withheld(&head, refusal);
         let mut reader = http1::BodyReader::new(head.framing);
         let mut body = BytesMut::new();
         loop {
@@ -448,6 +432,24 @@
         Outcome::Answer { answer, failed }
     }
 
+    /// The outcome if the answer is not passed on, whatever its body is. `refusal` is the reason if the
+    /// backend server states that the request has not run.
+    fn withheld(&self, head: &http1::ResponseHead, refusal: NotRun) -> Option<Outcome> {
+        let names = &self.cfg.names;
+        if head.status == hyper::StatusCode::MISDIRECTED_REQUEST {
+            return Some(Outcome::NotRun(NotRun::Misdirected));
+        }
+        if head.fields.get(names.not_run).is_some() {
+            return Some(Outcome::NotRun(refusal));
+        }
+        // Only a signed success proves that the backend server itself answered.
+        let is_success = (200..300).contains(&head.status);
+        let is_unsigned = is_success && head.fields.get(names.proof).is_none();
+        let is_too_long = matches!(head.framing, http1::Framing::Length(n) if n > MAX_ANSWER_BYTES);
+        let is_invalid = is_unsigned || is_too_long;
+        is_invalid.then_some(Outcome::Unknown(upstream::Failure::InvalidAnswer))
+    }
+
     /// Streams a long answer to the caller; the reservation is held until its end. Nothing more is read of
     /// the answer once the request's time is up, whether the backend server is silent or sends without end.
     fn relay(
