--- a/src/decisions/planned_stop.rs
+++ b/src/decisions/planned_stop.rs
@@ -7,7 +7,7 @@
 //!
 //! Until the last sixth of the grace period nothing is ended. Then a request ends that holds up answers
 //! which are ready, so that there is time to write them. All others run on until there is just time left
-//! to tell their callers that the outcome is unknown.
+//! to answer their callers that the outcome is unknown.
 
 use std::time;
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -451,7 +451,7 @@
     }
 
     /// Streams a long answer to the caller; the reservation is held until its end. Nothing more is read of
-    /// the answer once the request's time is up, whether the backend server is silent or sends without end.
+    /// the answer once the request's time is up, whether the backend server sends nothing or without end.
     fn relay(
         &self,
         job: &Job,
