What is written again unchanged after a return of the store reaches followers

Cause: the leader gave a record the revision at which it changed. One that was written again unchanged kept that of the return, so it was not among the changes since the follower's revision, and it was not passed on either.

Change: a record that is written again unchanged gets its new revision, and is passed on where it came as a change.

Evidence: restored::a_vm_that_starts_after_a_return_gets_what_is_written_again failed before, both for a VM that follows after the record was written again and for one that follows before, and passes.

--- a/src/coordination/mirror.rs
+++ b/src/coordination/mirror.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Notes that the store has a held value at this revision, also if it was written again unchanged. A
+    /// VM that has read the store may hold an older value from before that.
+    pub fn confirm(&mut self, key: &str, revision: u64) {
+        if let Some(versioned) = self.values.get_mut(key) {
+            versioned.revision = versioned.revision.max(revision);
+        }
+    }
+
     fn trim_removals(&mut self, revision: u64) {
         if self.removed.len() > MAX_KEPT_REMOVALS {
             self.removed.clear();
--- a/src/gateway/merge.rs
+++ b/src/gateway/merge.rs
@@ -86,16 +86,18 @@
         records
     }
 
-    /// Applies changed records. Returns those that followers need.
+    /// Applies changed records. Returns those that followers need. A follower may lack a value that this VM
+    /// has held since before the store returned from an older copy and that is written again.
     pub(super) fn apply_changes<S: Source>(
         &self,
         source: &S,
         records: &[mirror::Record],
         position: mirror::Position,
     ) -> Vec<mirror::Record> {
-        let needed = records
-            .iter()
-            .filter(|record| self.apply_record(source, record, position));
+        let needed = records.iter().filter(|record| {
+            let is_repeated = record.value.is_some() && self.records.borrow().contains(record);
+            self.apply_record(source, record, position) || is_repeated
+        });
         let updates = needed.cloned().collect();
         self.records.borrow_mut().advance_to(position);
         updates
@@ -112,8 +114,10 @@
         let waited = self.unconfirmed.borrow_mut().confirm(&record.key);
         let effect = source.apply(record);
         let mut stored = self.records.borrow_mut();
-        if effect != Effect::Rejected && !stored.contains(record) {
-            stored.put(record, position.revision);
+        match stored.contains(record) {
+            true => stored.confirm(&record.key, position.revision),
+            false if effect == Effect::Rejected => {}
+            false => stored.put(record, position.revision),
         }
         waited || effect == Effect::Changed
     }
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -311,6 +311,48 @@
     });
 }
 
+/// Guards against a VM that starts while a restored store lacks what its leader still holds, and never gets
+/// what is written again unchanged.
+#[test]
+fn a_vm_that_starts_after_a_return_gets_what_is_written_again() {
+    for follows_first in [true, false] {
+        run_test(|| async {
+            let store = Store::default();
+            store.write("a", Some("1"));
+            let copy = store.copy();
+            let leader = Vm::new(&store, "vm-0", 2);
+            leader.start();
+            store.write("lost", Some("1"));
+            until("it has the record", || leader.has("lost", "1")).await;
+            store.restore(copy);
+            store.write("other", Some("1"));
+            until("it knows of the return", || leader.has("other", "1")).await;
+            let late = Vm::new(&store, "vm-1", 1);
+            late.start();
+            until("the late one reads", || late.has("other", "1")).await;
+            assert!(leader.has("lost", "1") && late.lacks("lost"));
+            late.access.is_cut.set(true);
+            let follow = async || {
+                for vm in [&leader, &late] {
+                    late.cx.update_entry(&vm.name.as_str().into(), vm.entry());
+                }
+                store.write("followed", Some("1"));
+                until("it follows", || late.has("followed", "1")).await;
+            };
+            if follows_first {
+                follow().await;
+            }
+            store.write("lost", Some("1"));
+            store.write("other", Some("2"));
+            until("it is written again", || leader.has("other", "2")).await;
+            if !follows_first {
+                follow().await;
+            }
+            until("the late one has it", || late.has("lost", "1")).await;
+        });
+    }
+}
+
 /// Guards against leases that end right after a return although their holders had renewed them.
 #[test]
 fn the_end_of_a_lease_right_after_a_return_removes_nothing_at_once() {
