--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod gateways;
 mod http;
 mod json;
+mod reading;
 mod server;
 mod store;
 
@@ -28,6 +29,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let played = thread::spawn(move || match case.as_str() {
         "behind" => behind::play(&dir, trouble),
+        "reading" => reading::play(&dir, trouble),
         _ => 2,
     });
     process::exit(played.join().unwrap_or(2));
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -1,6 +1,7 @@
 //! A backend server: it runs `slots` requests at a time, queues a few, and answers with its signature.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -17,8 +18,8 @@
     pub began: Instant,
     /// Whether the whole answer was written.
     pub answered: bool,
-    /// Bytes of the request's body, and their sum.
-    pub body: (usize, u64),
+    /// Bytes of the request's body that it has read.
+    pub body: usize,
 }
 
 /// Requests in hand.
@@ -53,6 +54,8 @@
     pub breaks_every: Arc<AtomicU64>,
     /// Answers that were broken off.
     pub broken: Arc<AtomicU64>,
+    /// How long it reads nothing of a body after its first part; 0: it reads at once.
+    pub pauses_ms: Arc<AtomicU64>,
     answers: Arc<AtomicU64>,
     busy: Arc<(Mutex<Busy>, Condvar)>,
     runs: Runs,
@@ -68,6 +71,7 @@
             settings,
             breaks_every: Arc::default(),
             broken: Arc::default(),
+            pauses_ms: Arc::default(),
             answers: Arc::default(),
             busy: Arc::default(),
             runs,
@@ -100,8 +104,7 @@
     fn serve(&self, stream: TcpStream) {
         let mut wire = Wire::new(stream);
         while let Ok(Some(head)) = wire.head() {
-            let Ok(body) = wire.body(&head) else { return };
-            if !self.answer(&mut wire, &head, &body) {
+            if !self.answer(&mut wire, &head) {
                 return;
             }
         }
@@ -116,7 +119,7 @@
     }
 
     /// Runs and answers a request. Returns whether the connection stays open.
-    fn answer(&self, wire: &mut Wire, head: &Head, body: &[u8]) -> bool {
+    fn answer(&self, wire: &mut Wire, head: &Head) -> bool {
         let id = head
             .get("bulrushwind-try-id")
             .unwrap_or_default()
@@ -125,16 +128,17 @@
             .get("bulrushwind-expect-instance")
             .is_some_and(|i| i != self.id)
         {
-            return self.refuse(wire, "421 Misdirected Request", &id);
+            return wire.body(head).is_ok() && self.refuse(wire, "421 Misdirected Request", &id);
         }
         if id.is_empty() {
-            return self.refuse(wire, "400 Bad Request", &id);
+            return wire.body(head).is_ok() && self.refuse(wire, "400 Bad Request", &id);
         }
         let (lock, freed) = &*self.busy;
         let mut busy = lock.lock().unwrap();
         if busy.all >= self.settings.slots + self.settings.queue {
             drop(busy);
-            return self.refuse(wire, "503 Service Unavailable", &id);
+            return wire.body(head).is_ok()
+                && self.refuse(wire, "503 Service Unavailable", &id);
         }
         busy.all += 1;
         while busy.running >= self.settings.slots {
@@ -146,7 +150,7 @@
             server: self.number,
             began: Instant::now(),
             answered: false,
-            body: (body.len(), body.iter().map(|b| u64::from(*b)).sum()),
+            body: 0,
         };
         let nth = {
             let mut runs = self.runs.lock().unwrap();
@@ -154,7 +158,11 @@
             of.push(run);
             of.len() - 1
         };
-        thread::sleep(self.settings.work);
+        let body = self.read(wire, head);
+        if let Ok(bytes) = &body {
+            self.note(&id, nth, |run| run.body = *bytes);
+            thread::sleep(self.settings.work);
+        }
         let load = {
             let mut busy = lock.lock().unwrap();
             busy.all -= 1;
@@ -162,6 +170,9 @@
             freed.notify_one();
             (busy.running, busy.all - busy.running)
         };
+        if body.is_err() {
+            return false;
+        }
         let text = body_of(&id, self.settings.bytes);
         let answer = format!(
             "HTTP/1.1 200 OK\r\nBulrushwind-Try-Id: {id}\r\nBulrushwind-Server-Stamp: {}.{nth}\r\nBulrushwind-Backend-Load: {},{},{}\r\nContent-Length: {}\r\n\r\n",
@@ -183,17 +194,22 @@
         let sent = wire
             .send(answer.as_bytes())
             .and_then(|()| wire.send(text.as_bytes()));
-        if let Some(run) = self
-            .runs
-            .lock()
-            .unwrap()
-            .get_mut(&id)
-            .and_then(|runs| runs.get_mut(nth))
-        {
-            run.answered = sent.is_ok();
-        }
+        self.note(&id, nth, |run| run.answered = sent.is_ok());
         sent.is_ok()
     }
+
+    /// Reads a request's body, with a pause after its first part. Returns its length.
+    fn read(&self, wire: &mut Wire, head: &Head) -> io::Result<usize> {
+        thread::sleep(Duration::from_millis(self.pauses_ms.load(Ordering::Relaxed)));
+        wire.body(head).map(|body| body.len())
+    }
+
+    fn note(&self, id: &str, nth: usize, note: impl FnOnce(&mut Run)) {
+        let mut runs = self.runs.lock().unwrap();
+        if let Some(run) = runs.get_mut(id).and_then(|runs| runs.get_mut(nth)) {
+            note(run);
+        }
+    }
 }
 
 /// The body of the answer to a request.
