--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,6 +8,7 @@
 mod reading;
 mod server;
 mod store;
+mod uploads;
 
 use std::path::PathBuf;
 use std::process;
@@ -30,6 +31,7 @@
     let played = thread::spawn(move || match case.as_str() {
         "behind" => behind::play(&dir, trouble),
         "reading" => reading::play(&dir, trouble),
+        "uploads" => uploads::play(&dir, trouble),
         _ => 2,
     });
     process::exit(played.join().unwrap_or(2));
--- a/review/standin-2/src/reading.rs
+++ b/review/standin-2/src/reading.rs
@@ -47,10 +47,20 @@
         Err(_) => None,
     };
     let whole = answer.as_ref().is_some_and(|head| wire.body(head).is_ok());
-    let signed = whole && answer.as_ref().is_some_and(|head| head.get("bulrushwind-server-stamp").is_some());
+    let signed = whole
+        && answer
+            .as_ref()
+            .is_some_and(|head| head.get("bulrushwind-server-stamp").is_some());
     let status = answer.filter(|_| whole).map(|head| head.status());
     let _ = front;
-    Booked { id: id.to_owned(), stopped, sent, ended: Instant::now(), status, signed }
+    Booked {
+        id: id.to_owned(),
+        stopped,
+        sent,
+        ended: Instant::now(),
+        status,
+        signed,
+    }
 }
 
 pub fn play(dir: &Path, trouble: bool) -> i32 {
@@ -71,28 +81,45 @@
         .collect();
     for server in &servers {
         server.beat(&store, 1);
-        server.pauses_ms.store(if trouble { PAUSE.as_millis() as u64 } else { 0 }, Ordering::Relaxed);
+        server.pauses_ms.store(
+            if trouble { PAUSE.as_millis() as u64 } else { 0 },
+            Ordering::Relaxed,
+        );
     }
     store.write("op/config", r#"{"version":"00000007","routes":[{"name":"r-book","host":"book.example","prefix":"/book/","kind":"unsafe","timeout_s":5,"target_latency_s":0.8,"priority":1,"service":"counterdesk","attempts":2,"sticky":false,"residency":[]}],"services":[{"name":"counterdesk","health_path":"/health","max_conns":2081,"proto":"h1","tls":false,"cold_s":3.0,"cold_per_s":2.9}],"limits":{"header_bytes":16384,"body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}"#);
     let beating = (servers.clone(), store.clone());
     thread::spawn(move || {
         for seq in 2.. {
             thread::sleep(Duration::from_millis(1500));
-            beating.0.iter().for_each(|server| server.beat(&beating.1, seq));
+            beating
+                .0
+                .iter()
+                .for_each(|server| server.beat(&beating.1, seq));
         }
     });
     let ips: Vec<String> = (0..2).map(gateways::free_ip).collect();
     let fronts: Vec<Gateway> = ips
         .iter()
         .enumerate()
-        .map(|(n, ip)| Gateway::start(dir, &format!("front-{n}"), gateways::ZONES[n * 3], ip, store.addr, &ips))
+        .map(|(n, ip)| {
+            Gateway::start(
+                dir,
+                &format!("front-{n}"),
+                gateways::ZONES[n * 3],
+                ip,
+                store.addr,
+                &ips,
+            )
+        })
         .collect();
     if !fronts.iter().all(Gateway::wait_ready) {
         eprintln!("a gateway isn't ready");
         return 2;
     }
     thread::sleep(Duration::from_secs(5));
-    let term = Command::new("kill").args(["-TERM", &fronts[0].child.id().to_string()]).status();
+    let term = Command::new("kill")
+        .args(["-TERM", &fronts[0].child.id().to_string()])
+        .status();
     if !term.is_ok_and(|status| status.success()) {
         return 2;
     }
@@ -104,7 +131,9 @@
         let booked = booked.clone();
         callers.push(thread::spawn(move || {
             thread::sleep(Duration::from_millis(200 + 100 * (n as u64 / 2)));
-            let Ok(stream) = TcpStream::connect(front) else { return };
+            let Ok(stream) = TcpStream::connect(front) else {
+                return;
+            };
             let one = book(front, &format!("b00c{n:012x}"), stopped, Wire::new(stream));
             booked.lock().unwrap().push(one);
         }));
@@ -133,17 +162,43 @@
         served += usize::from(one.signed);
         let began: Vec<String> = ran
             .iter()
-            .map(|run| format!("server {} from {:.3} s, {} bytes of the body, answer sent {}", run.server, since(run.began), run.body, run.answered))
+            .map(|run| {
+                format!(
+                    "server {} from {:.3} s, {} bytes of the body, answer sent {}",
+                    run.server,
+                    since(run.began),
+                    run.body,
+                    run.answered
+                )
+            })
             .collect();
         lines.push(format!(
             "{:7.3} s  {}  at the {} process  status {:?}, signed {}, after {:.3} s  ran at [{}]{}",
-            since(one.sent), one.id, if one.stopped { "stopped" } else { "other" }, one.status, one.signed,
-            one.ended.saturating_duration_since(one.sent).as_secs_f64(), began.join(", "), if is_lost { "  LOST" } else { "" }
+            since(one.sent),
+            one.id,
+            if one.stopped { "stopped" } else { "other" },
+            one.status,
+            one.signed,
+            one.ended.saturating_duration_since(one.sent).as_secs_f64(),
+            began.join(", "),
+            if is_lost { "  LOST" } else { "" }
         ));
     }
-    let summary = format!("{} bookings, {served} answered by their server; {lost} at the stopped process were broken off while their server was at work (LOST allows none)\n", booked.len());
+    let summary = format!(
+        "{} bookings, {served} answered by their server; {lost} at the stopped process were broken off while their server was at work (LOST allows none)\n",
+        booked.len()
+    );
     print!("{summary}");
-    if fs::write(dir.join("record.txt"), format!("times are since the SIGTERM\n{summary}\n{}\n", lines.join("\n"))).is_err() || booked.len() < BOOKINGS {
+    if fs::write(
+        dir.join("record.txt"),
+        format!(
+            "times are since the SIGTERM\n{summary}\n{}\n",
+            lines.join("\n")
+        ),
+    )
+    .is_err()
+        || booked.len() < BOOKINGS
+    {
         return 2;
     }
     i32::from(lost > 0)
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -137,8 +137,7 @@
         let mut busy = lock.lock().unwrap();
         if busy.all >= self.settings.slots + self.settings.queue {
             drop(busy);
-            return wire.body(head).is_ok()
-                && self.refuse(wire, "503 Service Unavailable", &id);
+            return wire.body(head).is_ok() && self.refuse(wire, "503 Service Unavailable", &id);
         }
         busy.all += 1;
         while busy.running >= self.settings.slots {
@@ -200,7 +199,9 @@
 
     /// Reads a request's body, with a pause after its first part. Returns its length.
     fn read(&self, wire: &mut Wire, head: &Head) -> io::Result<usize> {
-        thread::sleep(Duration::from_millis(self.pauses_ms.load(Ordering::Relaxed)));
+        thread::sleep(Duration::from_millis(
+            self.pauses_ms.load(Ordering::Relaxed),
+        ));
         wire.body(head).map(|body| body.len())
     }
 
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -129,20 +129,6 @@
         self.state.1.notify_all();
     }
 
-    pub fn delete(&self, key: &str) {
-        let mut state = self.state.0.lock().unwrap();
-        state.rev += 1;
-        state.remove(key);
-        drop(state);
-        self.state.1.notify_all();
-    }
-
-    /// Number of keys under a prefix.
-    pub fn count(&self, prefix: &str) -> usize {
-        let state = self.state.0.lock().unwrap();
-        state.items.keys().filter(|k| k.starts_with(prefix)).count()
-    }
-
     fn serve(&self, stream: TcpStream) {
         let mut wire = Wire::new(stream);
         while let Ok(Some(head)) = wire.head() {
