Bodies of requests that run are read to their end, whatever their connection does

Cause: one flag of the connection, set when a request that keeps no connection starts or an answer closes it, ended the loop that reads heads and bodies alike. A streamed body is read after its request has started, so it was not read at all, or no further. The same decision for a whole connection bound bodies on related paths: behind an answer that is being written to a slow reader, after an early answer on a connection that closes (one second of reading, then a reset), and in an invalid body, whose request waited for the rest until its time limit and got a second answer.

Change: whether a request begins is a flag of the connection, whether a body is read is that body's state (callers/inbound.rs). It goes on while answers are written and while the connection lingers. The handler of a body that ends before it is whole is told by its channel at once, and the refusal takes the place of its answer.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -461,10 +461,7 @@
         body: BytesMut,
         reservation: placement::Reservation,
     ) -> Outcome {
-        let length = match head.framing {
-            http1::Framing::Length(n) => Some(n),
-            http1::Framing::Chunked | http1::Framing::UntilClose => None,
-        };
+        let length = head.framing.length();
         let (tx, rx) = mpsc::channel(RELAY_QUEUE_PIECES);
         let (cx, id) = (self.clone(), job.id.clone());
         let end = self.instant(job.ends_at());
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -107,6 +107,8 @@
 pub const LOOP_LAG: &str = "bulrushwind_loop_lag_seconds";
 /// How long answers waited for room on their callers' connections.
 pub const WRITE_BLOCKED: &str = "bulrushwind_write_blocked_seconds";
+/// Callers' long bodies, by how they ended.
+pub const STREAMED_BODIES: &str = "bulrushwind_streamed_bodies_total";
 /// Long answers that ended before they were complete.
 pub const ANSWERS_CUT: &str = "bulrushwind_answers_cut_total";
 /// How long connections were in the listen queue at least.
@@ -466,6 +468,12 @@
         &[],
         "Seconds for which an answer waited for room on its caller's connection, less the event loop's lag: the link is full or the caller reads slowly.",
     ),
+    metric(
+        STREAMED_BODIES,
+        Kind::Counter,
+        &["end"],
+        "Long bodies of callers by how they ended: whole, unneeded (the request was answered before), invalid, or cut (the connection ended).",
+    ),
     metric(
         ANSWERS_CUT,
         Kind::Counter,
--- a/src/protocol/http1.rs
+++ b/src/protocol/http1.rs
@@ -42,6 +42,16 @@
     UntilClose,
 }
 
+impl Framing {
+    /// The length in bytes, if it is stated.
+    pub fn length(self) -> Option<u64> {
+        match self {
+            Self::Length(n) => Some(n),
+            Self::Chunked | Self::UntilClose => None,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Span {
     start: u32,
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -6,20 +6,19 @@
 //! it is read. The concurrent requests and the bytes read ahead are bounded per connection.
 
 mod answer;
+mod inbound;
 mod pending;
 mod refusing;
 mod writing;
 
-use std::collections;
 use std::future;
 use std::io;
 use std::rc;
 use std::time;
 
-use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpStream, tcp};
-use tokio::sync::{self, mpsc, oneshot, watch};
+use tokio::sync::{self, watch};
 use tokio::task;
 
 use super::{descriptors, idle, socket, upstream};
@@ -27,23 +26,10 @@
 use crate::protocol::{http1, routes};
 
 pub use answer::{Answer, Body};
+use inbound::{Inbound, MAX_READ_AHEAD_BYTES, Reading};
 pub use pending::Cancellation;
 use pending::{Pending, first_answer};
 
-/// Concurrent requests per connection. Callers pipeline about four; a higher limit would let one
-/// connection occupy a whole backend server.
-const MAX_PIPELINED_REQUESTS: usize = 16;
-
-/// The longest body that is buffered, so that it can be sent again. Longer bodies are streamed,
-/// because a few concurrent ones would not fit in the memory of a small VM.
-const MAX_BUFFERED_BODY_BYTES: usize = 256 << 10;
-
-/// Bytes that are read ahead of the pending requests.
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
-
-/// Pieces of a streamed body that are queued for the request's task.
-const MAX_QUEUED_PIECES: usize = 4;
-
 /// How long a connection is still read in total after the server has shut down its sending side.
 /// Closing it with unread bytes sends a reset, which can overtake the answer just written.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -69,14 +55,6 @@
     pub cancellation: rc::Rc<Cancellation>,
 }
 
-/// When a head arrived.
-#[derive(Clone, Copy, Debug)]
-struct Arrival {
-    /// When it was read, less the delay.
-    at: time::Instant,
-    delay: time::Duration,
-}
-
 /// Why a request is refused before it was read whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -109,34 +87,10 @@
     fn answer(&self, req: Request) -> impl future::Future<Output = Answer> + 'static;
 }
 
-/// The state of reading from a connection.
-enum Reading {
-    /// Between requests.
-    Head,
-    /// In a body that is buffered.
-    Buffered {
-        head: http1::RequestHead,
-        reader: http1::BodyReader,
-        body: BytesMut,
-        received: Arrival,
-    },
-    /// In a body that is streamed.
-    Streamed {
-        reader: http1::BodyReader,
-        tx: mpsc::Sender<upstream::Piece>,
-        piece: Option<upstream::Piece>,
-    },
-}
-
 struct Connection<H> {
     handler: H,
-    rd: tcp::OwnedReadHalf,
+    inbound: Inbound,
     wr: tcp::OwnedWriteHalf,
-    buf: BytesMut,
-    reading: Reading,
-    pending: collections::VecDeque<Pending>,
-    /// Whether no further request is read.
-    reading_closed: bool,
     stop: watch::Receiver<planned_stop::Phase>,
     /// Notified when a handler has ended.
     ready: rc::Rc<sync::Notify>,
@@ -196,12 +150,8 @@
         let (rd, wr) = stream.into_split();
         let mut connection = Connection {
             handler,
-            rd,
+            inbound: Inbound::new(rd),
             wr,
-            buf: BytesMut::new(),
-            reading: Reading::Head,
-            pending: collections::VecDeque::new(),
-            reading_closed: false,
             stop,
             ready: rc::Rc::default(),
             last_active: time::Instant::now(),
@@ -224,13 +174,13 @@
             }
             Err(_) => {}
         }
+        connection.inbound.input.end_body(inbound::BodyEnd::Cut);
     }
 }
 
 enum Step {
     Answer(Answer),
-    Read(io::Result<usize>),
-    PieceReady(bool),
+    Read(inbound::Read),
     TimedOut,
     Evicted,
     /// The planned stop has gone on, or an answer is ready behind another in its course.
@@ -244,7 +194,7 @@
             // Heads that are parsed later were read in time, or waited for this connection's answers.
             self.delay = time::Duration::ZERO;
             self.end_requests();
-            if self.reading_closed && self.pending.is_empty() {
+            if self.inbound.closed && self.inbound.pending.is_empty() {
                 return Ok(());
             }
             match self.step().await {
@@ -253,14 +203,13 @@
                         return Ok(());
                     }
                 }
-                Step::Read(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Step::Read(n) => {
+                Step::Read(inbound::Read::Bytes(n)) => {
                     n?;
                     let now = time::Instant::now();
                     self.note_delay(now)?;
                     self.last_active = now;
                 }
-                Step::PieceReady(has_room) => self.queue_piece(has_room),
+                Step::Read(inbound::Read::Queued) => {}
                 Step::TimedOut => return self.timed_out().await,
                 Step::Evicted => {
                     if !self.read_arrived().await? {
@@ -279,46 +228,34 @@
         if phase < planned_stop::Phase::Yielding {
             return;
         }
-        let last_ready = self.pending.iter().rposition(Pending::is_ready);
-        for (n, pending) in self.pending.iter().enumerate() {
+        let last_ready = self.inbound.pending.iter().rposition(Pending::is_ready);
+        for (n, pending) in self.inbound.pending.iter().enumerate() {
             let holds_up = last_ready.is_some_and(|last| n < last);
             if !pending.is_ready() && phase.ends_request(holds_up) {
                 pending.cancellation.end();
             }
         }
         if phase.ends_request(false)
-            && let Reading::Buffered { head, .. } = &self.reading
+            && let Reading::Buffered { head, .. } = &self.inbound.input.reading
         {
             let answer = self.handler.refuse(head, Refusal::PlannedStop);
-            self.reading = Reading::Head;
-            self.refuse_with(answer);
+            self.inbound.refuse(answer);
         }
     }
 
     async fn step(&mut self) -> Step {
         let deadline = self.idle_deadline();
         // The limit on heads may exceed the read-ahead limit; a long head must still fit.
-        let room =
-            self.buf.len() < MAX_READ_AHEAD_BYTES.max(self.handler.limits().max_head_bytes + 1);
-        if room {
-            self.buf.reserve(4 << 10);
-        }
-        let has_pending = !self.pending.is_empty();
-        let is_idle = !has_pending && self.is_between_requests();
+        let read_ahead = MAX_READ_AHEAD_BYTES.max(self.handler.limits().max_head_bytes + 1);
+        let has_pending = !self.inbound.pending.is_empty();
+        let is_idle = !has_pending && self.inbound.input.is_between_requests();
         self.slot.set_idle(is_idle.then_some(self.last_active));
         let yields = *self.stop.borrow() >= planned_stop::Phase::Yielding;
-        let answer = first_answer(&mut self.pending);
-        let queue = match &self.reading {
-            Reading::Streamed {
-                tx, piece: Some(_), ..
-            } => Some(tx.clone()),
-            _ => None,
-        };
+        let answer = first_answer(&mut self.inbound.pending);
         let step = tokio::select! {
             biased;
             answer = answer, if has_pending => Step::Answer(answer),
-            has_room = wait_for_room(queue.clone()), if queue.is_some() => Step::PieceReady(has_room),
-            n = self.rd.read_buf(&mut self.buf), if room => Step::Read(n),
+            read = self.inbound.input.read(read_ahead) => Step::Read(read),
             () = next_phase(&mut self.stop), if !is_idle => Step::Stopping,
             () = self.ready.notified(), if yields => Step::Stopping,
             () = tokio::time::sleep_until(deadline.into()), if !has_pending => Step::TimedOut,
@@ -334,8 +271,7 @@
     async fn read_arrived(&mut self) -> io::Result<bool> {
         // The runtime polls the sockets between two runs of a task.
         task::yield_now().await;
-        match self.rd.try_read_buf(&mut self.buf) {
-            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+        match self.inbound.input.try_read() {
             Ok(_) => {
                 self.slot.leave(false);
                 self.last_active = time::Instant::now();
@@ -346,10 +282,6 @@
         }
     }
 
-    fn is_between_requests(&self) -> bool {
-        self.buf.is_empty() && matches!(self.reading, Reading::Head)
-    }
-
     /// Notes how late bytes were read. A caller that gave up meanwhile has closed its connection
     /// after them; its requests must not run.
     fn note_delay(&mut self, now: time::Instant) -> io::Result<()> {
@@ -360,12 +292,11 @@
             self.waited = time::Duration::ZERO;
         }
         self.delay = lag + std::mem::take(&mut self.waited);
-        let room = self.buf.len() < MAX_READ_AHEAD_BYTES;
+        let room = self.inbound.input.buf.len() < MAX_READ_AHEAD_BYTES;
         if self.delay.is_zero() || !room {
             return Ok(());
         }
-        match self.rd.try_read_buf(&mut self.buf) {
-            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+        match self.inbound.input.try_read() {
             Err(err) if err.kind() != io::ErrorKind::WouldBlock => Err(err),
             Ok(_) | Err(_) => Ok(()),
         }
@@ -374,7 +305,8 @@
     /// The time at which a connection without pending requests times out.
     fn idle_deadline(&self) -> time::Instant {
         let limits = self.handler.limits();
-        let head_started = !self.buf.is_empty() && matches!(self.reading, Reading::Head);
+        let head_started = !self.inbound.input.buf.is_empty()
+            && matches!(self.inbound.input.reading, Reading::Head);
         let limit = match head_started {
             true => limits.head_timeout,
             false => limits.idle_timeout,
@@ -383,7 +315,9 @@
     }
 
     async fn timed_out(&mut self) -> io::Result<()> {
-        if self.is_between_requests() {
+        // No answer is due between two requests and in the rest of a body whose request is answered.
+        let input = &self.inbound.input;
+        if input.is_between_requests() || matches!(input.reading, Reading::Streamed { .. }) {
             return Ok(());
         }
         let answer = Answer {
@@ -395,229 +329,41 @@
             .map(drop)
     }
 
-    /// Starts the requests that have been read, up to the limit of pending requests.
-    async fn start_requests(&mut self) -> io::Result<()> {
-        while !self.reading_closed {
-            match std::mem::replace(&mut self.reading, Reading::Head) {
-                Reading::Head => {
-                    if self.pending.len() >= MAX_PIPELINED_REQUESTS || !self.begin_request().await?
-                    {
-                        return Ok(());
-                    }
-                }
-                Reading::Buffered {
-                    head,
-                    mut reader,
-                    mut body,
-                    received,
-                } => {
-                    match reader.next(&mut self.buf) {
-                        Ok(Some(piece)) => body.extend_from_slice(&piece),
-                        Ok(None) if reader.is_done() => {
-                            self.start(head, upstream::Payload::Whole(body.freeze()), received);
-                            continue;
-                        }
-                        Ok(None) => {
-                            self.reading = Reading::Buffered {
-                                head,
-                                reader,
-                                body,
-                                received,
-                            };
-                            return Ok(());
-                        }
-                        Err(_) => return self.refuse(400),
-                    }
-                    if reader.bytes_read() > self.handler.limits().max_body_bytes {
-                        return self.refuse(413);
-                    }
-                    self.buffer_or_stream(head, reader, body, received);
-                }
-                Reading::Streamed { reader, tx, piece } => {
-                    self.reading = Reading::Streamed { reader, tx, piece };
-                    if !self.next_piece()? {
-                        return Ok(());
-                    }
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Reads a head. Returns whether it was complete and accepted.
-    async fn begin_request(&mut self) -> io::Result<bool> {
-        let limits = self.handler.limits();
-        let head = match http1::RequestHead::take(&mut self.buf, limits.max_head_bytes) {
-            Ok(Some(head)) => head,
-            Ok(None) => return Ok(false),
-            Err(http1::Malformed::TooLong) => return self.refuse(431).map(|()| false),
-            Err(_) => return self.refuse(400).map(|()| false),
-        };
-        let read = time::Instant::now();
-        let received = Arrival {
-            at: read.checked_sub(self.delay).unwrap_or(read),
-            delay: self.delay,
-        };
-        if let http1::Framing::Length(n) = head.framing
-            && n > limits.max_body_bytes
-        {
-            return self.refuse(413).map(|()| false);
-        }
-        if head.fields.contains_token("expect", "100-continue") && self.pending.is_empty() {
-            self.wr.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-        }
-        let reader = http1::BodyReader::new(head.framing);
-        if reader.is_done() {
-            self.start(head, upstream::Payload::Whole(Bytes::new()), received);
-            return Ok(true);
-        }
-        self.buffer_or_stream(head, reader, BytesMut::new(), received);
-        Ok(true)
-    }
-
-    /// Continues with a body: buffers it while it is short and streams it otherwise.
-    fn buffer_or_stream(
-        &mut self,
-        head: http1::RequestHead,
-        reader: http1::BodyReader,
-        body: BytesMut,
-        received: Arrival,
-    ) {
-        let length = match head.framing {
-            http1::Framing::Length(n) => Some(n),
-            http1::Framing::Chunked | http1::Framing::UntilClose => None,
-        };
-        let is_long = length.is_some_and(|n| n > MAX_BUFFERED_BODY_BYTES as u64)
-            || body.len() > MAX_BUFFERED_BODY_BYTES;
-        if !is_long {
-            self.reading = Reading::Buffered {
-                head,
-                reader,
-                body,
-                received,
-            };
-            return;
-        }
-        let (tx, rx) = mpsc::channel(MAX_QUEUED_PIECES);
-        let payload = upstream::Payload::Pieces {
-            length,
-            rx,
-            started: false,
-        };
-        self.start(head, payload, received);
-        let piece = (!body.is_empty()).then(|| upstream::Piece::Data(body.freeze()));
-        self.reading = Reading::Streamed { reader, tx, piece };
-    }
-
-    /// Reads the next piece of a streamed body. Returns whether reading may continue.
-    fn next_piece(&mut self) -> io::Result<bool> {
-        let limit = self.handler.limits().max_body_bytes;
-        let Reading::Streamed { reader, tx, piece } = &mut self.reading else {
-            return Ok(true);
-        };
-        if piece.is_some() {
-            return Ok(false);
-        }
-        if reader.is_done() {
-            // A closed channel means that the handler has answered without the rest of the body.
-            if tx.try_send(upstream::Piece::End).is_err() && !tx.is_closed() {
-                *piece = Some(upstream::Piece::End);
-                return Ok(false);
-            }
-            self.reading = Reading::Head;
-            return Ok(true);
-        }
-        match reader.next(&mut self.buf) {
-            Ok(Some(data)) => {
-                if reader.bytes_read() > limit {
-                    return self.refuse(413).map(|()| true);
-                }
-                *piece = Some(upstream::Piece::Data(data));
-                Ok(false)
-            }
-            Ok(None) => Ok(reader.is_done()),
-            Err(_) => self.refuse(400).map(|()| true),
-        }
-    }
-
-    /// Queues the next piece if `has_room`; drops it if its receiver is closed.
-    fn queue_piece(&mut self, has_room: bool) {
-        let Reading::Streamed { tx, piece, .. } = &mut self.reading else {
-            return;
-        };
-        let Some(next) = piece.take() else {
-            return;
-        };
-        let last = matches!(next, upstream::Piece::End);
-        if has_room && let Err(mpsc::error::TrySendError::Full(unsent)) = tx.try_send(next) {
-            *piece = Some(unsent);
-            return;
-        }
-        if last {
-            self.reading = Reading::Head;
-        }
-    }
-
-    fn start(&mut self, head: http1::RequestHead, payload: upstream::Payload, received: Arrival) {
-        let (tx, rx) = oneshot::channel();
-        let cancellation = rc::Rc::new(Cancellation::default());
-        let keep_alive = head.keeps_alive();
-        let framing = answer::AnswerFraming::of(&head);
-        let answer = self.handler.answer(Request {
-            head,
-            payload,
-            received: received.at,
-            delay: received.delay,
-            cancellation: cancellation.clone(),
-        });
-        let ready = self.ready.clone();
-        let task = task::spawn_local(async move {
-            // The receiver is dropped if the caller disconnected and the request was committed.
-            let _ = tx.send(answer.await);
-            ready.notify_one();
-        });
-        self.reading_closed |= !keep_alive;
-        self.pending.push_back(Pending {
-            rx,
-            task: Some(task.abort_handle()),
-            cancellation,
-            keep_alive,
-            framing,
-        });
-    }
-
-    /// Queues an error answer to an invalid request; its end is unknown, so reading stops.
-    fn refuse(&mut self, status: u16) -> io::Result<()> {
-        self.refuse_with(Answer::empty(status));
-        Ok(())
-    }
-
-    fn refuse_with(&mut self, answer: Answer) {
-        self.reading_closed = true;
-        self.pending.push_back(Pending::answered(Answer {
-            close: true,
-            ..answer
-        }));
-    }
-
     /// Closes the connection without a reset, so that the last answer arrives.
     async fn linger(&mut self) {
         if self.wr.shutdown().await.is_err() {
             // The caller closed first.
             return;
         }
-        let drain = async {
-            let mut discarded = BytesMut::with_capacity(4 << 10);
-            while let Ok(1..) = self.rd.read_buf(&mut discarded).await {
-                discarded.clear();
-            }
-        };
+        self.read_rest_of_body().await;
         let timeout = match self.evicted {
             true => EVICTED_LINGER_TIMEOUT,
             false => LINGER_TIMEOUT,
         };
         // After the timeout the connection is closed even if a reset follows.
-        let _ = tokio::time::timeout(timeout, drain).await;
+        let _ = tokio::time::timeout(timeout, self.inbound.input.discard()).await;
+    }
+
+    /// Reads the rest of a body whose request is answered, until a planned stop yields. Many callers
+    /// read no answer before they have sent the body.
+    async fn read_rest_of_body(&mut self) {
+        let limits = self.handler.limits();
+        while matches!(self.inbound.input.reading, Reading::Streamed { .. }) {
+            if *self.stop.borrow_and_update() >= planned_stop::Phase::Yielding {
+                return;
+            }
+            self.inbound.take_body(&limits);
+            let read = tokio::time::timeout(
+                limits.idle_timeout,
+                self.inbound.input.read(MAX_READ_AHEAD_BYTES),
+            );
+            tokio::select! {
+                read = read => if !matches!(read, Ok(inbound::Read::Queued | inbound::Read::Bytes(Ok(_)))) {
+                    return;
+                },
+                () = next_phase(&mut self.stop) => {}
+            }
+        }
     }
 }
 
@@ -627,10 +373,3 @@
         future::pending().await
     }
 }
-
-async fn wait_for_room(tx: Option<mpsc::Sender<upstream::Piece>>) -> bool {
-    match tx {
-        Some(tx) => tx.reserve().await.is_ok(),
-        None => future::pending().await,
-    }
-}
--- /dev/null
+++ b/src/transport/callers/inbound.rs
@@ -0,0 +1,448 @@
+//! What a caller's connection receives: heads, and bodies that are buffered or streamed.
+//!
+//! Whether a further request begins is decided for the connection. Whether a body is read is not: once
+//! its request runs, a streamed body is read to its end, whatever the connection does afterwards, and
+//! the request's handler and its caller are told at once if that end cannot come.
+
+use std::collections;
+use std::future;
+use std::io;
+use std::rc;
+use std::time;
+
+use bytes::{Bytes, BytesMut};
+use metrics::counter;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task;
+
+use super::pending::Pending;
+use super::{Answer, Cancellation, Connection, Handler, Request, answer};
+use crate::metrics as known;
+use crate::protocol::{http1, routes};
+use crate::transport::upstream;
+
+/// Concurrent requests per connection. Callers pipeline about four; a higher limit would let one
+/// connection occupy a whole backend server.
+const MAX_PIPELINED_REQUESTS: usize = 16;
+
+/// The longest body that is buffered, so that it can be sent again. Longer bodies are streamed,
+/// because a few concurrent ones would not fit in the memory of a small VM.
+const MAX_BUFFERED_BODY_BYTES: usize = 256 << 10;
+
+/// Bytes that are read ahead of the pending requests.
+pub(super) const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+
+/// Pieces of a streamed body that are queued for the request's task.
+const MAX_QUEUED_PIECES: usize = 4;
+
+/// When a head arrived.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival {
+    /// When it was read, less the delay.
+    at: time::Instant,
+    delay: time::Duration,
+}
+
+/// The state of reading from a connection.
+pub(super) enum Reading {
+    /// Between requests.
+    Head,
+    /// In a body that is buffered.
+    Buffered {
+        head: http1::RequestHead,
+        reader: http1::BodyReader,
+        body: BytesMut,
+        received: Arrival,
+    },
+    /// In a body that is streamed. Its request is the last pending one, or answered already.
+    Streamed {
+        reader: http1::BodyReader,
+        tx: mpsc::Sender<upstream::Piece>,
+        piece: Option<upstream::Piece>,
+    },
+}
+
+impl Reading {
+    /// Takes what has arrived of a body that is buffered. An error is the status for an invalid body.
+    fn buffer(&mut self, buf: &mut BytesMut, max_bytes: u64) -> Result<(), u16> {
+        let Self::Buffered { reader, body, .. } = self else {
+            return Ok(());
+        };
+        while body.len() <= MAX_BUFFERED_BODY_BYTES {
+            match reader.next(buf) {
+                Ok(Some(piece)) => body.extend_from_slice(&piece),
+                Ok(None) => return Ok(()),
+                Err(_) => return Err(400),
+            }
+            if reader.bytes_read() > max_bytes {
+                return Err(413);
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes the next piece of a body that is streamed, unless one waits already. Returns how the body
+    /// has ended if it has; an error is the status for an invalid one.
+    fn stream(&mut self, buf: &mut BytesMut, max_bytes: u64) -> Result<Option<BodyEnd>, u16> {
+        let Self::Streamed { reader, tx, piece } = self else {
+            return Ok(None);
+        };
+        while piece.is_none() {
+            if reader.is_done() {
+                match tx.try_send(upstream::Piece::End) {
+                    Ok(()) => return Ok(Some(BodyEnd::Whole)),
+                    Err(mpsc::error::TrySendError::Closed(_)) => {
+                        return Ok(Some(BodyEnd::Unneeded));
+                    }
+                    Err(mpsc::error::TrySendError::Full(end)) => *piece = Some(end),
+                }
+                break;
+            }
+            match reader.next(buf) {
+                Ok(Some(data)) => *piece = Some(upstream::Piece::Data(data)),
+                Ok(None) if reader.is_done() => {}
+                Ok(None) => break,
+                Err(_) => return Err(400),
+            }
+            if reader.bytes_read() > max_bytes {
+                return Err(413);
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// How a streamed body has ended, for the metric.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum BodyEnd {
+    /// Its request's handler got all of it.
+    Whole,
+    /// The handler had answered without the rest.
+    Unneeded,
+    Invalid,
+    /// The connection has ended before.
+    Cut,
+}
+
+impl BodyEnd {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Unneeded => "unneeded",
+            Self::Invalid => "invalid",
+            Self::Cut => "cut",
+        }
+    }
+}
+
+/// What a wait for the caller's bytes ended with.
+pub(super) enum Read {
+    /// More bytes were read, or the caller has disconnected.
+    Bytes(io::Result<usize>),
+    /// A piece of a streamed body was queued or dropped.
+    Queued,
+}
+
+/// Takes the end of the stream as an error.
+fn not_ended(n: io::Result<usize>) -> io::Result<usize> {
+    match n {
+        Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+        n => n,
+    }
+}
+
+/// The bytes that a caller sends.
+pub(super) struct Input {
+    rd: tcp::OwnedReadHalf,
+    /// Bytes that are read and not taken yet.
+    pub(super) buf: BytesMut,
+    pub(super) reading: Reading,
+}
+
+impl Input {
+    pub(super) fn is_between_requests(&self) -> bool {
+        self.buf.is_empty() && matches!(self.reading, Reading::Head)
+    }
+
+    /// Takes what has arrived of the body of a request. An error is the status for an invalid one.
+    fn take_body(&mut self, max_bytes: u64) -> Result<(), u16> {
+        self.reading.buffer(&mut self.buf, max_bytes)?;
+        if let Some(end) = self.reading.stream(&mut self.buf, max_bytes)? {
+            self.end_body(end);
+        }
+        Ok(())
+    }
+
+    /// Stops reading a body. Without the channel of a streamed one, its request's handler stops
+    /// waiting for the rest.
+    pub(super) fn end_body(&mut self, end: BodyEnd) -> Reading {
+        let reading = std::mem::replace(&mut self.reading, Reading::Head);
+        if let Reading::Streamed { .. } = reading {
+            counter!(known::STREAMED_BODIES, "end" => end.as_str()).increment(1);
+        }
+        reading
+    }
+
+    /// Waits until the next piece of a streamed body can be queued. Returns whether it has a receiver;
+    /// forever if there is no piece.
+    fn room_for_piece(&self) -> impl Future<Output = bool> + use<> {
+        let tx = match &self.reading {
+            Reading::Streamed {
+                tx, piece: Some(_), ..
+            } => Some(tx.clone()),
+            _ => None,
+        };
+        async move {
+            match tx {
+                Some(tx) => tx.reserve().await.is_ok(),
+                None => future::pending().await,
+            }
+        }
+    }
+
+    /// Queues the next piece if `has_receiver`; drops it otherwise.
+    fn queue_piece(&mut self, has_receiver: bool) {
+        let Reading::Streamed { tx, piece, .. } = &mut self.reading else {
+            return;
+        };
+        let Some(next) = piece.take() else {
+            return;
+        };
+        let last = matches!(next, upstream::Piece::End);
+        if has_receiver && let Err(mpsc::error::TrySendError::Full(unsent)) = tx.try_send(next) {
+            *piece = Some(unsent);
+            return;
+        }
+        if last {
+            self.end_body(match has_receiver {
+                true => BodyEnd::Whole,
+                false => BodyEnd::Unneeded,
+            });
+        }
+    }
+
+    /// Queues the next piece of a streamed body or reads more bytes, while fewer than `max_bytes` wait.
+    pub(super) async fn read(&mut self, max_bytes: usize) -> Read {
+        let has_space = self.buf.len() < max_bytes;
+        if has_space {
+            self.buf.reserve(4 << 10);
+        }
+        let room = self.room_for_piece();
+        let has_receiver = tokio::select! {
+            biased;
+            has_receiver = room => has_receiver,
+            n = self.rd.read_buf(&mut self.buf), if has_space => return Read::Bytes(not_ended(n)),
+        };
+        self.queue_piece(has_receiver);
+        Read::Queued
+    }
+
+    /// Reads what has arrived without waiting.
+    pub(super) fn try_read(&mut self) -> io::Result<usize> {
+        not_ended(self.rd.try_read_buf(&mut self.buf))
+    }
+
+    /// Discards what still arrives until the caller has disconnected.
+    pub(super) async fn discard(&mut self) {
+        self.buf.clear();
+        while let Ok(1..) = self.rd.read_buf(&mut self.buf).await {
+            self.buf.clear();
+        }
+    }
+}
+
+/// The receiving side of a connection.
+pub(super) struct Inbound {
+    pub(super) input: Input,
+    /// Requests without a written answer.
+    pub(super) pending: collections::VecDeque<Pending>,
+    /// Whether no further request begins.
+    pub(super) closed: bool,
+}
+
+impl Inbound {
+    pub(super) fn new(rd: tcp::OwnedReadHalf) -> Self {
+        Self {
+            input: Input {
+                rd,
+                buf: BytesMut::new(),
+                reading: Reading::Head,
+            },
+            pending: collections::VecDeque::new(),
+            closed: false,
+        }
+    }
+
+    /// Takes what has arrived of the body of a request.
+    pub(super) fn take_body(&mut self, limits: &routes::Limits) {
+        if let Err(status) = self.input.take_body(limits.max_body_bytes) {
+            self.refuse(Answer::empty(status));
+        }
+    }
+
+    /// Reads until the caller has disconnected, without beginning a request. A body that was being read
+    /// is truncated then.
+    pub(super) async fn read_on(&mut self, limits: &routes::Limits) -> io::Error {
+        loop {
+            self.take_body(limits);
+            match self.input.read(MAX_READ_AHEAD_BYTES).await {
+                Read::Bytes(Err(err)) => {
+                    self.input.end_body(BodyEnd::Cut);
+                    return err;
+                }
+                Read::Bytes(Ok(_)) | Read::Queued => {}
+            }
+        }
+    }
+
+    /// Answers a request that is not read to its end, as the connection's last one. Nothing can be
+    /// read behind it. A request whose streamed body is invalid gets this answer instead of its own,
+    /// unless that one is ready.
+    pub(super) fn refuse(&mut self, answer: Answer) {
+        self.closed = true;
+        let refused = Pending::answered(Answer {
+            close: true,
+            ..answer
+        });
+        match (
+            self.input.end_body(BodyEnd::Invalid),
+            self.pending.back_mut(),
+        ) {
+            (Reading::Streamed { .. }, Some(last)) if !last.is_ready() => *last = refused,
+            (Reading::Streamed { .. }, _) => {}
+            _ => self.pending.push_back(refused),
+        }
+    }
+}
+
+impl<H: Handler> Connection<H> {
+    /// Starts the requests that have been read, up to the limit of pending requests.
+    pub(super) async fn start_requests(&mut self) -> io::Result<()> {
+        loop {
+            let limits = self.handler.limits();
+            self.inbound.take_body(&limits);
+            match std::mem::replace(&mut self.inbound.input.reading, Reading::Head) {
+                Reading::Head => {
+                    let is_full = self.inbound.pending.len() >= MAX_PIPELINED_REQUESTS;
+                    if self.inbound.closed || is_full || !self.begin_request(&limits).await? {
+                        return Ok(());
+                    }
+                }
+                Reading::Buffered {
+                    head,
+                    reader,
+                    body,
+                    received,
+                } if reader.is_done() && !self.inbound.closed => {
+                    self.start(head, upstream::Payload::Whole(body.freeze()), received);
+                }
+                Reading::Buffered {
+                    head,
+                    reader,
+                    body,
+                    received,
+                } if body.len() > MAX_BUFFERED_BODY_BYTES && !self.inbound.closed => {
+                    self.stream(head, reader, body, received);
+                }
+                unfinished => {
+                    self.inbound.input.reading = unfinished;
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// Reads a head. Returns whether it was complete and accepted.
+    async fn begin_request(&mut self, limits: &routes::Limits) -> io::Result<bool> {
+        let head =
+            match http1::RequestHead::take(&mut self.inbound.input.buf, limits.max_head_bytes) {
+                Ok(Some(head)) => head,
+                Ok(None) => return Ok(false),
+                Err(err) => {
+                    let status = match err {
+                        http1::Malformed::TooLong => 431,
+                        _ => 400,
+                    };
+                    self.inbound.refuse(Answer::empty(status));
+                    return Ok(false);
+                }
+            };
+        let read = time::Instant::now();
+        let received = Arrival {
+            at: read.checked_sub(self.delay).unwrap_or(read),
+            delay: self.delay,
+        };
+        let length = head.framing.length();
+        if length.is_some_and(|n| n > limits.max_body_bytes) {
+            self.inbound.refuse(Answer::empty(413));
+            return Ok(false);
+        }
+        if head.fields.contains_token("expect", "100-continue") && self.inbound.pending.is_empty() {
+            self.wr.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        let reader = http1::BodyReader::new(head.framing);
+        let body = BytesMut::new();
+        if reader.is_done() {
+            self.start(head, upstream::Payload::Whole(Bytes::new()), received);
+        } else if length.is_some_and(|n| n > MAX_BUFFERED_BODY_BYTES as u64) {
+            self.stream(head, reader, body, received);
+        } else {
+            self.inbound.input.reading = Reading::Buffered {
+                head,
+                reader,
+                body,
+                received,
+            };
+        }
+        Ok(true)
+    }
+
+    /// Starts a request whose body is streamed from here on; `body` is what was read of it.
+    fn stream(
+        &mut self,
+        head: http1::RequestHead,
+        reader: http1::BodyReader,
+        body: BytesMut,
+        received: Arrival,
+    ) {
+        let (tx, rx) = mpsc::channel(MAX_QUEUED_PIECES);
+        let payload = upstream::Payload::Pieces {
+            length: head.framing.length(),
+            rx,
+            started: false,
+        };
+        self.start(head, payload, received);
+        let piece = (!body.is_empty()).then(|| upstream::Piece::Data(body.freeze()));
+        self.inbound.input.reading = Reading::Streamed { reader, tx, piece };
+    }
+
+    fn start(&mut self, head: http1::RequestHead, payload: upstream::Payload, received: Arrival) {
+        let (tx, rx) = oneshot::channel();
+        let cancellation = rc::Rc::new(Cancellation::default());
+        let keep_alive = head.keeps_alive();
+        let framing = answer::AnswerFraming::of(&head);
+        let answer = self.handler.answer(Request {
+            head,
+            payload,
+            received: received.at,
+            delay: received.delay,
+            cancellation: cancellation.clone(),
+        });
+        let ready = self.ready.clone();
+        let task = task::spawn_local(async move {
+            // The receiver is dropped if the caller disconnected and the request was committed.
+            let _ = tx.send(answer.await);
+            ready.notify_one();
+        });
+        self.inbound.closed |= !keep_alive;
+        self.inbound.pending.push_back(Pending {
+            rx,
+            task: Some(task.abort_handle()),
+            cancellation,
+            keep_alive,
+            framing,
+        });
+    }
+}
--- a/src/transport/callers/writing.rs
+++ b/src/transport/callers/writing.rs
@@ -1,16 +1,14 @@
 //! Writes answers to a caller, in the order of the requests.
 
-use std::future;
 use std::io;
+use std::pin;
 use std::time;
 
 use bytes::BytesMut;
-use tokio::io::AsyncReadExt;
-use tokio::net::tcp;
 use tokio::sync::mpsc;
 
 use super::answer::{self, Answer, Body};
-use super::{Connection, Handler, MAX_READ_AHEAD_BYTES, Reading};
+use super::{Connection, Handler};
 use crate::metrics as known;
 use crate::protocol::http1;
 use crate::transport::{socket, upstream};
@@ -18,14 +16,14 @@
 impl<H: Handler> Connection<H> {
     /// Writes the first pending request's answer. Returns whether the connection ends after it.
     pub(super) async fn write_first(&mut self, answer: Answer) -> io::Result<bool> {
-        let Some(done) = self.pending.pop_front() else {
+        let Some(done) = self.inbound.pending.pop_front() else {
             return Ok(true);
         };
-        let more_requests = !self.pending.is_empty() || !matches!(self.reading, Reading::Head);
-        let stopping = self.stop.borrow().is_stopping() && !more_requests && self.buf.is_empty();
+        let is_last = self.inbound.pending.is_empty() && self.inbound.input.is_between_requests();
+        let stopping = self.stop.borrow().is_stopping() && is_last;
         // Later requests of the connection already run; closing now would abort them.
-        self.reading_closed |= answer.close || !done.keep_alive || stopping;
-        let close = self.reading_closed && self.pending.is_empty();
+        self.inbound.closed |= answer.close || !done.keep_alive || stopping;
+        let close = self.inbound.closed && self.inbound.pending.is_empty();
         let ends_at_close = self.write_answer(answer, close, done.framing).await?;
         self.last_active = time::Instant::now();
         Ok(close || ends_at_close)
@@ -65,11 +63,12 @@
         mut rx: mpsc::Receiver<upstream::Piece>,
         chunked: bool,
     ) -> io::Result<()> {
+        let limits = self.handler.limits();
         loop {
             let piece = tokio::select! {
                 biased;
                 piece = rx.recv() => piece,
-                err = read_ahead(&mut self.rd, &mut self.buf) => return Err(err),
+                err = self.inbound.read_on(&limits) => return Err(err),
             };
             match piece {
                 None => return Err(io::ErrorKind::ConnectionAborted.into()),
@@ -95,7 +94,14 @@
             Err(err) => return Err(err),
         };
         let started = time::Instant::now();
-        let sent = socket::write_all(&mut self.wr, &bytes[written..]).await;
+        let limits = self.handler.limits();
+        let mut sent = pin::pin!(socket::write_all(&mut self.wr, &bytes[written..]));
+        let sent = tokio::select! {
+            biased;
+            sent = &mut sent => sent,
+            // A caller that sends nothing more may still read.
+            _ = self.inbound.read_on(&limits) => sent.await,
+        };
         let now = time::Instant::now();
         let blocked = now.duration_since(started);
         let blocked = blocked.saturating_sub(self.handler.read_lag(now));
@@ -103,17 +109,3 @@
         sent
     }
 }
-
-/// Reads while an answer is written, to detect that the caller disconnects.
-async fn read_ahead(rd: &mut tcp::OwnedReadHalf, buf: &mut BytesMut) -> io::Error {
-    loop {
-        if buf.len() >= MAX_READ_AHEAD_BYTES {
-            return future::pending().await;
-        }
-        match rd.read_buf(buf).await {
-            Ok(0) => return io::ErrorKind::UnexpectedEof.into(),
-            Ok(_) => {}
-            Err(err) => return err,
-        }
-    }
-}
--- /dev/null
+++ b/tests/uploads.rs
@@ -0,0 +1,430 @@
+//! Bodies on callers' connections that do not go on: which request still gets its body, and what its
+//! caller gets.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use bulrushwind::decisions::planned_stop;
+use bulrushwind::protocol::{http1, routes};
+use bulrushwind::transport::{callers, descriptors, socket, upstream};
+use bytes::{Bytes, BytesMut};
+use futures_util::future as futures;
+use tokio::sync::{self, mpsc, watch};
+use tokio::{net, task};
+
+/// A timeout far above any expected duration: reaching it means a hang.
+const LONG: time::Duration = time::Duration::from_secs(20);
+
+/// The length of a body that is streamed.
+const BYTES: usize = 300_000;
+
+/// What the handler has seen.
+#[derive(Debug, Default)]
+struct Seen {
+    begun: usize,
+    /// Lengths of the bodies that arrived, and whether each was whole.
+    bodies: Vec<(usize, bool)>,
+}
+
+/// Answers by the path: `/count` when the body has arrived, `/early` at once, `/close` at once as the
+/// connection's last answer, `/held` once it is released, `/held-close` the same as the last answer, and
+/// `/long` with many bytes.
+#[derive(Clone, Default)]
+struct Handler {
+    seen: rc::Rc<cell::RefCell<Seen>>,
+    released: rc::Rc<sync::Notify>,
+    idle_timeout: Option<time::Duration>,
+}
+
+async fn read_body(payload: &mut upstream::Payload) -> (usize, bool) {
+    let rx = match payload {
+        upstream::Payload::Whole(body) => return (body.len(), true),
+        upstream::Payload::Pieces { rx, .. } => rx,
+    };
+    let mut len = 0;
+    loop {
+        match rx.recv().await {
+            Some(upstream::Piece::Data(data)) => len += data.len(),
+            Some(upstream::Piece::End) => return (len, true),
+            None => return (len, false),
+        }
+    }
+}
+
+fn long_answer() -> callers::Body {
+    let (tx, rx) = mpsc::channel(1);
+    task::spawn_local(async move {
+        for _ in 0..64 {
+            let piece = upstream::Piece::Data(Bytes::from(vec![b'x'; 256 << 10]));
+            if tx.send(piece).await.is_err() {
+                return;
+            }
+        }
+        let _ = tx.send(upstream::Piece::End).await;
+    });
+    callers::Body::Pieces { length: None, rx }
+}
+
+impl callers::Handler for Handler {
+    fn limits(&self) -> routes::Limits {
+        let limits = routes::Limits::default();
+        routes::Limits {
+            max_body_bytes: 1 << 20,
+            idle_timeout: self.idle_timeout.unwrap_or(limits.idle_timeout),
+            ..limits
+        }
+    }
+
+    fn answer(&self, mut req: callers::Request) -> impl Future<Output = callers::Answer> + 'static {
+        let Self { seen, released, .. } = self.clone();
+        async move {
+            seen.borrow_mut().begun += 1;
+            let path = req.head.path().to_owned();
+            if path.starts_with("/held") {
+                released.notified().await;
+            }
+            let mut answer = callers::Answer::empty(200);
+            answer.close = path.ends_with("close");
+            match path.as_str() {
+                "/count" => {
+                    let body = read_body(&mut req.payload).await;
+                    seen.borrow_mut().bodies.push(body);
+                    if !body.1 {
+                        return callers::Answer::empty(502);
+                    }
+                    answer.body = callers::Body::Whole(body.0.to_string().into());
+                }
+                "/long" => answer.body = long_answer(),
+                _ => {}
+            }
+            answer
+        }
+    }
+}
+
+struct Server {
+    handler: Handler,
+    addr: std::net::SocketAddr,
+    stop: watch::Sender<planned_stop::Phase>,
+}
+
+impl Server {
+    async fn start(handler: Handler) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (stop, stopping) = watch::channel(planned_stop::Phase::Serving);
+        let serving = handler.clone();
+        task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                // Little of an answer fits into the system's buffer.
+                let socket = socket2::SockRef::from(&stream);
+                socket.set_send_buffer_size(64 << 10).unwrap();
+                let served = callers::serve(stream, serving.clone(), stopping.clone());
+                task::spawn_local(served);
+            }
+        });
+        Self {
+            handler,
+            addr,
+            stop,
+        }
+    }
+
+    async fn caller(&self) -> Caller {
+        let socket = net::TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(64 << 10).unwrap();
+        let stream = socket.connect(self.addr).await.unwrap();
+        let held = descriptors::Held::new(descriptors::Use::Callers);
+        Caller {
+            wire: socket::Wire::new(stream, held),
+        }
+    }
+
+    async fn until(&self, what: &str, holds: impl Fn(&Seen) -> bool) {
+        let started = time::Instant::now();
+        while !holds(&self.handler.seen.borrow()) {
+            assert!(started.elapsed() < LONG, "never: {what}");
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    }
+}
+
+struct Caller {
+    wire: socket::Wire,
+}
+
+/// How the length of a body is told.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunks,
+}
+
+const FRAMINGS: [Framing; 2] = [Framing::Length, Framing::Chunks];
+
+/// The head and the body of a request with a body of this length.
+fn upload(path: &str, fields: &str, framing: Framing, len: usize) -> (String, String) {
+    let body = "y".repeat(len);
+    let (field, body) = match framing {
+        Framing::Length => (format!("Content-Length: {len}"), body),
+        Framing::Chunks => {
+            let chunks = body.as_bytes().chunks(20_000);
+            let chunks = chunks.map(|c| format!("{:x}\r\n{}\r\n", c.len(), "y".repeat(c.len())));
+            (
+                "Transfer-Encoding: chunked".to_owned(),
+                chunks.collect::<String>() + "0\r\n\r\n",
+            )
+        }
+    };
+    (
+        format!("POST {path} HTTP/1.1\r\n{fields}{field}\r\n\r\n"),
+        body,
+    )
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\n\r\n")
+}
+
+impl Caller {
+    async fn send(&mut self, text: &str) {
+        self.wire.send(text.as_bytes()).await.unwrap();
+    }
+
+    /// The status and the length of the body of the next answer; `None` if the connection has ended.
+    async fn receive(&mut self) -> Option<(u16, String)> {
+        let head = loop {
+            let taken = http1::ResponseHead::take(&mut self.wire.buf, 64 << 10, false);
+            if let Some(head) = taken.unwrap() {
+                break head;
+            }
+            if !matches!(self.wire.fill().await, Ok(1..)) {
+                return None;
+            }
+        };
+        let mut reader = http1::BodyReader::new(head.framing);
+        let mut body = BytesMut::new();
+        while let Some(piece) = upstream::next_piece(&mut self.wire, &mut reader)
+            .await
+            .ok()?
+        {
+            body.extend_from_slice(&piece);
+        }
+        let body = String::from_utf8(body.to_vec()).unwrap();
+        Some((head.status, body))
+    }
+
+    async fn expect(&mut self, status: u16, body: &str) {
+        let received = self.receive().await;
+        assert_eq!(received, Some((status, body.to_owned())));
+    }
+}
+
+fn run_test(test: impl AsyncFnOnce()) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    task::LocalSet::new().block_on(&runtime, async {
+        let ended = tokio::time::timeout(LONG, test()).await;
+        ended.expect("the test ends");
+    });
+}
+
+/// Guards against bodies that are read no further since their callers keep no connection open.
+#[test]
+fn a_long_body_is_read_to_its_end_on_a_connection_that_its_caller_does_not_keep() {
+    for framing in FRAMINGS {
+        for (version, field) in [("1.1", "Connection: close\r\n"), ("1.0", "")] {
+            run_test(async || {
+                let server = Server::start(Handler::default()).await;
+                let mut caller = server.caller().await;
+                let (head, body) = upload("/count", field, framing, BYTES);
+                caller.send(&head.replace("1.1", version)).await;
+                caller.send(&body).await;
+                caller.expect(200, &BYTES.to_string()).await;
+                assert_eq!(caller.receive().await, None);
+            });
+        }
+    }
+}
+
+/// Guards against bodies that are read no further since the answer to an earlier request closes the
+/// connection.
+#[test]
+fn a_long_body_is_read_to_its_end_behind_an_answer_that_closes_the_connection() {
+    for framing in FRAMINGS {
+        run_test(async || {
+            let server = Server::start(Handler::default()).await;
+            let mut caller = server.caller().await;
+            let (head, body) = upload("/count", "", framing, BYTES);
+            caller.send(&get("/held-close")).await;
+            // In chunks the body is streamed only once it is longer than what is buffered.
+            let (first, rest) = body.split_at(290_000);
+            caller.send(&head).await;
+            caller.send(first).await;
+            server.until("both begin", |seen| seen.begun == 2).await;
+            server.handler.released.notify_one();
+            caller.expect(200, "").await;
+            caller.send(rest).await;
+            caller.expect(200, &BYTES.to_string()).await;
+            assert_eq!(caller.receive().await, None);
+        });
+    }
+}
+
+/// Guards against bodies that are read no further in a planned stop.
+#[test]
+fn a_long_body_is_read_to_its_end_in_a_planned_stop() {
+    for framing in FRAMINGS {
+        run_test(async || {
+            let server = Server::start(Handler::default()).await;
+            let mut caller = server.caller().await;
+            let (head, body) = upload("/count", "", framing, BYTES);
+            let (first, rest) = body.split_at(290_000);
+            caller.send(&head).await;
+            caller.send(first).await;
+            server.until("it begins", |seen| seen.begun == 1).await;
+            server.stop.send_replace(planned_stop::Phase::Stopping);
+            caller.send(rest).await;
+            caller.expect(200, &BYTES.to_string()).await;
+            assert_eq!(caller.receive().await, None);
+        });
+    }
+}
+
+/// Guards against bodies that wait until a slow caller has read the answer before them.
+#[test]
+fn a_long_body_is_read_while_the_answer_before_it_is_written() {
+    for framing in FRAMINGS {
+        run_test(async || {
+            let server = Server::start(Handler::default()).await;
+            let mut caller = server.caller().await;
+            let (head, body) = upload("/count", "", framing, BYTES);
+            let (first, rest) = body.split_at(290_000);
+            caller.send(&get("/held")).await;
+            caller.send(&get("/long")).await;
+            caller.send(&head).await;
+            caller.send(first).await;
+            server.until("all begin", |seen| seen.begun == 3).await;
+            server.handler.released.notify_one();
+            caller.expect(200, "").await;
+            caller.send(rest).await;
+            let whole = (BYTES, true);
+            server
+                .until("the body arrives", |seen| seen.bodies == [whole])
+                .await;
+            assert_eq!(caller.receive().await.unwrap().1.len(), 16 << 20);
+            caller.expect(200, &BYTES.to_string()).await;
+        });
+    }
+}
+
+/// Guards against requests that wait for the rest of a body which is known to be invalid, and against a
+/// second answer to them.
+#[test]
+fn a_request_whose_long_body_is_invalid_is_refused_at_once() {
+    let (head, body) = upload("/count", "", Framing::Chunks, BYTES);
+    let valid = head + body.strip_suffix("0\r\n\r\n").unwrap();
+    let too_long = upload("/", "", Framing::Chunks, 2 << 20).1;
+    for (rest, status) in [("no chunk\r\n", 400), (too_long.as_str(), 413)] {
+        for ahead in ["", "/held"] {
+            run_test(async || {
+                let server = Server::start(Handler::default()).await;
+                let mut caller = server.caller().await;
+                if !ahead.is_empty() {
+                    caller.send(&get(ahead)).await;
+                }
+                caller.send(&valid).await;
+                // The server may close before it has taken all.
+                let _ = caller.wire.send(rest.as_bytes()).await;
+                let told = |seen: &Seen| matches!(seen.bodies[..], [(_, false)] | []);
+                server.until("its handler is told", told).await;
+                if !ahead.is_empty() {
+                    server.handler.released.notify_one();
+                    caller.expect(200, "").await;
+                }
+                caller.expect(status, "").await;
+                assert_eq!(caller.receive().await, None);
+            });
+        }
+    }
+}
+
+async fn send_slowly(path: &str, field: &str, framing: Framing) {
+    let server = Server::start(Handler::default()).await;
+    let mut caller = server.caller().await;
+    let (head, body) = upload(path, field, framing, 3 * BYTES);
+    caller.send(&head).await;
+    for part in body.as_bytes().chunks(BYTES) {
+        caller.wire.send(part).await.unwrap();
+        tokio::time::sleep(time::Duration::from_millis(600)).await;
+    }
+    caller.expect(200, "").await;
+}
+
+/// Guards against callers that lose a refusal since they read it only after they have sent the body.
+#[test]
+fn an_early_answer_reaches_callers_that_send_their_long_bodies_slowly() {
+    for framing in FRAMINGS {
+        run_test(async || {
+            futures::join4(
+                send_slowly("/early", "", framing),
+                send_slowly("/close", "", framing),
+                send_slowly("/early", "Connection: close\r\n", framing),
+                send_slowly("/close", "Connection: close\r\n", framing),
+            )
+            .await;
+        });
+    }
+}
+
+/// Guards against a second answer to a request that was answered before its body had arrived.
+#[test]
+fn a_body_that_stops_behind_its_answer_ends_the_connection_without_another_answer() {
+    for (field, rest) in [
+        ("", ""),
+        ("Connection: close\r\n", ""),
+        ("", "no chunk\r\n"),
+        ("Connection: close\r\n", "no chunk\r\n"),
+    ] {
+        run_test(async || {
+            let server = Server::start(Handler {
+                idle_timeout: Some(time::Duration::from_millis(300)),
+                ..Handler::default()
+            })
+            .await;
+            let mut caller = server.caller().await;
+            let (head, body) = upload("/early", field, Framing::Chunks, BYTES);
+            caller.send(&head).await;
+            caller.send(body.strip_suffix("0\r\n\r\n").unwrap()).await;
+            caller.expect(200, "").await;
+            caller.send(rest).await;
+            assert_eq!(caller.receive().await, None);
+        });
+    }
+}
+
+/// Guards against a request that runs although its caller is told by the connection's end that it was
+/// not read.
+#[test]
+fn a_request_that_has_not_begun_behind_an_answer_that_closes_the_connection_does_not_run() {
+    for (framing, len) in [(Framing::Length, 200_000), (Framing::Chunks, BYTES)] {
+        run_test(async || {
+            let server = Server::start(Handler::default()).await;
+            let mut caller = server.caller().await;
+            let (head, body) = upload("/count", "", framing, len);
+            let (first, rest) = body.split_at(100_000);
+            caller.send(&get("/held-close")).await;
+            server.until("it begins", |seen| seen.begun == 1).await;
+            caller.send(&head).await;
+            caller.send(first).await;
+            server.handler.released.notify_one();
+            caller.expect(200, "").await;
+            let _ = caller.wire.send(rest.as_bytes()).await;
+            assert_eq!(caller.receive().await, None);
+            assert_eq!(server.handler.seen.borrow().begun, 1);
+        });
+    }
+}
