Bytes from a backend server do not end the sending of a body

Cause: while a streamed body was sent, any byte that arrived counted as an early answer and ended the sending; the answer's id was looked at afterwards. The gateway then waited for the answer, the backend server for the rest. Interim answers and the head of the request's own answer did the same. Buffered bodies were written whole before anything was read, so an early answer waited for a reader of the body.

Change: the rest of a request is state of its connection (transport/outgoing.rs) and is sent whenever the connection waits for bytes, in one place for all of these. It ends when all is sent, when the connection or the caller's body ends, or when the request's own answer is complete. A true early answer is delivered at once as before, and its connection isn't used again.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -455,12 +455,14 @@
     fn relay(
         &self,
         job: &Job,
-        connection: Connection,
+        mut connection: Connection,
         head: http1::ResponseHead,
         reader: http1::BodyReader,
         body: BytesMut,
         reservation: placement::Reservation,
     ) -> Outcome {
+        // Many callers read nothing of a long answer before they have sent the body.
+        upstream::discard_rest(&mut connection.wire);
         let length = head.framing.length();
         let (tx, rx) = mpsc::channel(RELAY_QUEUE_PIECES);
         let (cx, id) = (self.clone(), job.id.clone());
--- a/src/transport/callers/inbound.rs
+++ b/src/transport/callers/inbound.rs
@@ -410,8 +410,7 @@
         let (tx, rx) = mpsc::channel(MAX_QUEUED_PIECES);
         let payload = upstream::Payload::Pieces {
             length: head.framing.length(),
-            rx,
-            started: false,
+            rx: Some(rx),
         };
         self.start(head, payload, received);
         let piece = (!body.is_empty()).then(|| upstream::Piece::Data(body.freeze()));
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod idle;
 pub mod mirror;
 pub mod operators;
+mod outgoing;
 pub mod peer;
 pub mod pool;
 pub mod server;
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, tcp};
 
-use super::descriptors;
+use super::{descriptors, outgoing};
 
 /// The length of the queue of unaccepted connections. In a surge of new callers, a full queue makes
 /// the system drop SYN packets, and each retransmission delays a caller by a second or more.
@@ -168,13 +168,6 @@
     }
 }
 
-fn received_early(n: io::Result<usize>) -> io::Result<bool> {
-    match n? {
-        0 => Err(io::ErrorKind::UnexpectedEof.into()),
-        _ => Ok(true),
-    }
-}
-
 /// Makes closing the connection send a reset, as after a machine failure.
 pub(super) fn reset_on_close(stream: &TcpStream) {
     // This fails only for a closed socket, which needs no reset.
@@ -189,6 +182,7 @@
     pub round_trip: time::Duration,
     /// Bytes that were read and not yet consumed.
     pub buf: BytesMut,
+    outgoing: outgoing::Outgoing,
     held: descriptors::Held,
 }
 
@@ -199,6 +193,7 @@
             stream,
             round_trip: time::Duration::ZERO,
             buf: BytesMut::new(),
+            outgoing: outgoing::Outgoing::default(),
             held,
         }
     }
@@ -247,10 +242,37 @@
         reset_on_close(&self.stream);
     }
 
-    /// Reads into the buffer and returns the number of bytes; 0 at the end of the stream.
+    /// Reads into the buffer and returns the number of bytes; 0 at the end of the stream. Meanwhile
+    /// sends what is left of a request. A peer that answers early may stop reading, so a write without
+    /// concurrent reads could block forever.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.buf.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buf).await
+        let n = match self.outgoing.is_done() {
+            true => self.stream.read_buf(&mut self.buf).await?,
+            false => {
+                let (mut rx, mut tx) = self.stream.split();
+                tokio::select! {
+                    n = rx.read_buf(&mut self.buf) => n?,
+                    () = self.outgoing.send(&mut tx) => return Err(io::ErrorKind::ConnectionAborted.into()),
+                }
+            }
+        };
+        // The failed write may have taken the error, so that the stream only seems to end.
+        match n == 0 && self.outgoing.has_failed() {
+            true => Err(io::ErrorKind::BrokenPipe.into()),
+            false => Ok(n),
+        }
+    }
+
+    /// Begins to send a request; [`Self::fill`] sends the rest. Returns whether any byte was written.
+    pub(super) async fn begin(&mut self, request: BytesMut) -> bool {
+        self.outgoing = outgoing::Outgoing::new(request);
+        self.outgoing.write(&mut self.stream).await
+    }
+
+    /// What is left to send of a request.
+    pub(super) fn outgoing(&mut self) -> &mut outgoing::Outgoing {
+        &mut self.outgoing
     }
 
     /// Writes all bytes. An error carries the number of bytes written before it.
@@ -266,25 +288,6 @@
         Ok(())
     }
 
-    /// Writes all of `out` unless the peer sends bytes first; returns whether it did. A peer that
-    /// answers early may stop reading, so a write without concurrent reads could block forever.
-    pub async fn send_or_read(&mut self, out: &mut BytesMut) -> io::Result<bool> {
-        let (mut rx, mut tx) = self.stream.split();
-        self.buf.reserve(READ_BYTES);
-        while !out.is_empty() {
-            let written = tokio::select! {
-                biased;
-                n = rx.read_buf(&mut self.buf) => return received_early(n),
-                n = tx.write_buf(out) => n,
-            };
-            if !matches!(written, Ok(1..)) {
-                // The peer may have answered before it stopped reading.
-                return received_early(rx.read_buf(&mut self.buf).await);
-            }
-        }
-        Ok(false)
-    }
-
     /// The connection itself, and its count. Bytes that were read and not consumed are lost.
     pub fn into_stream(self) -> (TcpStream, descriptors::Held) {
         (self.stream, self.held)
@@ -297,7 +300,7 @@
 
     /// Whether the connection is open and has no unsolicited bytes.
     pub fn is_idle(&mut self) -> bool {
-        if !self.buf.is_empty() {
+        if !self.buf.is_empty() || !self.outgoing.is_sent() {
             return false;
         }
         let mut byte = [0];
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -9,6 +9,8 @@
 use super::socket;
 use crate::protocol::http1;
 
+pub use super::outgoing::Piece;
+
 /// The longest accepted head of an answer.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -21,15 +23,6 @@
 /// The longest body of an answer to an earlier request that is skipped.
 const MAX_STALE_BYTES: u64 = 1 << 20;
 
-/// A piece of a streamed body.
-#[derive(Debug)]
-pub enum Piece {
-    /// The next bytes of the body.
-    Data(Bytes),
-    /// The end of a complete body. A body whose channel closes without it is truncated.
-    End,
-}
-
 /// The body of a request.
 #[derive(Debug)]
 pub enum Payload {
@@ -39,17 +32,16 @@
     Pieces {
         /// Its length in bytes, if the caller stated it.
         length: Option<u64>,
-        /// The channel of its pieces.
-        rx: mpsc::Receiver<Piece>,
-        /// Whether sending has started, so that the body cannot be sent again.
-        started: bool,
+        /// The channel of its pieces; `None` once sending has started, so that the body cannot be sent
+        /// again.
+        rx: Option<mpsc::Receiver<Piece>>,
     },
 }
 
 impl Payload {
     /// Whether the body can still be sent from its start.
     pub fn is_replayable(&self) -> bool {
-        !matches!(self, Self::Pieces { started: true, .. })
+        !matches!(self, Self::Pieces { rx: None, .. })
     }
 }
 
@@ -86,100 +78,49 @@
     pub reusable: bool,
 }
 
-/// Sends a request and receives the head of its answer.
+/// Sends a request and receives the head of its answer. What is left of the request then is sent
+/// while the answer's body is received.
 pub async fn exchange(
     wire: &mut socket::Wire,
     head: &[u8],
     payload: &mut Payload,
     tag: Tag<'_>,
 ) -> Result<Received, Failure> {
-    let whole = match payload {
-        Payload::Whole(body) => {
-            send_whole(wire, head, body).await?;
-            true
-        }
-        Payload::Pieces {
-            length,
-            rx,
-            started,
-        } => {
-            wire.send(head).await.map_err(write_failure)?;
-            *started = true;
-            send_pieces(wire, rx, length.is_none()).await?
-        }
+    let body: &[u8] = match payload {
+        Payload::Whole(body) => body,
+        Payload::Pieces { .. } => &[],
     };
+    let mut request = BytesMut::with_capacity(head.len() + body.len());
+    request.extend_from_slice(head);
+    request.extend_from_slice(body);
+    if !wire.begin(request).await {
+        return Err(Failure::Unsent);
+    }
+    if let Payload::Pieces { length, rx } = payload
+        && let Some(pieces) = rx.take()
+    {
+        wire.outgoing().stream(pieces, length.is_none());
+    }
     let head = receive(wire, tag).await?;
     // If the answer came before the body was sent completely, the backend server still expects
     // the rest of the body and would read the next request on the connection as that rest.
-    let reusable = whole && head.keeps_alive();
+    let reusable = wire.outgoing().is_sent() && head.keeps_alive();
     Ok(Received { head, reusable })
 }
 
-fn write_failure((sent, _): (usize, std::io::Error)) -> Failure {
-    match sent {
-        0 => Failure::Unsent,
-        _ => Failure::Lost,
-    }
-}
-
-async fn send_whole(wire: &mut socket::Wire, head: &[u8], body: &[u8]) -> Result<(), Failure> {
-    if body.is_empty() {
-        return wire.send(head).await.map_err(write_failure);
-    }
-    let mut both = BytesMut::with_capacity(head.len() + body.len());
-    both.extend_from_slice(head);
-    both.extend_from_slice(body);
-    wire.send(&both).await.map_err(write_failure)
+/// Reads more bytes, while the rest of the request is sent; 0 at the end of the stream.
+async fn fill(wire: &mut socket::Wire) -> Result<usize, Failure> {
+    let n = wire.fill().await;
+    n.map_err(|_| match wire.outgoing().is_truncated() {
+        true => Failure::CallerDisconnected,
+        false => Failure::Lost,
+    })
 }
 
-/// Streams a body. Returns whether it was sent completely; an early answer stops it.
-async fn send_pieces(
-    wire: &mut socket::Wire,
-    rx: &mut mpsc::Receiver<Piece>,
-    chunked: bool,
-) -> Result<bool, Failure> {
-    let mut out = BytesMut::new();
-    loop {
-        let piece = tokio::select! {
-            biased;
-            n = wire.fill() => return early_answer(n),
-            piece = rx.recv() => piece,
-        };
-        let last = match piece {
-            None => return Err(Failure::CallerDisconnected),
-            Some(Piece::Data(data)) if chunked => {
-                http1::put_chunk(&mut out, &data);
-                false
-            }
-            Some(Piece::Data(data)) => {
-                out.extend_from_slice(&data);
-                false
-            }
-            Some(Piece::End) => {
-                if chunked {
-                    out.extend_from_slice(http1::LAST_CHUNK);
-                }
-                true
-            }
-        };
-        if wire
-            .send_or_read(&mut out)
-            .await
-            .map_err(|_| Failure::Lost)?
-        {
-            return Ok(false);
-        }
-        if last {
-            return Ok(true);
-        }
-    }
-}
-
-fn early_answer(n: std::io::Result<usize>) -> Result<bool, Failure> {
-    match n {
-        Ok(0) | Err(_) => Err(Failure::Lost),
-        Ok(_) => Ok(false),
-    }
+/// Ends the sending of a request whose answer is received, so that its caller need not wait until the
+/// rest of the body is taken.
+pub fn discard_rest(wire: &mut socket::Wire) {
+    wire.outgoing().discard();
 }
 
 /// Receives the head of the answer with the request's id. Backend servers sometimes send a second
@@ -223,9 +164,8 @@
         if let Some(head) = taken.map_err(|_| Failure::InvalidAnswer)? {
             return Ok(head);
         }
-        match wire.fill().await {
-            Ok(0) | Err(_) => return Err(Failure::Lost),
-            Ok(_) => {}
+        if fill(wire).await? == 0 {
+            return Err(Failure::Lost);
         }
     }
 }
@@ -245,11 +185,11 @@
         if body.is_done() {
             return Ok(None);
         }
-        match wire.fill().await {
+        match fill(wire).await? {
             // Only an orderly close ends a body without a stated length; a reset truncates it.
-            Ok(0) if body.handle_close() => return Ok(None),
-            Ok(0) | Err(_) => return Err(Failure::Lost),
-            Ok(_) => {}
+            0 if body.handle_close() => return Ok(None),
+            0 => return Err(Failure::Lost),
+            _ => {}
         }
     }
 }
--- a/tests/gateway/bodies.rs
+++ b/tests/gateway/bodies.rs
@@ -76,6 +76,25 @@
     });
 }
 
+/// Guards against a late second answer that ends the sending of a long body on a reused connection.
+#[test]
+pub(crate) fn a_long_body_is_sent_on_behind_a_late_answer_to_another_request() {
+    for close in ["", "Connection: close\r\n"] {
+        run_test(|| async {
+            let script = [Reaction::Answer("first"), Reaction::StrayEarly("mine")];
+            let harness = Harness::new(1, &script).await;
+            let mut caller = harness.caller().await;
+            let answer = caller.request(&post("/book/a", "b1", "x")).await;
+            assert_eq!(answer.text(), "first");
+            let booking = post("/book/a", "b2", &"y".repeat(3 << 20));
+            let booking = booking.replace("x-id", &format!("{close}x-id"));
+            let answer = caller.request(&booking).await;
+            assert_eq!((answer.status, answer.text()), (200, "mine"));
+            assert_eq!(harness.seen.borrow().bodies, [1, 3 << 20]);
+        });
+    }
+}
+
 /// A caller disconnects in the middle of a long body. The backend server must not run the partial
 /// request.
 #[test]
--- a/tests/gateway/scripted_backend.rs
+++ b/tests/gateway/scripted_backend.rs
@@ -32,6 +32,8 @@
     UnframedReset,
     /// Sends an answer to another request first, then its own.
     StrayFirst(&'static str),
+    /// The same, with the other answer before it reads the body.
+    StrayEarly(&'static str),
     /// Sends bytes that are not an HTTP answer.
     Garbage,
     /// Answers with an unsigned success.
@@ -120,7 +122,12 @@
 
     /// Handles one request. Returns whether the connection stays open.
     async fn act(&self, wire: &mut socket::Wire, head: &http1::RequestHead, act: Reaction) -> bool {
+        const STRAY: &str =
+            "HTTP/1.1 200 OK\r\nx-id: other\r\nx-proof: p\r\nContent-Length: 5\r\n\r\nwrong";
         let id = head.fields.text(NAMES.id).unwrap_or_default().to_owned();
+        if matches!(act, Reaction::StrayEarly(_)) && wire.send(STRAY.as_bytes()).await.is_err() {
+            return false;
+        }
         if !matches!(act, Reaction::Early(_)) && self.read_body(wire, head).await.is_none() {
             return false;
         }
@@ -169,10 +176,8 @@
                 wire.reset_on_close();
                 return false;
             }
-            Reaction::StrayFirst(body) => {
-                let stray = "HTTP/1.1 200 OK\r\nx-id: other\r\nx-proof: p\r\nContent-Length: 5\r\n\r\nwrong";
-                (stray.to_owned() + &whole(body), true)
-            }
+            Reaction::StrayFirst(body) => (STRAY.to_owned() + &whole(body), true),
+            Reaction::StrayEarly(body) => (whole(body), true),
             Reaction::Garbage => ("\u{1}\u{2} no answer\r\n\r\n".to_owned(), false),
             Reaction::Unsigned => (
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_owned(),
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -40,7 +40,7 @@
 async fn read_body(payload: &mut upstream::Payload) -> (usize, bool) {
     let rx = match payload {
         upstream::Payload::Whole(body) => return (body.len(), true),
-        upstream::Payload::Pieces { rx, .. } => rx,
+        upstream::Payload::Pieces { rx, .. } => rx.as_mut().unwrap(),
     };
     let mut len = 0;
     loop {
