A caller that waits to be asked for its body behind another request is asked

What callers saw: with Expect: 100-continue behind a pending request, no interim answer came, so that the body was not sent until the caller gave up waiting.

Cause: the interim answer was written with the head or not at all; behind a pending request it must wait, and was left out.

Change: the connection remembers it and asks when the answers before are written. A streamed request that is answered before that closes the connection, since its caller need not send the body.

Measured: both new tests of tests/uploads.rs fail before and pass now.

--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -190,13 +190,17 @@
 impl<H: Handler> Connection<H> {
     async fn run(&mut self) -> io::Result<()> {
         loop {
-            self.start_requests().await?;
+            self.start_requests();
             // Heads that are parsed later were read in time, or waited for this connection's answers.
             self.delay = time::Duration::ZERO;
             self.end_requests();
             if self.inbound.closed && self.inbound.pending.is_empty() {
                 return Ok(());
             }
+            if self.inbound.is_continue_due() {
+                self.inbound.input.awaits_continue = false;
+                self.wr.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            }
             match self.step().await {
                 Step::Answer(answer) => {
                     if self.write_first(answer).await? {
@@ -348,7 +352,9 @@
     /// read no answer before they have sent the body.
     async fn read_rest_of_body(&mut self) {
         let limits = self.handler.limits();
-        while matches!(self.inbound.input.reading, Reading::Streamed { .. }) {
+        while matches!(self.inbound.input.reading, Reading::Streamed { .. })
+            && !self.inbound.is_unasked()
+        {
             if *self.stop.borrow_and_update() >= planned_stop::Phase::Yielding {
                 return;
             }
--- a/src/transport/callers/inbound.rs
+++ b/src/transport/callers/inbound.rs
@@ -12,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use metrics::counter;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::tcp;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task;
@@ -159,6 +159,8 @@
     /// Bytes that are read and not taken yet.
     pub(super) buf: BytesMut,
     pub(super) reading: Reading,
+    /// Whether the caller may wait for an interim answer before it sends the body.
+    pub(super) awaits_continue: bool,
 }
 
 impl Input {
@@ -233,7 +235,11 @@
         let has_receiver = tokio::select! {
             biased;
             has_receiver = room => has_receiver,
-            n = self.rd.read_buf(&mut self.buf), if has_space => return Read::Bytes(not_ended(n)),
+            n = self.rd.read_buf(&mut self.buf), if has_space => {
+                // What follows a head is the body.
+                self.awaits_continue = false;
+                return Read::Bytes(not_ended(n));
+            }
         };
         self.queue_piece(has_receiver);
         Read::Queued
@@ -269,6 +275,7 @@
                 rd,
                 buf: BytesMut::new(),
                 reading: Reading::Head,
+                awaits_continue: false,
             },
             pending: collections::VecDeque::new(),
             closed: false,
@@ -282,6 +289,27 @@
         }
     }
 
+    /// Whether an interim answer is due that asks for the body: the next answer to be written is that
+    /// of its request.
+    pub(super) fn is_continue_due(&self) -> bool {
+        let is_next = match (&self.input.reading, self.pending.front()) {
+            (Reading::Head, _) => false,
+            (Reading::Buffered { .. }, first) => first.is_none(),
+            (Reading::Streamed { .. }, first) => {
+                self.pending.len() == 1 && !first.is_some_and(Pending::is_ready)
+            }
+        };
+        self.input.awaits_continue && is_next
+    }
+
+    /// Whether the body that is being read belongs to a request which is answered before its caller was
+    /// asked for it.
+    pub(super) fn is_unasked(&self) -> bool {
+        let is_answered = self.pending.is_empty();
+        let is_streamed = matches!(self.input.reading, Reading::Streamed { .. });
+        self.input.awaits_continue && is_streamed && is_answered
+    }
+
     /// Reads until the caller has disconnected, without beginning a request. A body that was being read
     /// is truncated then.
     pub(super) async fn read_on(&mut self, limits: &routes::Limits) -> io::Error {
@@ -319,15 +347,15 @@
 
 impl<H: Handler> Connection<H> {
     /// Starts the requests that have been read, up to the limit of pending requests.
-    pub(super) async fn start_requests(&mut self) -> io::Result<()> {
+    pub(super) fn start_requests(&mut self) {
         loop {
             let limits = self.handler.limits();
             self.inbound.take_body(&limits);
             match std::mem::replace(&mut self.inbound.input.reading, Reading::Head) {
                 Reading::Head => {
                     let is_full = self.inbound.pending.len() >= MAX_PIPELINED_REQUESTS;
-                    if self.inbound.closed || is_full || !self.begin_request(&limits).await? {
-                        return Ok(());
+                    if self.inbound.closed || is_full || !self.begin_request(&limits) {
+                        return;
                     }
                 }
                 Reading::Buffered {
@@ -348,25 +376,25 @@
                 }
                 unfinished => {
                     self.inbound.input.reading = unfinished;
-                    return Ok(());
+                    return;
                 }
             }
         }
     }
 
     /// Reads a head. Returns whether it was complete and accepted.
-    async fn begin_request(&mut self, limits: &routes::Limits) -> io::Result<bool> {
+    fn begin_request(&mut self, limits: &routes::Limits) -> bool {
         let head =
             match http1::RequestHead::take(&mut self.inbound.input.buf, limits.max_head_bytes) {
                 Ok(Some(head)) => head,
-                Ok(None) => return Ok(false),
+                Ok(None) => return false,
                 Err(err) => {
                     let status = match err {
                         http1::Malformed::TooLong => 431,
                         _ => 400,
                     };
                     self.inbound.refuse(Answer::empty(status));
-                    return Ok(false);
+                    return false;
                 }
             };
         let read = time::Instant::now();
@@ -377,11 +405,10 @@
         let length = head.framing.length();
         if length.is_some_and(|n| n > limits.max_body_bytes) {
             self.inbound.refuse(Answer::empty(413));
-            return Ok(false);
-        }
-        if head.fields.contains_token("expect", "100-continue") && self.inbound.pending.is_empty() {
-            self.wr.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            return false;
         }
+        let expects = head.fields.contains_token("expect", "100-continue");
+        self.inbound.input.awaits_continue = expects && self.inbound.input.buf.is_empty();
         let reader = http1::BodyReader::new(head.framing);
         let body = BytesMut::new();
         if reader.is_done() {
@@ -396,7 +423,7 @@
                 received,
             };
         }
-        Ok(true)
+        true
     }
 
     /// Starts a request whose body is streamed from here on; `body` is what was read of it.
--- a/src/transport/callers/writing.rs
+++ b/src/transport/callers/writing.rs
@@ -21,8 +21,10 @@
         };
         let is_last = self.inbound.pending.is_empty() && self.inbound.input.is_between_requests();
         let stopping = self.stop.borrow().is_stopping() && is_last;
+        // A caller that was not asked for its body need not send it.
+        let unasked = self.inbound.is_unasked();
         // Later requests of the connection already run; closing now would abort them.
-        self.inbound.closed |= answer.close || !done.keep_alive || stopping;
+        self.inbound.closed |= answer.close || !done.keep_alive || stopping || unasked;
         let close = self.inbound.closed && self.inbound.pending.is_empty();
         let ends_at_close = self.write_answer(answer, close, done.framing).await?;
         self.last_active = time::Instant::now();
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -428,3 +428,52 @@
         });
     }
 }
+
+/// Guards against callers that wait to be asked for their body behind another request and never are.
+#[test]
+fn a_caller_that_waits_to_be_asked_for_its_body_is_asked_once_the_answers_before_are_written() {
+    for (framing, len) in [
+        (Framing::Length, 1000),
+        (Framing::Length, BYTES),
+        (Framing::Chunks, BYTES),
+    ] {
+        for ahead in [0, 2] {
+            run_test(async || {
+                let server = Server::start(Handler::default()).await;
+                let mut caller = server.caller().await;
+                for _ in 0..ahead {
+                    caller.send(&get("/held")).await;
+                }
+                let (head, body) = upload("/count", "Expect: 100-continue\r\n", framing, len);
+                caller.send(&head).await;
+                let begun = |seen: &Seen| seen.begun >= ahead;
+                server.until("those before begin", begun).await;
+                server.handler.released.notify_waiters();
+                for _ in 0..ahead {
+                    caller.expect(200, "").await;
+                }
+                caller.expect(100, "").await;
+                caller.send(&body).await;
+                caller.expect(200, &len.to_string()).await;
+            });
+        }
+    }
+}
+
+/// Guards against a connection on which the next request is read as a body that its caller was not
+/// asked for.
+#[test]
+fn an_answer_to_a_caller_that_was_not_asked_for_its_body_closes_the_connection() {
+    run_test(async || {
+        let server = Server::start(Handler::default()).await;
+        let mut caller = server.caller().await;
+        caller.send(&get("/held")).await;
+        let (head, _) = upload("/early", "Expect: 100-continue\r\n", Framing::Length, BYTES);
+        caller.send(&head).await;
+        server.until("both begin", |seen| seen.begun == 2).await;
+        server.handler.released.notify_one();
+        caller.expect(200, "").await;
+        caller.expect(200, "").await;
+        assert_eq!(caller.receive().await, None);
+    });
+}
