Soak: callers that send long bodies across planned stops

Callers send bodies in both framings, on connections that go on or not, behind other requests, slowly, truncated, invalid or beyond the limit, to backend servers that answer early or send a late answer to another request first. The check is what each caller receives, and that it comes within three seconds of the work.

--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -2,7 +2,7 @@
 //! run in this process, which injects faults. From the view of callers and backend servers, it
 //! checks that no booking runs twice, that each caller gets the complete answer to its own request,
 //! that requests reported as not run did not run, that a planned stop interrupts no request, also of callers that
-//! read slowly or pipeline, that
+//! read slowly, pipeline or send long bodies, that
 //! no VM returns to an older configuration, that VMs which are cut off from all backend servers
 //! serve first tries as the others do, that the parts of a split route get their weights over all
 //! VMs, that customers within their shares are served beside one that asks for far more (every
@@ -21,6 +21,7 @@
 mod scene;
 mod shares;
 mod stops;
+mod uploads;
 
 #[path = "../../tests/support/mod.rs"]
 #[expect(dead_code, reason = "shared with the tests of the platform's adapter")]
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -161,6 +161,9 @@
     /// Requests of callers that read slowly or pipeline across planned stops, and answers to them.
     pub(crate) stop_requests: u64,
     pub(crate) stop_answered: u64,
+    /// Long bodies that callers sent across planned stops to their end, and answers to them.
+    pub(crate) uploads: u64,
+    pub(crate) uploads_answered: u64,
 }
 
 /// Result of one seed's run.
@@ -180,7 +183,7 @@
         let counts = &self.counts;
         write!(
             f,
-            "seed {}: {} faults, {} restores, {} cuts, sent {} answered {} refused {} unknown {}, first tries {}, store calls {}, crash records of one request {}, across planned stops answered {} of {}",
+            "seed {}: {} faults, {} restores, {} cuts, sent {} answered {} refused {} unknown {}, first tries {}, store calls {}, crash records of one request {}, across planned stops answered {} of {}, uploads {} of {}",
             self.seed,
             counts.faults,
             counts.restores,
@@ -193,7 +196,9 @@
             counts.calls,
             counts.crashes,
             counts.stop_answered,
-            counts.stop_requests
+            counts.stop_requests,
+            counts.uploads_answered,
+            counts.uploads
         )?;
         let (steady, surging) = &self.competition;
         if surging.sent > 0 {
@@ -478,6 +483,7 @@
     let mut cut_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16) ^ u64::MAX);
     let mut share_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48) ^ 1);
     let mut stop_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8) ^ 2);
+    let mut upload_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(24) ^ 3);
     let mut restore_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) | 1);
     tokio::join!(
         faults::inject(&scene, &mut rng),
@@ -496,7 +502,7 @@
     restores::check_leaving_is_kept(&scene).await;
     tasks.iter().for_each(task::JoinHandle::abort);
     scene.check_registrations();
-    stops::check(&scene, &mut stop_rng).await;
+    stops::check(&scene, &mut stop_rng, &mut upload_rng).await;
     // In the competition most requests are to be refused.
     let before_competition = *scene.counts.borrow();
     scene.check_answered(&before_competition);
--- a/examples/soak/stops.rs
+++ b/examples/soak/stops.rs
@@ -15,17 +15,18 @@
 
 use super::scene::{self, Scene};
 use super::support::{self, backend};
-use super::{callers, faults};
+use super::{callers, faults, uploads};
 
 /// The grace period of the VMs' settings, and the part of it after which a request that still runs
 /// may be ended.
 const GRACE: time::Duration = time::Duration::from_secs(6);
 const UNDISTURBED: time::Duration = GRACE.saturating_sub(time::Duration::from_secs(1));
 
-/// Callers at each VM.
+/// Callers at each VM, and those that send long bodies.
 const CALLERS: usize = 6;
+const UPLOADERS: usize = 6;
 
-fn ms(n: u64) -> time::Duration {
+pub(crate) fn ms(n: u64) -> time::Duration {
     time::Duration::from_millis(n)
 }
 
@@ -51,7 +52,7 @@
 
 /// How a caller reads its answers.
 #[derive(Clone, Copy, Debug)]
-enum Reading {
+pub(crate) enum Reading {
     AtOnce,
     /// At an even pace, in bytes a second.
     Steadily(usize),
@@ -61,7 +62,7 @@
 
 /// A request and the answer that its backend server gives.
 #[derive(Debug)]
-struct Request {
+pub(crate) struct Request {
     id: String,
     is_booking: bool,
     work: time::Duration,
@@ -69,7 +70,17 @@
 }
 
 impl Request {
-    fn text(&self) -> String {
+    /// A read with a short answer.
+    pub(crate) fn read(id: &str, work: time::Duration) -> Self {
+        Self {
+            id: id.to_owned(),
+            is_booking: false,
+            work,
+            bytes: 100,
+        }
+    }
+
+    pub(crate) fn text(&self) -> String {
         let Self {
             id,
             is_booking,
@@ -102,10 +113,8 @@
     /// request that outlasts it.
     fn draw(rng: &mut ChaCha8Rng, kind: Kind, caller: &str) -> Self {
         let request = |n: usize, work: u64, bytes: usize| Request {
-            id: format!("{caller}-{n}"),
-            is_booking: false,
-            work: ms(work),
             bytes,
+            ..Request::read(&format!("{caller}-{n}"), ms(work))
         };
         match kind {
             Kind::LongFirst => {
@@ -156,9 +165,13 @@
 }
 
 /// An answer; `None` if the connection ended before it was whole.
-type Answer = Option<(u16, BytesMut)>;
+pub(crate) type Answer = Option<(u16, BytesMut)>;
 
-async fn receive(wire: &mut socket::Wire, started: time::Instant, reading: Reading) -> Answer {
+pub(crate) async fn receive(
+    wire: &mut socket::Wire,
+    started: time::Instant,
+    reading: Reading,
+) -> Answer {
     let mut received = 0;
     let head = loop {
         if let Some(head) = http1::ResponseHead::take(&mut wire.buf, 16 << 10, false).ok()? {
@@ -191,7 +204,11 @@
 
 /// Stops some VMs, one a moment after the other, and checks what the callers of these and of one
 /// other VM get.
-pub(crate) async fn check(scene: &rc::Rc<Scene>, rng: &mut ChaCha8Rng) {
+pub(crate) async fn check(
+    scene: &rc::Rc<Scene>,
+    rng: &mut ChaCha8Rng,
+    upload_rng: &mut ChaCha8Rng,
+) {
     let stopped = rng.random_range(1..scene.vms.len() - 1);
     let first = rng.random_range(0..scene.vms.len());
     scene.check_all_serve().await;
@@ -209,6 +226,13 @@
                 run_caller(&scene, vm, stops_at, &plan).await;
             }));
         }
+        for caller in 0..UPLOADERS {
+            let upload = uploads::Upload::draw(upload_rng, format!("upload-{vm}-{caller}"));
+            let scene = scene.clone();
+            tasks.push(task::spawn_local(async move {
+                run_upload(&scene, vm, stops_at, &upload).await;
+            }));
+        }
         if n < stopped {
             let scene = scene.clone();
             tasks.push(task::spawn_local(async move {
@@ -228,12 +252,12 @@
 /// A connection that has served a request before the stop.
 async fn kept_connection(
     addr: net::SocketAddr,
-    plan: &Plan,
+    id: &str,
     stops_at: time::Instant,
 ) -> Option<socket::Wire> {
     while time::Instant::now() < stops_at {
         let mut wire = support::connect_slow(addr).await;
-        if callers::is_served(&mut wire, &format!("{}-kept", plan.requests[0].id)).await {
+        if callers::is_served(&mut wire, &format!("{id}-kept")).await {
             return Some(wire);
         }
         tokio::time::sleep(ms(50)).await;
@@ -243,8 +267,8 @@
 
 async fn run_caller(scene: &Scene, vm: usize, stops_at: time::Instant, plan: &Plan) {
     let addr = scene.vms[vm].options.ports.front;
-    let Some(mut wire) = kept_connection(addr, plan, stops_at).await else {
-        let id = &plan.requests[0].id;
+    let id = &plan.requests[0].id;
+    let Some(mut wire) = kept_connection(addr, id, stops_at).await else {
         scene.add_violation(format!("no request before {id} was served"));
         return;
     };
@@ -269,6 +293,17 @@
     }
 }
 
+async fn run_upload(scene: &Scene, vm: usize, stops_at: time::Instant, upload: &uploads::Upload) {
+    let addr = scene.vms[vm].options.ports.front;
+    let Some(wire) = kept_connection(addr, &upload.id, stops_at).await else {
+        scene.add_violation(format!("no request before {} was served", upload.id));
+        return;
+    };
+    let sent_at = stops_at + upload.sent_after;
+    tokio::time::sleep_until(sent_at.into()).await;
+    upload.run(scene, wire).await;
+}
+
 /// Checks what a caller got for a request.
 fn check_answer(scene: &Scene, req: &Request, plan: &Plan, answer: Answer) {
     let runs = scene.log.borrow().runs.get(&req.id).copied();
@@ -278,7 +313,7 @@
     let mut counts = scene.counts.borrow_mut();
     counts.stop_requests += 1;
     let wrong = match answer {
-        Some((200, body)) if body == backend::body(id, Some(req.bytes)) => {
+        Some((200, body)) if body == backend::answer_to(id, Some(req.bytes)) => {
             counts.stop_answered += 1;
             None
         }
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -9,19 +9,21 @@
 use bulrushwind::decisions::planned_stop;
 use bulrushwind::platform::names::FIELDS;
 use bulrushwind::protocol::{http1, routes};
-use bulrushwind::transport::callers;
-use bytes::Bytes;
+use bulrushwind::transport::{callers, upstream};
+use bytes::{Bytes, BytesMut};
 use serde_json::json;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task;
 
-use super::{cut, store};
+use super::{body, cut, store};
 
 /// Requests recorded by all backend servers.
 #[derive(Debug, Default)]
 pub(crate) struct Log {
     /// Number of runs of each request, by request id.
     pub(crate) runs: collections::BTreeMap<String, u32>,
+    /// Length of the whole body of each request that has one, by request id.
+    pub(crate) bodies: collections::BTreeMap<String, usize>,
     /// Requests that arrived later than [`DRAIN_GRACE`] after their backend server began to drain.
     pub(crate) late_requests: Vec<String>,
     /// Requests in the order in which they arrived, also those that were turned away.
@@ -90,7 +92,7 @@
 pub(crate) const DRAIN_GRACE: time::Duration = time::Duration::from_millis(2500);
 
 /// The body of the answer to a request, of this length if the request asks for one.
-pub(crate) fn body(id: &str, bytes: Option<usize>) -> Bytes {
+pub(crate) fn answer_to(id: &str, bytes: Option<usize>) -> Bytes {
     let text = format!("answer to {id}");
     match bytes {
         Some(bytes) => text.bytes().cycle().take(bytes).collect(),
@@ -98,6 +100,10 @@
     }
 }
 
+/// How a request asks its backend server to treat its body, in its target's query.
+const EARLY: &str = "early";
+const LATE: &str = "late";
+
 /// A number in a target's query.
 fn parameter(target: &str, name: &str) -> Option<u64> {
     let (_, query) = target.split_once('?')?;
@@ -188,7 +194,7 @@
         self.sources.borrow_mut().close();
     }
 
-    async fn reply(self, req: callers::Request) -> callers::Answer {
+    async fn reply(self, mut req: callers::Request) -> callers::Answer {
         let fields = &req.head.fields;
         let id = fields.text(FIELDS.id).unwrap_or_default().to_owned();
         if fields.text(FIELDS.instance).is_some_and(|i| i != self.id) {
@@ -213,25 +219,76 @@
         }
         *self.log.borrow_mut().runs.entry(id.clone()).or_default() += 1;
         self.run_count.set(self.run_count.get() + 1);
-        let _running = RunningGuard::new(&self.running);
+        let running = RunningGuard::new(&self.running);
+        if parameter(req.head.target(), LATE).is_some() {
+            return self.reply_late(req, id, running);
+        }
+        self.run(&mut req, &id).await
+    }
+
+    /// Runs a request.
+    async fn run(&self, req: &mut callers::Request, id: &str) -> callers::Answer {
         let target = req.head.target();
+        if parameter(target, EARLY).is_none() {
+            let (len, is_whole) = body::read(&mut req.payload).await;
+            if is_whole && len > 0 {
+                self.log.borrow_mut().bodies.insert(id.to_owned(), len);
+            }
+        }
         let work = parameter(target, "work_ms").map(time::Duration::from_millis);
         tokio::time::sleep(work.unwrap_or(self.service_time.get())).await;
         if self.drops_responses.get() {
             return std::future::pending().await;
         }
         let mut answer = callers::Answer::empty(200);
-        self.put_id_and_load(&mut answer, &id);
+        self.put_id_and_load(&mut answer, id);
         http1::put_field(
             &mut answer.fields,
             FIELDS.proof.as_bytes(),
             self.id.as_bytes(),
         );
         let bytes = parameter(target, "bytes").and_then(|n| usize::try_from(n).ok());
-        answer.body = callers::Body::Whole(body(&id, bytes));
+        answer.body = callers::Body::Whole(answer_to(id, bytes));
         answer
     }
 
+    /// Runs a request while it sends a late answer to another one, with the own answer behind.
+    fn reply_late(
+        self,
+        mut req: callers::Request,
+        id: String,
+        running: RunningGuard,
+    ) -> callers::Answer {
+        const OTHER: Bytes = Bytes::from_static(b"other");
+        let mut late = callers::Answer::empty(200);
+        self.put_id_and_load(&mut late, "other");
+        let (tx, rx) = mpsc::channel(1);
+        task::spawn_local(async move {
+            let _running = running;
+            // The gateway may close the connection first.
+            let _ = tx.send(upstream::Piece::Data(OTHER)).await;
+            let answer = self.run(&mut req, &id).await;
+            let callers::Body::Whole(body) = answer.body else {
+                return;
+            };
+            let mut out = BytesMut::new();
+            http1::put_status(&mut out, answer.status);
+            out.extend_from_slice(&answer.fields);
+            http1::put_number(&mut out, "Content-Length", body.len() as u64);
+            out.extend_from_slice(b"\r\n");
+            out.extend_from_slice(&body);
+            let _ = tx.send(upstream::Piece::Data(out.freeze())).await;
+            let _ = tx.send(upstream::Piece::End).await;
+        });
+        callers::Answer {
+            body: callers::Body::Pieces {
+                length: Some(OTHER.len() as u64),
+                rx,
+            },
+            ..late
+        }
+    }
+
     fn not_run(&self, status: u16, id: &str) -> callers::Answer {
         let mut answer = callers::Answer::empty(status);
         self.put_id_and_load(&mut answer, id);
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -1,6 +1,9 @@
 //! Bodies on callers' connections that do not go on: which request still gets its body, and what its
 //! caller gets.
 
+#[path = "support/body.rs"]
+mod body;
+
 use std::cell;
 use std::rc;
 use std::time;
@@ -37,21 +40,6 @@
     idle_timeout: Option<time::Duration>,
 }
 
-async fn read_body(payload: &mut upstream::Payload) -> (usize, bool) {
-    let rx = match payload {
-        upstream::Payload::Whole(body) => return (body.len(), true),
-        upstream::Payload::Pieces { rx, .. } => rx.as_mut().unwrap(),
-    };
-    let mut len = 0;
-    loop {
-        match rx.recv().await {
-            Some(upstream::Piece::Data(data)) => len += data.len(),
-            Some(upstream::Piece::End) => return (len, true),
-            None => return (len, false),
-        }
-    }
-}
-
 fn long_answer() -> callers::Body {
     let (tx, rx) = mpsc::channel(1);
     task::spawn_local(async move {
@@ -88,12 +76,12 @@
             answer.close = path.ends_with("close");
             match path.as_str() {
                 "/count" => {
-                    let body = read_body(&mut req.payload).await;
-                    seen.borrow_mut().bodies.push(body);
-                    if !body.1 {
+                    let (len, is_whole) = body::read(&mut req.payload).await;
+                    seen.borrow_mut().bodies.push((len, is_whole));
+                    if !is_whole {
                         return callers::Answer::empty(502);
                     }
-                    answer.body = callers::Body::Whole(body.0.to_string().into());
+                    answer.body = callers::Body::Whole(len.to_string().into());
                 }
                 "/long" => answer.body = long_answer(),
                 _ => {}
