A backend server that reads nothing for a while keeps its request

Cause: the limit of 2.2 s on unacknowledged bytes, by which a backend server that is gone is found, also counts the time in which the peer's window is closed. Linux then resets a connection to a peer that answers each probe. A VM that carries the connection for another had the same limit, and ended each write after 10 s.

Change: the limit is off while bytes wait for the window (transport/window.rs); that is when the socket isn't writable with a low-water mark of one unsent byte. A backend server that takes nothing and sends nothing for 0.8 s meanwhile is asked for a new connection (gateway/liveness.rs); silence of four in a row shows that it is gone. A VM that carries connections does the same, and notices when the other VM gives up.

Callers of the tests no longer have the limit on their own connections, which real callers have not either.

--- a/examples/soak/uploads.rs
+++ b/examples/soak/uploads.rs
@@ -41,8 +41,13 @@
     Early,
     /// Sends a late answer to another request first.
     Late,
+    /// Reads nothing at first, for longer than the limit on unacknowledged bytes.
+    Pausing,
 }
 
+/// How long a backend server reads nothing.
+const READ_PAUSE: time::Duration = time::Duration::from_millis(2800);
+
 /// An upload.
 #[derive(Debug)]
 pub(crate) struct Upload {
@@ -77,13 +82,24 @@
             false => Fault::None,
         };
         in_chunks |= matches!(fault, Fault::Invalid | Fault::TooLong);
-        let is_booking = rng.random_bool(0.3);
+        let reaction = pick(
+            rng,
+            &[
+                Reaction::Plain,
+                Reaction::Plain,
+                Reaction::Early,
+                Reaction::Late,
+                Reaction::Pausing,
+            ],
+        );
+        let pauses = reaction == Reaction::Pausing;
+        let is_booking = !pauses && rng.random_bool(0.3);
         let has_ahead = !is_booking && rng.random_bool(0.3);
-        let is_slow = rng.random_bool(0.4);
+        let is_slow = !pauses && rng.random_bool(0.4);
         Self {
             id,
             is_booking,
-            sent_after: ms(rng.random_range(0..2200)),
+            sent_after: ms(rng.random_range(0..if pauses { 800 } else { 2200 })),
             bytes: match rng.random_bool(0.8) {
                 true => rng.random_range(262_000..MAX_BYTES),
                 false => rng.random_range(10..262_000),
@@ -103,15 +119,7 @@
             }),
             work: ms(rng.random_range(10..400)),
             fault,
-            reaction: pick(
-                rng,
-                &[
-                    Reaction::Plain,
-                    Reaction::Plain,
-                    Reaction::Early,
-                    Reaction::Late,
-                ],
-            ),
+            reaction,
         }
     }
 
@@ -127,9 +135,10 @@
             false => scene::LONG_ROUTE,
         };
         let reaction = match self.reaction {
-            Reaction::Plain => "",
-            Reaction::Early => "&early=1",
-            Reaction::Late => "&late=1",
+            Reaction::Plain => String::new(),
+            Reaction::Early => "&early=1".to_owned(),
+            Reaction::Late => "&late=1".to_owned(),
+            Reaction::Pausing => format!("&pause_ms={}", READ_PAUSE.as_millis()),
         };
         let framing = match self.in_chunks {
             true => "Transfer-Encoding: chunked".to_owned(),
@@ -189,7 +198,11 @@
             tokio::time::sleep(self.work + ms(200)).await;
             return self.check_truncated(scene);
         }
-        let wait = PATIENCE + self.work + self.ahead.unwrap_or_default();
+        let pause = match self.reaction {
+            Reaction::Pausing => READ_PAUSE,
+            _ => time::Duration::ZERO,
+        };
+        let wait = PATIENCE + pause + self.work + self.ahead.unwrap_or_default();
         let received = tokio::time::timeout(wait, self.receive(&mut wire)).await;
         match received {
             Ok(answer) => self.check(scene, answer),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -234,12 +234,7 @@
         job: &Job,
         reservation: &placement::Reservation,
     ) -> Result<Connection, ConnectError> {
-        self.connect(&Target {
-            backend: &reservation.run.id,
-            addr: reservation.addr,
-            regions: job.homes(),
-        })
-        .await
+        self.connect(&target(job, reservation)).await
     }
 
     /// Takes an idle connection that the request may be sent on. If the request must not run twice,
@@ -321,6 +316,7 @@
             id: &job.id,
             to_head: job.head.method() == b"HEAD",
         };
+        let (to, stall) = (target(job, reservation), wire.stall());
         let carried = via.as_ref().map(|via| self.send_through(&via.vm));
         let hangs = match &carried {
             Some(carried) => carried.hangs.notified(),
@@ -332,6 +328,10 @@
             // The backend server's run that had the request has ended and cannot answer.
             () = reservation.run.ended() => Err(upstream::Failure::Lost),
             () = hangs, if job.route.idempotent => Err(upstream::Failure::Lost),
+            () = self.gone(&to, via.is_none(), &stall) => {
+                self.record_gone(&job.id, &reservation.run.id);
+                Err(upstream::Failure::Lost)
+            }
         };
         if received.is_ok() {
             self.record_contact(via.as_ref());
@@ -510,6 +510,15 @@
     }
 }
 
+/// Where a request is sent.
+fn target<'a>(job: &'a Job, reservation: &'a placement::Reservation) -> Target<'a> {
+    Target {
+        backend: &reservation.run.id,
+        addr: reservation.addr,
+        regions: job.homes(),
+    }
+}
+
 /// A long answer on its way to the caller. Dropping it closes the backend server's connection.
 struct Relay {
     connection: Connection,
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -214,7 +214,7 @@
     }
 
     /// Records a new direct connection.
-    fn connected(&self, wire: socket::Wire) -> Connection {
+    pub(super) fn connected(&self, wire: socket::Wire) -> Connection {
         self.record_connected();
         Connection { wire, via: None }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod facts;
 mod fanout;
 pub mod front;
+mod liveness;
 mod merge;
 pub mod mirror;
 pub mod pace;
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -236,6 +236,13 @@
             "left_out" => left_out);
     }
 
+    /// Logs that a backend server is gone to which a request was being sent.
+    pub(super) fn record_gone(&self, id: &[u8], backend: &id::VmId) {
+        if let Some(left_out) = self.log_limiter.admit("gone", self.now()) {
+            slog::info!(self.log, "backend server gone while a request was sent"; "request" => %String::from_utf8_lossy(id), "backend" => %backend, "left_out" => left_out);
+        }
+    }
+
     /// Logs and counts a long answer that ended before it was complete.
     pub(super) fn record_cut_answer(
         &self,
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -16,8 +16,8 @@
 use crate::decisions::{peer_selection, policy};
 use crate::id;
 use crate::metrics as metric_names;
-use crate::protocol::{mirror as codec, relay};
-use crate::transport::{mirror as links, socket};
+use crate::protocol::{mirror as codec, relay, routes};
+use crate::transport::{mirror as links, socket, upstream};
 
 /// How long the other VMs may take together to open a connection: one that cannot, and then four round
 /// trips across the widest link (0.11 s each).
@@ -305,20 +305,35 @@
             Err(answer) => *answer,
         };
         link.send(codec::encode(&answer)?.into()).await?;
-        let Ok(wire) = opened else {
+        let Ok((wire, addr)) = opened else {
             return Ok(());
         };
+        let to = Target {
+            backend: &request.backend,
+            addr,
+            regions: routes::AllowedRegions::default(),
+        };
+        let stall = upstream::Stall::default();
         let (stream, _held) = link.into_stream();
         // The other VM still reads frames until it has received the answer, and sends first.
         stream.readable().await?;
         let links_hang = self.links_hang.notified();
+        let failed = async {
+            tokio::select! {
+                () = links_hang => {}
+                () = self.gone(&to, true, &stall) => {}
+            }
+        };
         let answered = || self.record_contact(None);
         let (server, _server_held) = wire.into_stream();
-        socket::splice(stream, server, links_hang, answered).await;
+        socket::splice(stream, server, stall.clone(), failed, answered).await;
         Ok(())
     }
 
-    async fn open_for_peer(&self, backend: &id::VmId) -> Result<socket::Wire, relay::OpenAnswer> {
+    async fn open_for_peer(
+        &self,
+        backend: &id::VmId,
+    ) -> Result<(socket::Wire, net::SocketAddr), relay::OpenAnswer> {
         if self.is_stopping() {
             return Err(relay::OpenAnswer::Stopping);
         }
@@ -340,6 +355,9 @@
             Ok(_) => self.record_connected(),
             Err(_) => self.check_links_after_failure(),
         }
-        opened.map_err(|_| relay::OpenAnswer::Unreachable)
+        match opened {
+            Ok(wire) => Ok((wire, addr)),
+            Err(_) => Err(relay::OpenAnswer::Unreachable),
+        }
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -12,3 +12,4 @@
 pub mod server;
 pub mod socket;
 pub mod upstream;
+mod window;
--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -7,9 +7,11 @@
 use std::future;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
 
+use super::window;
 use crate::protocol::http1;
 
 /// A piece of a streamed body.
@@ -41,13 +43,15 @@
     pieces: Option<mpsc::Receiver<Piece>>,
     is_chunked: bool,
     broken: Option<Broken>,
+    stall: window::Stall,
 }
 
 impl Outgoing {
     /// The bytes of a request whose body is not streamed, or those before its body.
-    pub(super) fn new(buf: BytesMut) -> Self {
+    pub(super) fn new(buf: BytesMut, stall: window::Stall) -> Self {
         Self {
             buf,
+            stall,
             ..Self::default()
         }
     }
@@ -88,6 +92,7 @@
     fn break_off(&mut self, broken: Broken) {
         *self = Self {
             broken: Some(broken),
+            stall: self.stall.clone(),
             ..Self::default()
         };
     }
@@ -97,7 +102,16 @@
     where
         W: AsyncWrite + Unpin,
     {
-        let is_written = matches!(tx.write_buf(&mut self.buf).await, Ok(1..));
+        let at_once = tx.write_buf(&mut self.buf).now_or_never();
+        let written = match at_once {
+            Some(written) => written,
+            None => {
+                let written = tx.write_buf(&mut self.buf).await;
+                self.stall.note_life();
+                written
+            }
+        };
+        let is_written = matches!(written, Ok(1..));
         if self.is_done() {
             // The connection may be kept for long.
             self.buf = BytesMut::new();
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -6,22 +6,15 @@
 use std::time;
 
 use bytes::BytesMut;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, tcp};
 
-use super::{descriptors, outgoing};
+use super::{descriptors, outgoing, window};
 
 /// The length of the queue of unaccepted connections. In a surge of new callers, a full queue makes
 /// the system drop SYN packets, and each retransmission delays a caller by a second or more.
 const LISTEN_BACKLOG: i32 = 1024;
 
-/// How long sent bytes may stay unacknowledged. Without this limit a connection to a machine that
-/// lost power hangs for minutes, together with its request. Linux also ends a connection at the
-/// first keepalive probe that is due after this time without an answer to the one before, so the
-/// limit exceeds the time until the second probe: one lost packet must not end a connection on which
-/// a caller waits for a long answer.
-const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_millis(2200);
-
 /// The idle time before the first TCP keepalive probe, and the interval between probes. A peer can
 /// fail without a reset; two unanswered probes close the connection after three seconds.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -59,8 +52,7 @@
 
 /// Sets the socket options that make a connection to a server fail soon after the server has failed.
 pub fn set_failure_detection(stream: &TcpStream) -> io::Result<()> {
-    let socket = socket2::SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    window::limit_unacknowledged(stream, true)?;
     set_keepalive(stream)
 }
 
@@ -96,22 +88,34 @@
 /// ready. Any end but an orderly one resets both connections, also that of this process, so that a
 /// truncated answer does not look complete and the server stops its work. A server that no longer
 /// reads may still have sent an answer, which is passed on. Calls `answered` when bytes of the
-/// server arrive.
+/// server arrive; `stall` follows whether the server takes what is sent to it.
 pub async fn splice(
     mut client: TcpStream,
     mut server: TcpStream,
+    stall: window::Stall,
     failed: impl Future<Output = ()>,
     answered: impl Fn(),
 ) {
     reset_on_close(&client);
     reset_on_close(&server);
     // The caller for whom the client reads may pause. This fails only for a closed socket.
-    let _ = socket2::SockRef::from(&client).set_tcp_user_timeout(None);
+    let _ = window::limit_unacknowledged(&client, false);
     let (client_rx, client_tx) = client.split();
     let (server_rx, server_tx) = server.split();
     let (client_failed, server_failed) = (cell::Cell::new(false), cell::Cell::new(false));
-    let requests = pass(client_rx, server_tx, &client_failed, || ());
-    let answers = pass(server_rx, client_tx, &server_failed, answered);
+    let life = stall.clone();
+    let to_server = Window::Followed(window::Window::new(stall));
+    let requests = pass(client_rx, server_tx, to_server, &client_failed, || ());
+    let answers = pass(
+        server_rx,
+        client_tx,
+        Window::Limited,
+        &server_failed,
+        || {
+            life.note_life();
+            answered();
+        },
+    );
     let both = async {
         tokio::pin!(requests, answers);
         tokio::select! {
@@ -142,11 +146,20 @@
     Failed,
 }
 
+/// What is done about a receiver that takes nothing.
+enum Window {
+    /// It counts as disconnected after [`WRITE_TIMEOUT`].
+    Limited,
+    /// It is followed whether the receiver takes the bytes. The sender says how long that may last.
+    Followed(window::Window),
+}
+
 /// Passes the bytes of one direction on. Its end is not passed on if the sender is known to have
 /// failed.
 async fn pass(
     mut rx: tcp::ReadHalf<'_>,
     mut tx: tcp::WriteHalf<'_>,
+    mut window: Window,
     sender_failed: &cell::Cell<bool>,
     received: impl Fn(),
 ) -> End {
@@ -154,20 +167,62 @@
     const PASS_BYTES: usize = 4 << 10;
     let mut buf = BytesMut::with_capacity(PASS_BYTES);
     loop {
-        match rx.read_buf(&mut buf).await {
+        let n = match &mut window {
+            Window::Followed(window) if window.is_followed() => tokio::select! {
+                n = rx.read_buf(&mut buf) => n,
+                () = window.due() => {
+                    window.check(tx.as_ref(), true);
+                    continue;
+                }
+            },
+            _ => rx.read_buf(&mut buf).await,
+        };
+        match n {
             Ok(0) if sender_failed.get() => return End::Failed,
             Ok(0) if tx.shutdown().await.is_ok() => return End::Closed,
             Ok(0) => return End::Unwanted,
             Ok(_) => received(),
             Err(_) => return End::Failed,
         }
-        if write_all(&mut tx, &buf).await.is_err() {
+        let written = match &mut window {
+            Window::Limited => write_all(&mut tx, &buf).await,
+            Window::Followed(window) => {
+                let written = write_followed(&mut tx, &mut buf, window);
+                tokio::select! {
+                    written = written => written,
+                    // The sender has given up; it is not read while the receiver takes nothing.
+                    _ = rx.ready(Interest::ERROR) => return End::Failed,
+                }
+            }
+        };
+        if written.is_err() {
             return End::Unwanted;
         }
         buf.clear();
     }
 }
 
+/// Writes all bytes for as long as it takes.
+async fn write_followed(
+    tx: &mut tcp::WriteHalf<'_>,
+    rest: &mut BytesMut,
+    window: &mut window::Window,
+) -> io::Result<()> {
+    window.add(tx.as_ref(), rest.len());
+    while !rest.is_empty() {
+        let due = window.due();
+        tokio::select! {
+            biased;
+            written = tx.write_buf(rest) => match written? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                _ => window.stall.note_life(),
+            },
+            () = due => window.check(tx.as_ref(), false),
+        }
+    }
+    Ok(())
+}
+
 /// Makes closing the connection send a reset, as after a machine failure.
 pub(super) fn reset_on_close(stream: &TcpStream) {
     // This fails only for a closed socket, which needs no reset.
@@ -183,6 +238,7 @@
     /// Bytes that were read and not yet consumed.
     pub buf: BytesMut,
     outgoing: outgoing::Outgoing,
+    window: window::Window,
     held: descriptors::Held,
 }
 
@@ -194,6 +250,7 @@
             round_trip: time::Duration::ZERO,
             buf: BytesMut::new(),
             outgoing: outgoing::Outgoing::default(),
+            window: window::Window::default(),
             held,
         }
     }
@@ -247,16 +304,21 @@
     /// concurrent reads could block forever.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.buf.reserve(READ_BYTES);
-        let n = match self.outgoing.is_done() {
-            true => self.stream.read_buf(&mut self.buf).await?,
-            false => {
-                let (mut rx, mut tx) = self.stream.split();
-                tokio::select! {
-                    n = rx.read_buf(&mut self.buf) => n?,
-                    () = self.outgoing.send(&mut tx) => return Err(io::ErrorKind::ConnectionAborted.into()),
+        let n = loop {
+            if self.outgoing.is_done() && !self.window.is_followed() {
+                break self.stream.read_buf(&mut self.buf).await?;
+            }
+            let check = self.window.due();
+            let (mut rx, mut tx) = self.stream.split();
+            tokio::select! {
+                n = rx.read_buf(&mut self.buf) => break n?,
+                () = self.outgoing.send(&mut tx), if !self.outgoing.is_done() => {
+                    return Err(io::ErrorKind::ConnectionAborted.into());
                 }
+                () = check => self.window.check(&self.stream, self.outgoing.is_done()),
             }
         };
+        self.window.stall.note_life();
         // The failed write may have taken the error, so that the stream only seems to end.
         match n == 0 && self.outgoing.has_failed() {
             true => Err(io::ErrorKind::BrokenPipe.into()),
@@ -265,11 +327,18 @@
     }
 
     /// Begins to send a request; [`Self::fill`] sends the rest. Returns whether any byte was written.
-    pub(super) async fn begin(&mut self, request: BytesMut) -> bool {
-        self.outgoing = outgoing::Outgoing::new(request);
+    pub(super) async fn begin(&mut self, request: BytesMut, is_streamed: bool) -> bool {
+        let is_long = is_streamed || request.len() > window::MAX_SHORT_REQUEST_BYTES;
+        self.window.begin(&self.stream, is_long);
+        self.outgoing = outgoing::Outgoing::new(request, self.window.stall.clone());
         self.outgoing.write(&mut self.stream).await
     }
 
+    /// Follows whether the peer takes what is sent to it.
+    pub fn stall(&self) -> window::Stall {
+        self.window.stall.clone()
+    }
+
     /// What is left to send of a request.
     pub(super) fn outgoing(&mut self) -> &mut outgoing::Outgoing {
         &mut self.outgoing
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -10,6 +10,7 @@
 use crate::protocol::http1;
 
 pub use super::outgoing::Piece;
+pub use super::window::Stall;
 
 /// The longest accepted head of an answer.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -86,14 +87,14 @@
     payload: &mut Payload,
     tag: Tag<'_>,
 ) -> Result<Received, Failure> {
-    let body: &[u8] = match payload {
-        Payload::Whole(body) => body,
-        Payload::Pieces { .. } => &[],
+    let (body, is_streamed): (&[u8], bool) = match payload {
+        Payload::Whole(body) => (body, false),
+        Payload::Pieces { .. } => (&[], true),
     };
     let mut request = BytesMut::with_capacity(head.len() + body.len());
     request.extend_from_slice(head);
     request.extend_from_slice(body);
-    if !wire.begin(request).await {
+    if !wire.begin(request, is_streamed).await {
         return Err(Failure::Unsent);
     }
     if let Payload::Pieces { length, rx } = payload
--- a/tests/gateway/bodies.rs
+++ b/tests/gateway/bodies.rs
@@ -1,6 +1,12 @@
 //! Request bodies, short and long.
 
+use std::time;
+
+use futures_util::future as futures;
+
 use super::harness::{Harness, Reaction, post, route, run_test, table};
+use super::linked_vms::LinkedVms;
+use super::support::cut::Cut;
 
 #[test]
 pub(crate) fn a_body_in_chunks_arrives_whole() {
@@ -115,3 +121,74 @@
         assert_eq!(harness.runs("b1"), 0);
     });
 }
+
+/// How long a backend server reads nothing: longer than the limit on unacknowledged bytes.
+const PAUSE: time::Duration = time::Duration::from_millis(3500);
+
+/// Sends a booking with a body of this length to a backend server that pauses.
+async fn book_at_pausing_backend(relayed: bool, bytes: usize) {
+    let script = [Reaction::Pause(PAUSE, "late")];
+    let answer = match relayed {
+        false => {
+            let harness = Harness::new(1, &script).await;
+            let booking = post("/book/a", "b1", &"y".repeat(bytes));
+            harness.caller().await.request(&booking).await
+        }
+        true => {
+            let vms = LinkedVms::new(2, 1, &[]).await;
+            vms.cut(0, Cut::Resets).await;
+            vms.wait_until_serving(0).await;
+            vms.harness.script.borrow_mut().extend(script);
+            let booking = post("/book/a", "b1", &"y".repeat(bytes));
+            vms.caller(0).await.request(&booking).await
+        }
+    };
+    assert_eq!(
+        (answer.status, answer.text()),
+        (200, "late"),
+        "through another VM: {relayed}, {bytes} bytes"
+    );
+}
+
+/// Guards against a limit on unacknowledged bytes that counts the time in which a backend server reads
+/// nothing of a body, at the VM that has the caller and at one that carries its connection.
+#[test]
+fn a_backend_server_that_pauses_while_it_reads_a_body_keeps_its_request() {
+    for relayed in [false, true] {
+        run_test(|| async {
+            futures::join3(
+                book_at_pausing_backend(relayed, 200_000),
+                book_at_pausing_backend(relayed, 250_000),
+                book_at_pausing_backend(relayed, 4 << 20),
+            )
+            .await;
+        });
+    }
+}
+
+/// Sends a booking with a body of this length to a backend server that reads nothing of it and is gone
+/// after a while.
+async fn book_at_vanishing_backend(after: time::Duration, bytes: usize) {
+    let harness = Harness::new(1, &[Reaction::Vanish(after)]).await;
+    let mut caller = harness.caller().await;
+    let booking = post("/book/a", "b1", &"y".repeat(bytes));
+    let answer = caller.request(&booking).await;
+    // At the end of the request's time it would be 504.
+    assert_eq!(answer.status, 502, "{after:?}, {bytes} bytes");
+}
+
+/// Guards against a backend server that is gone and keeps its request until the request's time is up,
+/// since it looks as if it only paused.
+#[test]
+fn a_backend_server_that_is_gone_while_a_body_is_sent_loses_its_request_soon() {
+    run_test(|| async {
+        let sends = [10, 1000, 2000, 3500].map(|after| {
+            let after = time::Duration::from_millis(after);
+            futures::join(
+                book_at_vanishing_backend(after, 250_000),
+                book_at_vanishing_backend(after, 4 << 20),
+            )
+        });
+        futures::join_all(sends).await;
+    });
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections;
+use std::future;
 use std::net;
 use std::rc;
 use std::time;
@@ -12,9 +13,9 @@
 use bulrushwind::logging;
 use bulrushwind::protocol::{http1, names, routes};
 use bulrushwind::state::{backends, entries};
-use bulrushwind::transport::{socket, upstream};
+use bulrushwind::transport::{descriptors, socket, upstream};
 use bytes::{Bytes, BytesMut};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task;
 
 use super::scripted_backend::Backend;
@@ -308,17 +309,23 @@
         let behaviors = self.behaviors.clone();
         let name = name.to_owned();
         let crashed = rc::Rc::new(tokio::sync::Notify::new());
+        let vanished = rc::Rc::new(tokio::sync::Notify::new());
         task::spawn_local(async move {
             loop {
                 let accepted = tokio::select! {
                     accepted = listener.accept() => accepted,
                     () = crashed.notified() => return,
+                    () = vanished.notified() => {
+                        support::cut::drop_packets(&socket2::SockRef::from(&listener));
+                        return future::pending().await;
+                    }
                 };
                 let Ok((stream, _)) = accepted else {
                     return;
                 };
                 let backend = Backend {
                     crashed: crashed.clone(),
+                    vanished: vanished.clone(),
                     name: name.clone(),
                     seen: seen.clone(),
                     script: script.clone(),
@@ -477,8 +484,10 @@
 
 impl Caller {
     pub(crate) async fn connect(addr: net::SocketAddr) -> Self {
+        let stream = TcpStream::connect(addr).await.unwrap();
+        let held = descriptors::Held::new(descriptors::Use::Callers);
         Self {
-            wire: socket::Wire::connect(addr, LONG).await.unwrap(),
+            wire: socket::Wire::new(stream, held),
         }
     }
 
--- a/tests/gateway/scripted_backend.rs
+++ b/tests/gateway/scripted_backend.rs
@@ -1,13 +1,16 @@
 //! A backend server whose reactions to requests follow a script.
 
 use std::cell;
+use std::future;
 use std::rc;
+use std::time;
 
 use bulrushwind::protocol::http1;
 use bulrushwind::transport::{descriptors, socket, upstream};
 use tokio::task;
 
 use super::harness::{Behavior, Behaviors, NAMES, Script, Seen};
+use super::support::cut;
 
 /// A scripted reaction of a backend server to a request.
 #[derive(Clone, Debug)]
@@ -34,6 +37,10 @@
     StrayFirst(&'static str),
     /// The same, with the other answer before it reads the body.
     StrayEarly(&'static str),
+    /// Reads nothing of the body for this long, then all of it, and answers with this body.
+    Pause(time::Duration, &'static str),
+    /// Reads nothing of the body for this long, and is gone then: nothing more arrives at its machine.
+    Vanish(time::Duration),
     /// Sends bytes that are not an HTTP answer.
     Garbage,
     /// Answers with an unsigned success.
@@ -63,6 +70,7 @@
     pub(crate) behaviors: Behaviors,
     pub(crate) started: rc::Rc<tokio::sync::Notify>,
     pub(crate) crashed: rc::Rc<tokio::sync::Notify>,
+    pub(crate) vanished: rc::Rc<tokio::sync::Notify>,
 }
 
 impl Backend {
@@ -73,12 +81,19 @@
 
     pub(crate) async fn serve(self, stream: tokio::net::TcpStream) {
         let held = descriptors::Held::new(descriptors::Use::Callers);
+        let socket = socket2::SockRef::from(&stream).try_clone().unwrap();
         let mut wire = socket::Wire::new(stream, held);
         while let Some(head) = self.head(&mut wire).await {
             let act = match self.behavior().sheds {
                 true => Some(Reaction::Shed),
                 false => self.script.borrow_mut().pop_front(),
             };
+            if let Some(Reaction::Vanish(after)) = act {
+                tokio::time::sleep(after).await;
+                cut::drop_packets(&socket);
+                self.vanished.notify_one();
+                return future::pending().await;
+            }
             if !self
                 .act(&mut wire, &head, act.unwrap_or(Reaction::Answer("ok")))
                 .await
@@ -128,6 +143,9 @@
         if matches!(act, Reaction::StrayEarly(_)) && wire.send(STRAY.as_bytes()).await.is_err() {
             return false;
         }
+        if let Reaction::Pause(pause, _) = act {
+            tokio::time::sleep(pause).await;
+        }
         if !matches!(act, Reaction::Early(_)) && self.read_body(wire, head).await.is_none() {
             return false;
         }
@@ -177,7 +195,7 @@
                 return false;
             }
             Reaction::StrayFirst(body) => (STRAY.to_owned() + &whole(body), true),
-            Reaction::StrayEarly(body) => (whole(body), true),
+            Reaction::StrayEarly(body) | Reaction::Pause(_, body) => (whole(body), true),
             Reaction::Garbage => ("\u{1}\u{2} no answer\r\n\r\n".to_owned(), false),
             Reaction::Unsigned => (
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_owned(),
@@ -213,6 +231,8 @@
                 self.seen.borrow_mut().dropped += 1;
                 return false;
             }
+            // Handled before the body is read.
+            Reaction::Vanish(_) => return false,
             Reaction::Hang => {
                 let reset = wire.fill().await.is_err();
                 let mut seen = self.seen.borrow_mut();
--- a/tests/splice.rs
+++ b/tests/splice.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::time;
 
-use bulrushwind::transport::socket;
+use bulrushwind::transport::{socket, upstream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task;
@@ -26,7 +26,9 @@
     async fn start() -> Self {
         let (client, from) = connection().await;
         let (to, server) = connection().await;
-        let splice = task::spawn_local(socket::splice(from, to, future::pending(), || ()));
+        let stall = upstream::Stall::default();
+        let splice = socket::splice(from, to, stall, future::pending(), || ());
+        let splice = task::spawn_local(splice);
         Self {
             client,
             server,
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -103,6 +103,7 @@
 /// How a request asks its backend server to treat its body, in its target's query.
 const EARLY: &str = "early";
 const LATE: &str = "late";
+const PAUSE: &str = "pause_ms";
 
 /// A number in a target's query.
 fn parameter(target: &str, name: &str) -> Option<u64> {
@@ -229,6 +230,9 @@
     /// Runs a request.
     async fn run(&self, req: &mut callers::Request, id: &str) -> callers::Answer {
         let target = req.head.target();
+        if let Some(pause) = parameter(target, PAUSE) {
+            tokio::time::sleep(time::Duration::from_millis(pause)).await;
+        }
         if parameter(target, EARLY).is_none() {
             let (len, is_whole) = body::read(&mut req.payload).await;
             if is_whole && len > 0 {
