Long answers of pipelined requests are buffered, so that one which breaks off can be replaced

Cause: an answer of more than 256 KiB is passed on while it is received and cannot be replaced; its connection ends, and the requests behind, which had begun, with it.

No request begins behind an answer that is passed on.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,12 +5,12 @@
 use std::time;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use metrics::counter;
+use metrics::{counter, gauge};
 use tokio::sync::mpsc;
 use tokio::task;
 
 use super::connecting::{ConnectError, Connection, Target};
-use super::{Gateway, placement, pool};
+use super::{Gateway, long_answers, placement, pool};
 use crate::decisions::{idle_limit, policy};
 use crate::id;
 use crate::metrics as metric_names;
@@ -56,6 +56,8 @@
     pub deadline: policy::Moment,
     /// The entry VM that the latest send went through; `None`: it was direct.
     pub via: rc::Rc<cell::RefCell<Option<id::VmId>>>,
+    /// What it shares with its caller's connection.
+    pub caller: rc::Rc<callers::Cancellation>,
 }
 
 impl Job {
@@ -401,6 +403,7 @@
         let withheld = self.withheld(&head, refusal);
         let mut reader = http1::BodyReader::new(head.framing);
         let mut body = BytesMut::new();
+        let mut long = None;
         loop {
             match upstream::next_piece(&mut connection.wire, &mut reader).await {
                 Ok(None) => break,
@@ -410,10 +413,12 @@
             if body.len() <= MAX_BUFFERED_BYTES {
                 continue;
             }
-            return match withheld {
-                Some(outcome) => outcome,
-                None => self.relay(job, connection, head, reader, body, reservation),
-            };
+            if let Some(outcome) = withheld {
+                return outcome;
+            }
+            if !self.buffers_long_answer(job, &mut long, head.framing, body.len()) {
+                return self.relay(job, connection, head, reader, body, reservation);
+            }
         }
         if received.reusable && connection.wire.is_idle() {
             let stated = stated_keep_alive(&head.fields);
@@ -422,16 +427,39 @@
         if let Some(outcome) = withheld {
             return outcome;
         }
+        let body = match long {
+            Some(held) => held.guard(body.freeze()),
+            None => body.freeze(),
+        };
         let answer = callers::Answer {
             status: head.status,
             fields: fields_for_caller(&head.fields),
-            body: callers::Body::Whole(body.freeze()),
+            body: callers::Body::Whole(body),
             close: false,
         };
         let failed = head.status >= 500;
         Outcome::Answer { answer, failed }
     }
 
+    /// Whether an answer of which this much was received is buffered on.
+    fn buffers_long_answer(
+        &self,
+        job: &Job,
+        held: &mut Option<long_answers::Held>,
+        framing: http1::Framing,
+        received: usize,
+    ) -> bool {
+        if !job.caller.pipelined.get() {
+            return false;
+        }
+        let length = framing.length().unwrap_or_default();
+        let length = usize::try_from(length).unwrap_or(usize::MAX).max(received);
+        let held = held.get_or_insert_with(|| self.long_answers.hold());
+        let is_buffered = held.grow_to(length);
+        gauge!(metric_names::LONG_ANSWER_BYTES).set(self.long_answers.used() as f64);
+        is_buffered
+    }
+
     /// The outcome if the answer is not passed on, whatever its body is. `refusal` is the reason if the
     /// backend server states that the request has not run.
     fn withheld(&self, head: &http1::ResponseHead, refusal: NotRun) -> Option<Outcome> {
@@ -461,6 +489,7 @@
         body: BytesMut,
         reservation: placement::Reservation,
     ) -> Outcome {
+        job.caller.passed_on.set(true);
         // Many callers read nothing of a long answer before they have sent the body.
         upstream::discard_rest(&mut connection.wire);
         let length = head.framing.length();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod fanout;
 pub mod front;
 mod liveness;
+mod long_answers;
 mod merge;
 pub mod mirror;
 pub mod pace;
@@ -234,6 +235,8 @@
     /// When a planned stop stops accepting requests.
     closes_at: cell::Cell<Option<policy::Moment>>,
     in_progress: cell::Cell<usize>,
+    /// Memory for long answers.
+    long_answers: long_answers::Budget,
     reading: reading::Reading,
     /// Requests that wait for room at backend servers.
     waiting: waiting::Waiting,
@@ -312,6 +315,7 @@
             customer_active: sync::Notify::new(),
             closes_at: cell::Cell::new(None),
             in_progress: cell::Cell::new(0),
+            long_answers: long_answers::Budget::default(),
             reading,
             waiting: waiting::Waiting::new(may_wait),
         }))
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -128,6 +128,7 @@
             fingerprint,
             deadline: facts.deadline,
             via: rc::Rc::default(),
+            caller: req.cancellation.clone(),
         });
         let payload = std::mem::replace(&mut req.payload, upstream::Payload::Whole(Bytes::new()));
         let mut dispatch = Dispatch {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -109,6 +109,8 @@
 pub const WRITE_BLOCKED: &str = "bulrushwind_write_blocked_seconds";
 /// Callers' long bodies, by how they ended.
 pub const STREAMED_BODIES: &str = "bulrushwind_streamed_bodies_total";
+/// Memory of long answers that are buffered.
+pub const LONG_ANSWER_BYTES: &str = "bulrushwind_long_answer_bytes";
 /// Long answers that ended before they were complete.
 pub const ANSWERS_CUT: &str = "bulrushwind_answers_cut_total";
 /// How long connections were in the listen queue at least.
@@ -474,6 +476,12 @@
         &["end"],
         "Long bodies of callers by how they ended: whole, unneeded (the request was answered before), invalid, or cut (the connection ended).",
     ),
+    metric(
+        LONG_ANSWER_BYTES,
+        Kind::Gauge,
+        &[],
+        "Bytes of long answers that were buffered for callers with further pending requests, when the last one was.",
+    ),
     metric(
         ANSWERS_CUT,
         Kind::Counter,
--- a/src/transport/callers/inbound.rs
+++ b/src/transport/callers/inbound.rs
@@ -289,6 +289,14 @@
         }
     }
 
+    /// Whether a further request may begin. It does not behind an answer that is passed on: if that
+    /// breaks off, it has not run and its caller sends it again.
+    fn may_begin(&self) -> bool {
+        let is_full = self.pending.len() >= MAX_PIPELINED_REQUESTS;
+        let is_passed_on = |pending: &Pending| pending.cancellation.passed_on.get();
+        !self.closed && !is_full && !self.pending.iter().any(is_passed_on)
+    }
+
     /// Whether an interim answer is due that asks for the body: the next answer to be written is that
     /// of its request.
     pub(super) fn is_continue_due(&self) -> bool {
@@ -353,8 +361,7 @@
             self.inbound.take_body(&limits);
             match std::mem::replace(&mut self.inbound.input.reading, Reading::Head) {
                 Reading::Head => {
-                    let is_full = self.inbound.pending.len() >= MAX_PIPELINED_REQUESTS;
-                    if self.inbound.closed || is_full || !self.begin_request(&limits) {
+                    if !self.inbound.may_begin() || !self.begin_request(&limits) {
                         return;
                     }
                 }
@@ -447,6 +454,12 @@
     fn start(&mut self, head: http1::RequestHead, payload: upstream::Payload, received: Arrival) {
         let (tx, rx) = oneshot::channel();
         let cancellation = rc::Rc::new(Cancellation::default());
+        if !self.inbound.pending.is_empty() {
+            let pending = self.inbound.pending.iter().map(|p| &p.cancellation);
+            pending
+                .chain([&cancellation])
+                .for_each(|c| c.pipelined.set(true));
+        }
         let keep_alive = head.keeps_alive();
         let framing = answer::AnswerFraming::of(&head);
         let answer = self.handler.answer(Request {
--- a/src/transport/callers/pending.rs
+++ b/src/transport/callers/pending.rs
@@ -10,7 +10,7 @@
 
 use super::answer::{self, Answer};
 
-/// The cancellation state that a request's task shares with the caller's connection.
+/// The state that a request's task shares with the caller's connection.
 #[derive(Debug, Default)]
 pub struct Cancellation {
     /// Set once the request must continue after its caller disconnects. It may be running on a
@@ -18,6 +18,10 @@
     pub committed: cell::Cell<bool>,
     /// Set once the caller has disconnected; the request then starts at no other backend server.
     pub caller_left: cell::Cell<bool>,
+    /// Set once other requests are pending on its connection. They are lost if its answer breaks off.
+    pub pipelined: cell::Cell<bool>,
+    /// Set once its answer is passed on before it is complete.
+    pub passed_on: cell::Cell<bool>,
     ended: sync::Notify,
 }
 
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -198,3 +198,48 @@
         assert_eq!(caller.receive().await.unwrap().text(), "next");
     });
 }
+
+/// Guards against requests that are lost behind a long answer which its backend server breaks off, at
+/// each place of a pipeline.
+#[test]
+pub(crate) fn requests_pipelined_with_a_long_answer_that_breaks_off_are_answered() {
+    for place in 0..3 {
+        for bytes in [300_000, 1_500_000] {
+            run_test(|| async {
+                let mut script = vec![Reaction::Long(bytes); 3];
+                script[place] = Reaction::BreakOff(bytes);
+                let harness = Harness::new(2, &script).await;
+                let mut caller = harness.caller().await;
+                let ids = ["r1", "r2", "r3"];
+                let all = ids.map(|id| get("/read/a", id)).concat();
+                caller.send(&all).await;
+                for (n, id) in ids.into_iter().enumerate() {
+                    let answer = caller.receive().await.unwrap();
+                    assert_eq!(answer.head.fields.text("x-id"), Some(id));
+                    let again = n == place;
+                    assert_eq!(answer.text() == "ok", again, "place {place}, {bytes} bytes");
+                    assert!(again || answer.body.len() == bytes);
+                }
+            });
+        }
+    }
+}
+
+/// Guards against a request that runs behind an answer which is passed on: it is lost if that breaks off.
+#[test]
+pub(crate) fn no_request_begins_behind_an_answer_that_is_passed_on() {
+    run_test(|| async {
+        let harness = Harness::new(2, &[Reaction::Silent(300_000)]).await;
+        let mut caller = harness.caller().await;
+        caller
+            .send(&get("/read/a", "r1").replace("8000", "1000"))
+            .await;
+        harness.until("it runs", |seen| seen.ran.len() == 1).await;
+        while caller.wire.buf.len() < 1000 {
+            caller.wire.fill().await.unwrap();
+        }
+        caller.send(&get("/read/b", "r2")).await;
+        assert!(caller.receive().await.is_err());
+        assert_eq!(harness.seen.borrow().arrived, 1);
+    });
+}
--- a/tests/gateway/scripted_backend.rs
+++ b/tests/gateway/scripted_backend.rs
@@ -58,6 +58,8 @@
     /// Sends this after the HTTP version, and then these bytes again and again until the gateway closes
     /// the connection.
     Endless(&'static str, &'static str),
+    /// Sends this many bytes of a longer answer and closes.
+    BreakOff(usize),
     /// Sends this many bytes of a longer answer and falls silent.
     Silent(usize),
 }
@@ -222,6 +224,10 @@
                 self.seen.borrow_mut().dropped += 1;
                 return false;
             }
+            Reaction::BreakOff(n) => {
+                let head = head_of("200 OK", &format!("Content-Length: {}\r\n", n + 1));
+                (head + &"x".repeat(n), false)
+            }
             Reaction::Silent(n) => {
                 let head = head_of("200 OK", &format!("Content-Length: {}\r\n", n + 1));
                 let sent = wire.send((head + &"x".repeat(n)).as_bytes()).await;
