A body that ends behind an answer that is passed on runs after it

A request whose body had begun before an answer ahead was passed on started as soon as the body was there, and was lost if that answer broke off. The check for a start is now the same for heads and bodies. The new test of tests/uploads.rs fails before and passes.

--- a/src/transport/callers/inbound.rs
+++ b/src/transport/callers/inbound.rs
@@ -289,11 +289,11 @@
         }
     }
 
-    /// Whether a further request may begin. It does not behind an answer that is passed on: if that
-    /// breaks off, it has not run and its caller sends it again.
-    fn may_begin(&self) -> bool {
-        let is_full = self.pending.len() >= MAX_PIPELINED_REQUESTS;
+    /// Whether a request may run. It does not behind an answer that is passed on: if that breaks off, it
+    /// has not run and its caller sends it again.
+    fn may_start(&self) -> bool {
         let is_passed_on = |pending: &Pending| pending.cancellation.passed_on.get();
+        let is_full = self.pending.len() >= MAX_PIPELINED_REQUESTS;
         !self.closed && !is_full && !self.pending.iter().any(is_passed_on)
     }
 
@@ -361,7 +361,7 @@
             self.inbound.take_body(&limits);
             match std::mem::replace(&mut self.inbound.input.reading, Reading::Head) {
                 Reading::Head => {
-                    if !self.inbound.may_begin() || !self.begin_request(&limits) {
+                    if !self.inbound.may_start() || !self.begin_request(&limits) {
                         return;
                     }
                 }
@@ -370,7 +370,7 @@
                     reader,
                     body,
                     received,
-                } if reader.is_done() && !self.inbound.closed => {
+                } if reader.is_done() && self.inbound.may_start() => {
                     self.start(head, upstream::Payload::Whole(body.freeze()), received);
                 }
                 Reading::Buffered {
@@ -378,7 +378,7 @@
                     reader,
                     body,
                     received,
-                } if body.len() > MAX_BUFFERED_BODY_BYTES && !self.inbound.closed => {
+                } if body.len() > MAX_BUFFERED_BODY_BYTES && self.inbound.may_start() => {
                     self.stream(head, reader, body, received);
                 }
                 unfinished => {
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -31,8 +31,8 @@
 }
 
 /// Answers by the path: `/count` when the body has arrived, `/early` at once, `/close` at once as the
-/// connection's last answer, `/held` once it is released, `/held-close` the same as the last answer, and
-/// `/long` with many bytes.
+/// connection's last answer, `/held` once it is released, `/held-close` the same as the last answer,
+/// `/long` with many bytes, and `/passed-on` with many that are passed on.
 #[derive(Clone, Default)]
 struct Handler {
     seen: rc::Rc<cell::RefCell<Seen>>,
@@ -84,6 +84,10 @@
                     answer.body = callers::Body::Whole(len.to_string().into());
                 }
                 "/long" => answer.body = long_answer(),
+                "/passed-on" => {
+                    req.cancellation.passed_on.set(true);
+                    answer.body = long_answer();
+                }
                 _ => {}
             }
             answer
@@ -465,3 +469,28 @@
         assert_eq!(caller.receive().await, None);
     });
 }
+
+/// Guards against a request that runs behind an answer which is passed on, since its body had begun before.
+#[test]
+fn a_body_that_ends_behind_an_answer_that_is_passed_on_runs_after_it() {
+    for (framing, len) in [(Framing::Length, 200_000), (Framing::Chunks, BYTES)] {
+        run_test(async || {
+            let server = Server::start(Handler::default()).await;
+            let mut caller = server.caller().await;
+            let (head, body) = upload("/count", "", framing, len);
+            let (first, rest) = body.split_at(100_000);
+            caller.send(&get("/held")).await;
+            caller.send(&get("/passed-on")).await;
+            caller.send(&head).await;
+            caller.send(first).await;
+            server.until("both begin", |seen| seen.begun == 2).await;
+            caller.send(rest).await;
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+            assert_eq!(server.handler.seen.borrow().begun, 2);
+            server.handler.released.notify_one();
+            caller.expect(200, "").await;
+            assert_eq!(caller.receive().await.unwrap().1.len(), 16 << 20);
+            caller.expect(200, &len.to_string()).await;
+        });
+    }
+}
