A backend server that takes next to nothing leaves its region no room

Cause: the last backend server of its region had stated a limit of 1e-31 requests a second. VMs that don't own it wait for over a minute between two requests to it, but it counted as usable, so no other region was asked, and as full, so the request was refused.

Change: a stated limit below the lowest rate that VMs keep up makes a backend server usable only when this VM's turn has come. Other limits are as before.

Measured: both new tests of gateway rate_limits fail before and pass.

--- a/src/decisions/backend_rate.rs
+++ b/src/decisions/backend_rate.rs
@@ -127,6 +127,11 @@
         self.per_s
     }
 
+    /// Whether the rate is so low that requests only find out whether it still holds.
+    pub fn allows_next_to_nothing(&self) -> bool {
+        self.per_s.is_some_and(|rate| rate < MIN_STATED_RATE_PER_S)
+    }
+
     /// Records an answer that states a rate, or none.
     pub fn stated(&mut self, now: policy::Moment, per_s: Option<f64>) {
         self.per_s = per_s;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -283,7 +283,7 @@
     ) -> Candidates<'a> {
         let mut any_usable = false;
         let eligible = backends
-            .filter(|b| self.may_serve(b, need, now))
+            .filter(|b| self.may_serve(b, need, now) && !self.is_shut(b, now))
             .inspect(|_| any_usable = true)
             .filter(|b| self.is_eligible(b, need, now))
             .collect();
@@ -439,6 +439,13 @@
         !b.health.is_ejected() || (need.may_try && b.health.trial_due(now, need.idempotent))
     }
 
+    /// Whether a backend server takes next to nothing by what it states, and not from this VM now. It
+    /// leaves its region no room, so another one serves the request.
+    fn is_shut(&self, b: &backends::Backend, now: policy::Moment) -> bool {
+        let is_due = || self.wait_for(b, now).is_some_and(|wait| wait.is_zero());
+        b.stated.rate_limit.allows_next_to_nothing() && !is_due()
+    }
+
     /// Whether a backend server can be chosen now. One that is paused, whose rate is limited or that
     /// is on trial can only if it takes the request at once; meanwhile other backend servers serve
     /// its objects.
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -61,6 +61,45 @@
     });
 }
 
+/// Guards against a VM that refuses its callers while the last backend server of its region states that
+/// it takes next to nothing, although another region has room.
+#[test]
+pub(crate) fn a_region_whose_backend_servers_take_next_to_nothing_is_served_by_another() {
+    for value in ["0.0000000000000000000000000000001", "0.2"] {
+        run_test(async || {
+            let harness = Harness::new(1, &[]).await;
+            harness.add_far_backend("i-far").await;
+            harness.state("i-0", &format!("x-rate-limit: {value}\r\n"));
+            let mut caller = harness.caller().await;
+            read_all(&mut caller, 0..1).await;
+            read_all(&mut caller, 1..20).await;
+            assert_eq!(harness.runs_at("i-0"), 1);
+        });
+    }
+}
+
+/// Guards against a backend server that is asked no more after it has stated a limit of next to nothing.
+#[test]
+pub(crate) fn a_backend_server_that_takes_next_to_nothing_is_still_asked_now_and_then() {
+    run_test(async || {
+        let harness = Harness::new(1, &[]).await;
+        harness.add_far_backend("i-far").await;
+        harness.state("i-0", "x-rate-limit: 0.0001\r\n");
+        let mut caller = harness.caller().await;
+        read_all(&mut caller, 0..1).await;
+        harness.state("i-0", "");
+        let mut objects = 1..;
+        while harness.runs_at("i-0") == 1 {
+            let object = objects.next().unwrap();
+            read_all(&mut caller, object..object + 1).await;
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        let before = harness.runs_at("i-0");
+        read_all(&mut caller, 1000..1010).await;
+        assert_eq!(harness.runs_at("i-0"), before + 10, "the limit has ended");
+    });
+}
+
 /// Guards against a malformed or contradictory value that starves a backend server.
 #[test]
 pub(crate) fn invalid_rates_do_not_limit() {
