A VM whose new connections hang while open ones answer finds that it is cut off

Cause: a connection that hung while open ones answered counted against its backend server alone; the links weren't checked. And once the cut was found, ejections for connections that had hung before stayed, since answers counted as signs of life.

Change: such a failure leads to a check of the links, and a cut takes back the ejections of unreachable backend servers since the last connection that was opened.

--- a/src/decisions/ejection.rs
+++ b/src/decisions/ejection.rs
@@ -211,6 +211,13 @@
         }
     }
 
+    /// Takes back an ejection since a moment of a backend server that couldn't be reached.
+    pub fn take_back_unreachable(&mut self, since: policy::Moment) {
+        if matches!(self.state, State::Ejected { down: true, .. }) {
+            self.take_back_ejection(since);
+        }
+    }
+
     /// Whether a probe may be sent now.
     pub fn probe_due(&self, now: policy::Moment) -> bool {
         matches!(self.state, State::Ejected { until, .. } if until <= now)
--- a/src/decisions/reachability.rs
+++ b/src/decisions/reachability.rs
@@ -59,6 +59,9 @@
     pub since: policy::Moment,
     /// Since when no new connection could be opened.
     pub unconnected_since: policy::Moment,
+    /// Since when connections have failed, with none opened in between. Where open ones still answer, it
+    /// is earlier than `since`.
+    pub failing_since: policy::Moment,
     /// Whether connections hang rather than being refused.
     pub hangs: bool,
 }
@@ -68,6 +71,8 @@
 pub struct Reachability {
     connected_at: policy::Moment,
     answered_at: policy::Moment,
+    /// When the first connection was begun that has failed since one was opened.
+    failing_since: Option<policy::Moment>,
     cut: Option<Cut>,
 }
 
@@ -92,9 +97,15 @@
     /// Records a new connection of this VM's own. Returns the cut that it ends.
     pub fn connected(&mut self, now: policy::Moment) -> Option<Cut> {
         self.connected_at = self.connected_at.max(now);
+        self.failing_since = None;
         self.cut.take()
     }
 
+    /// Records that a connection of this VM's own was not opened.
+    pub fn not_connected(&mut self, started: policy::Moment) {
+        self.failing_since.get_or_insert(started);
+    }
+
     /// Whether this VM has opened a connection since a moment.
     pub fn connected_since(&self, at: policy::Moment) -> bool {
         self.connected_at > at
@@ -129,9 +140,11 @@
         if !is_cut || self.is_cut_off() {
             return None;
         }
+        let failing_since = self.failing_since.unwrap_or(sample.started);
         let cut = Cut {
             since: self.answered_at.max(self.connected_at).min(sample.started),
             unconnected_since: sample.started,
+            failing_since: failing_since.min(sample.started),
             hangs: sample.timed_out,
         };
         self.cut = Some(cut);
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -143,16 +143,22 @@
     /// Opens a direct connection. Without free file descriptors it makes room and tries again.
     pub(super) async fn open(&self, addr: net::SocketAddr) -> Result<socket::Wire, ConnectError> {
         let source = self.cfg.backend_source;
-        let until = self.now() + CONNECT_TIMEOUT;
-        let wire = loop {
+        let started = self.now();
+        let until = started + CONNECT_TIMEOUT;
+        let opened = loop {
             match socket::Wire::connect_from(source, addr, CONNECT_TIMEOUT).await {
                 Err(err) if reading::is_shortage(&err) && self.now() < until => {
                     self.make_room();
                     tokio::time::sleep(reading::SHORTAGE_RETRY_DELAY).await;
                 }
-                opened => break opened?,
+                opened => break opened.map_err(ConnectError::from),
             }
         };
+        let wire = opened.inspect_err(|err| {
+            if matches!(err, ConnectError::TimedOut | ConnectError::Refused) {
+                self.reachability.borrow_mut().not_connected(started);
+            }
+        })?;
         // The bytes of an abandoned send may still be in transit behind a network partition. After
         // an orderly close they arrive when the partition heals: 7 s late in one case, at a backend
         // server whose availability zone was evacuated. A reset discards them.
@@ -181,8 +187,11 @@
             }
             Err(_) => {}
         }
+        // Most likely the backend server itself has failed. Open connections may work while new ones hang
+        // to all, so the links are checked.
         if self.reachability.borrow().contact_since(started) {
-            return direct.await.map(|wire| self.connected(wire));
+            let own = direct.await.map(|wire| self.connected(wire));
+            return own.inspect_err(|_| self.check_links_after_failure());
         }
         let through_peer = self.connect_through_peer(to, order, MAX_PEER_TRIES);
         tokio::pin!(through_peer);
@@ -190,7 +199,10 @@
             biased;
             own = &mut direct => match own {
                 Ok(wire) => Ok(self.connected(wire)),
-                Err(err) if self.reachability.borrow().contact_since(started) => Err(err),
+                Err(err) if self.reachability.borrow().contact_since(started) => {
+                    self.check_links_after_failure();
+                    Err(err)
+                }
                 Err(err) => through_peer.await.map_err(|refused| self.reason(err, refused)),
             },
             other = &mut through_peer => match other {
@@ -330,6 +342,7 @@
         slog::warn!(self.log, "cut off from backend servers; connecting through other entry VMs"; "hangs" => cut.hangs, "silent_ms" => self.now().saturating_sub(cut.since).as_millis() as u64);
         for backend in self.backends.borrow_mut().iter_mut() {
             backend.health.take_back_ejection(cut.since);
+            backend.health.take_back_unreachable(cut.failing_since);
         }
         self.crashes.borrow_mut().forget_broken(cut.since);
         // Of the open connections only those still work that were used since.
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -7,7 +7,7 @@
 use bulrushwind::protocol::routes;
 use bulrushwind::state::backends;
 
-use super::harness::{self, Reaction, get, post, read_all, route, run_test, table};
+use super::harness::{self, LONG, Reaction, get, post, read_all, route, run_test, table};
 use super::linked_vms::LinkedVms;
 use super::support::cut::{self, Cut};
 use super::support::proxy;
@@ -62,6 +62,40 @@
     check_that_a_cut_off_vm_serves(Cut::RefusesNew);
 }
 
+/// Guards against a VM that doesn't find its cut while an open connection answers, and ejects each backend
+/// server to which a new one hangs.
+#[test]
+fn a_vm_whose_new_connections_hang_while_an_open_one_answers_serves_its_callers() {
+    run_test(|| async {
+        let vms = LinkedVms::new(2, 6, &[]).await;
+        read_all(&mut vms.caller(0).await, 1..2).await;
+        vms.cut(0, Cut::HangsNew).await;
+        let reading = async {
+            let mut caller = vms.caller(0).await;
+            loop {
+                caller.read_objects(1..2).await;
+                tokio::time::sleep(time::Duration::from_millis(10)).await;
+            }
+        };
+        let booking = async {
+            let started = time::Instant::now();
+            while !vms.vms[0].cx.is_cut_off() {
+                assert!(started.elapsed() < LONG, "never: it finds the cut");
+                // It may fail, as the cut is not known yet.
+                let booking = post("/book/a", "b", "bay 4");
+                vms.caller(0).await.request(&booking).await;
+                tokio::time::sleep(time::Duration::from_millis(50)).await;
+            }
+            vms.failed_first_tries(0, 5).await
+        };
+        let failed = tokio::select! {
+            () = reading => Vec::new(),
+            failed = booking => failed,
+        };
+        assert!(failed.is_empty(), "{failed:?}");
+    });
+}
+
 /// Sends reads without an object, so that they reach all backend servers, and cuts the VM off while
 /// they run.
 async fn cut_off_during_reads(vms: &LinkedVms) {
--- a/tests/reachability.rs
+++ b/tests/reachability.rs
@@ -58,6 +58,22 @@
     assert_eq!(links.sampled(&failed_sample(at(2_000), 1)), None);
 }
 
+/// Guards against backend servers that stay ejected since new connections hung while open ones answered.
+#[test]
+fn a_cut_covers_the_connections_that_have_failed_since_one_was_opened() {
+    let mut links = reachability::Reachability::default();
+    links.not_connected(at(50));
+    links.connected(at(100));
+    links.not_connected(at(300));
+    links.not_connected(at(500));
+    links.answered(at(990));
+    let cut = links.sampled(&failed_sample(at(1_000), 1)).unwrap();
+    assert_eq!((cut.since, cut.failing_since), (at(990), at(300)));
+    links.connected(at(1_500));
+    let cut = links.sampled(&failed_sample(at(2_000), 1)).unwrap();
+    assert_eq!(cut.failing_since, at(2_000));
+}
+
 /// Answers on connections that are still open would end a cut in which no new one can be opened.
 #[test]
 fn only_a_new_connection_ends_a_cut() {
--- a/tests/support/cut.rs
+++ b/tests/support/cut.rs
@@ -19,9 +19,12 @@
     Resets,
     /// Open connections work and new ones are refused.
     RefusesNew,
+    /// Open connections work and packets of new ones are lost.
+    HangsNew,
 }
 
 impl Cut {
+    /// The ways of which a server's sources can be cut off; new connections always hang there.
     pub(crate) const ALL: [Self; 3] = [Self::Hangs, Self::Resets, Self::RefusesNew];
 }
 
@@ -142,7 +145,7 @@
                         serving.abort();
                     }
                 }
-                Cut::RefusesNew => {}
+                Cut::RefusesNew | Cut::HangsNew => {}
             }
         }
         if way == Cut::Resets {
@@ -211,7 +214,7 @@
         self.stop_accepting();
         self.cut.send_replace(Some(way));
         self.settle().await;
-        if way == Cut::Hangs {
+        if matches!(way, Cut::Hangs | Cut::HangsNew) {
             let listener = self.listen_again().await;
             drop_packets(&socket2::SockRef::from(&listener));
             self.accept(listener);
@@ -266,7 +269,7 @@
                 }
                 return;
             }
-            Some(Cut::RefusesNew) | None => {}
+            Some(Cut::RefusesNew | Cut::HangsNew) | None => {}
         }
     }
 }
