A short request behind a long one has the limit on unacknowledged bytes again

The limit is taken off when a long request begins, and was put back by a check 0.3 s later. An answer before that left the kept connection without it, so a later request hung until its time limit if the backend server was gone. Found by reading; not released.

The window remembers whether the limit is off, and each request sets it. The new test of gateway bodies fails before (504) and passes.

--- a/src/transport/window.rs
+++ b/src/transport/window.rs
@@ -90,6 +90,8 @@
     check_at: Option<time::Instant>,
     /// Bytes that were written since all was sent last.
     unanswered_bytes: usize,
+    /// Whether the limit on unacknowledged bytes is off.
+    is_unlimited: bool,
 }
 
 impl Window {
@@ -114,10 +116,17 @@
         self.stall.set(false);
         self.check_at = is_long.then(|| time::Instant::now() + CHECK_INTERVAL);
         if is_long {
-            // The connection is writable only while all that was written is sent.
-            let lowat = socket2::SockRef::from(stream).set_tcp_notsent_lowat(1);
-            // Either fails only for a closed socket.
-            let _ = lowat.and_then(|()| limit_unacknowledged(stream, false));
+            // The connection is writable only while all that was written is sent. This fails only for a
+            // closed socket.
+            let _ = socket2::SockRef::from(stream).set_tcp_notsent_lowat(1);
+        }
+        self.set_unlimited(stream, is_long);
+    }
+
+    fn set_unlimited(&mut self, stream: &TcpStream, is_unlimited: bool) {
+        if std::mem::replace(&mut self.is_unlimited, is_unlimited) != is_unlimited {
+            // This fails only for a closed socket.
+            let _ = limit_unacknowledged(stream, !is_unlimited);
         }
     }
 
@@ -141,8 +150,7 @@
     pub(super) fn check(&mut self, stream: &TcpStream, is_written: bool) {
         let is_stalled = has_unsent(stream);
         self.stall.set(is_stalled);
-        // This fails only for a closed socket.
-        let _ = limit_unacknowledged(stream, !is_stalled);
+        self.set_unlimited(stream, is_stalled);
         let is_sent = is_written && !is_stalled;
         self.check_at = (!is_sent).then(|| time::Instant::now() + CHECK_INTERVAL);
         if is_sent {
--- a/tests/gateway/bodies.rs
+++ b/tests/gateway/bodies.rs
@@ -192,3 +192,19 @@
         futures::join_all(sends).await;
     });
 }
+
+/// Guards against a short request that hangs on a connection whose limit on unacknowledged bytes was taken
+/// off for a long one before it.
+#[test]
+fn a_short_request_behind_a_long_one_is_limited_again() {
+    run_test(|| async {
+        let harness = Harness::new(1, &[Reaction::AnswerAndVanish("first")]).await;
+        let mut caller = harness.caller().await;
+        let long = post("/book/a", "b1", &"y".repeat(100_000));
+        assert_eq!(caller.request(&long).await.text(), "first");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+        let answer = caller.request(&post("/book/a", "b2", "x")).await;
+        // At the end of the request's time it would be 504.
+        assert_eq!(answer.status, 502);
+    });
+}
--- a/tests/gateway/scripted_backend.rs
+++ b/tests/gateway/scripted_backend.rs
@@ -39,6 +39,8 @@
     StrayEarly(&'static str),
     /// Reads nothing of the body for this long, then all of it, and answers with this body.
     Pause(time::Duration, &'static str),
+    /// Answers with this body and is gone then.
+    AnswerAndVanish(&'static str),
     /// Reads nothing of the body for this long, and is gone then: nothing more arrives at its machine.
     Vanish(time::Duration),
     /// Sends bytes that are not an HTTP answer.
@@ -90,18 +92,21 @@
                 true => Some(Reaction::Shed),
                 false => self.script.borrow_mut().pop_front(),
             };
-            if let Some(Reaction::Vanish(after)) = act {
-                tokio::time::sleep(after).await;
+            let act = act.unwrap_or(Reaction::Answer("ok"));
+            let vanishes = matches!(act, Reaction::Vanish(_) | Reaction::AnswerAndVanish(_));
+            match act {
+                Reaction::Vanish(after) => tokio::time::sleep(after).await,
+                act => {
+                    if !self.act(&mut wire, &head, act).await {
+                        return;
+                    }
+                }
+            }
+            if vanishes {
                 cut::drop_packets(&socket);
                 self.vanished.notify_one();
                 return future::pending().await;
             }
-            if !self
-                .act(&mut wire, &head, act.unwrap_or(Reaction::Answer("ok")))
-                .await
-            {
-                return;
-            }
         }
     }
 
@@ -169,7 +174,7 @@
         let whole =
             |body: &str| head_of("200 OK", &format!("Content-Length: {}\r\n", body.len())) + body;
         let (out, goes_on) = match act {
-            Reaction::Answer(body) => (whole(body), true),
+            Reaction::Answer(body) | Reaction::AnswerAndVanish(body) => (whole(body), true),
             Reaction::AfterNext(body) => {
                 self.started.notified().await;
                 (whole(body), true)
