--- a/src/decisions/backend_rate.rs
+++ b/src/decisions/backend_rate.rs
@@ -127,8 +127,8 @@
         self.per_s
     }
 
-    /// Whether the rate is so low that requests only find out whether it still holds.
-    pub fn allows_next_to_nothing(&self) -> bool {
+    /// Whether the rate is so low that requests serve only to detect the end of the limit.
+    pub fn is_near_zero(&self) -> bool {
         self.per_s.is_some_and(|rate| rate < MIN_STATED_RATE_PER_S)
     }
 
--- a/src/decisions/ejection.rs
+++ b/src/decisions/ejection.rs
@@ -211,7 +211,7 @@
         }
     }
 
-    /// Takes back an ejection since a moment of a backend server that couldn't be reached.
+    /// Reverts the ejection of an unreachable backend server if it was ejected since a moment.
     pub fn take_back_unreachable(&mut self, since: policy::Moment) {
         if matches!(self.state, State::Ejected { down: true, .. }) {
             self.take_back_ejection(since);
--- a/src/decisions/reachability.rs
+++ b/src/decisions/reachability.rs
@@ -59,8 +59,8 @@
     pub since: policy::Moment,
     /// Since when no new connection could be opened.
     pub unconnected_since: policy::Moment,
-    /// Since when connections have failed, with none opened in between. Where open ones still answer, it
-    /// is earlier than `since`.
+    /// The start of the first connection attempt that failed since the last successful one. It is earlier
+    /// than `since` if open connections still receive answers.
     pub failing_since: policy::Moment,
     /// Whether connections hang rather than being refused.
     pub hangs: bool,
@@ -71,7 +71,7 @@
 pub struct Reachability {
     connected_at: policy::Moment,
     answered_at: policy::Moment,
-    /// When the first connection was begun that has failed since one was opened.
+    /// The start of the first connection attempt that failed since the last successful one.
     failing_since: Option<policy::Moment>,
     cut: Option<Cut>,
 }
@@ -101,7 +101,7 @@
         self.cut.take()
     }
 
-    /// Records that a connection of this VM's own was not opened.
+    /// Records a failed direct connection attempt.
     pub fn not_connected(&mut self, started: policy::Moment) {
         self.failing_since.get_or_insert(started);
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -56,7 +56,7 @@
     pub deadline: policy::Moment,
     /// The entry VM that the latest send went through; `None`: it was direct.
     pub via: rc::Rc<cell::RefCell<Option<id::VmId>>>,
-    /// What it shares with its caller's connection.
+    /// The state shared with its caller's connection.
     pub caller: rc::Rc<callers::Cancellation>,
 }
 
@@ -330,8 +330,8 @@
             // The backend server's run that had the request has ended and cannot answer.
             () = reservation.run.ended() => Err(upstream::Failure::Lost),
             () = hangs, if job.route.idempotent => Err(upstream::Failure::Lost),
-            () = self.gone(&to, via.is_none(), &stall) => {
-                self.record_gone(&job.id, &reservation.run.id);
+            () = self.until_unreachable(&to, via.is_none(), &stall) => {
+                self.record_unreachable(&job.id, &reservation.run.id);
                 Err(upstream::Failure::Lost)
             }
         };
@@ -441,7 +441,7 @@
         Outcome::Answer { answer, failed }
     }
 
-    /// Whether an answer of which this much was received is buffered on.
+    /// Whether the rest of a long answer is buffered, rather than relayed.
     fn buffers_long_answer(
         &self,
         job: &Job,
@@ -489,8 +489,8 @@
         body: BytesMut,
         reservation: placement::Reservation,
     ) -> Outcome {
-        job.caller.passed_on.set(true);
-        // Many callers read nothing of a long answer before they have sent the body.
+        job.caller.relayed.set(true);
+        // Many callers do not read the answer before they have sent the body.
         upstream::discard_rest(&mut connection.wire);
         let length = head.framing.length();
         let (tx, rx) = mpsc::channel(RELAY_QUEUE_PIECES);
@@ -539,7 +539,7 @@
     }
 }
 
-/// Where a request is sent.
+/// The backend server that is reserved for a request.
 fn target<'a>(job: &'a Job, reservation: &'a placement::Reservation) -> Target<'a> {
     Target {
         backend: &reservation.run.id,
--- a/src/gateway/connecting.rs
+++ b/src/gateway/connecting.rs
@@ -187,8 +187,8 @@
             }
             Err(_) => {}
         }
-        // Most likely the backend server itself has failed. Open connections may work while new ones hang
-        // to all, so the links are checked.
+        // Usually the backend server itself has failed. But a network failure may affect only new
+        // connections, so the links are checked.
         if self.reachability.borrow().contact_since(started) {
             let own = direct.await.map(|wire| self.connected(wire));
             return own.inspect_err(|_| self.check_links_after_failure());
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -1,5 +1,5 @@
-//! Finds out that a backend server is gone which takes nothing of a long request. One that lives and
-//! reads nothing keeps its request, however long; only the request's own time ends it.
+//! Detects that a backend server became unreachable while a long request is sent to it. One that is alive
+//! and does not read keeps its request until the request's deadline.
 
 use std::time;
 
@@ -7,28 +7,33 @@
 use super::connecting::{ConnectError, Target};
 use crate::transport::upstream;
 
-/// How long a backend server may take nothing and give no sign of life until it is checked.
+/// How long a backend server may neither read nor show activity before it is checked.
 const QUIET: time::Duration = time::Duration::from_millis(800);
 
-/// Connections that are tried before a backend server counts as gone, each for the connect timeout. A
-/// few lost packets do not make it look gone.
+/// Connection attempts before a backend server counts as unreachable, each with the connect timeout.
+/// Several attempts tolerate packet loss.
 const TRIES: usize = 4;
 
 impl Gateway {
-    /// Waits until a backend server is gone to which a request is being sent on a connection.
-    pub(super) async fn gone(&self, to: &Target<'_>, is_direct: bool, stall: &upstream::Stall) {
+    /// Waits until a backend server is unreachable to which a request is being sent.
+    pub(super) async fn until_unreachable(
+        &self,
+        to: &Target<'_>,
+        is_direct: bool,
+        stall: &upstream::Stall,
+    ) {
         loop {
             stall.lasts(QUIET).await;
-            if !self.lives(to, is_direct).await {
+            if !self.is_reachable(to, is_direct).await {
                 return;
             }
-            stall.note_life();
+            stall.record_activity();
         }
     }
 
-    /// Whether a backend server answers on the way of a connection: directly, or through another VM.
-    /// A new connection is kept for requests.
-    async fn lives(&self, to: &Target<'_>, is_direct: bool) -> bool {
+    /// Whether a backend server accepts or refuses a new connection on the same route: directly, or through
+    /// another VM. A new connection is added to the pool.
+    async fn is_reachable(&self, to: &Target<'_>, is_direct: bool) -> bool {
         for _ in 0..TRIES {
             let opened = match is_direct {
                 true => self.open(to.addr).await.map(|wire| self.connected(wire)),
@@ -40,7 +45,7 @@
                     return true;
                 }
                 Err(ConnectError::TimedOut | ConnectError::Unreachable) => {}
-                // It was refused, or nothing was tried.
+                // A refusal shows that the machine is reachable; other errors are local.
                 Err(_) => return true,
             }
         }
--- a/src/gateway/long_answers.rs
+++ b/src/gateway/long_answers.rs
@@ -1,30 +1,30 @@
 //! Memory for long answers of pipelined requests.
 //!
-//! Load pattern: callers send further requests before the first is answered, and a faulty backend server
-//! breaks off a long answer. What was passed on of it cannot be taken back, so its connection ends, and
-//! with it the requests behind, which other backend servers have run. An answer that is buffered until it
-//! is complete can be replaced by another backend server's.
+//! Load pattern: callers pipeline requests, and a faulty backend server truncates a long answer. Once a part
+//! of it was relayed, another backend server cannot replace it. The caller's connection must close, which
+//! loses the answers to later requests that have already run. An answer that is buffered completely before
+//! it is written can be replaced.
 //!
-//! An answer is buffered beyond the usual length only if other requests are pending on its connection, and
-//! within a bound over all callers. Beyond that it is passed on while it is received.
+//! Long answers are buffered only if other requests are pending on their connection, within a limit for all
+//! callers. Others are relayed while they are received.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 
-/// The longest answer that is buffered. On a narrow link a longer one would reach its caller late.
+/// The longest answer that is buffered. Buffering longer ones would delay them on slow links.
 const MAX_ANSWER_BYTES: usize = 2 << 20;
 
-/// The bytes that such answers of all callers may take. A small VM has about ten times as much.
+/// The memory for such answers of all callers, about a tenth of that of a small VM.
 const MAX_TOTAL_BYTES: usize = 16 << 20;
 
-/// The bytes that are held by long answers.
+/// The memory reserved for long answers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Budget(Arc<AtomicUsize>);
 
 impl Budget {
-    /// Begins to hold an answer.
+    /// Creates an empty reservation.
     pub(super) fn hold(&self) -> Held {
         Held {
             total: self.0.clone(),
@@ -32,13 +32,13 @@
         }
     }
 
-    /// The bytes held.
+    /// The reserved bytes.
     pub(super) fn used(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
 }
 
-/// The share of one answer, returned when it is dropped.
+/// The reservation for one answer, released on drop.
 #[derive(Debug)]
 pub(super) struct Held {
     total: Arc<AtomicUsize>,
@@ -46,7 +46,7 @@
 }
 
 impl Held {
-    /// Raises the share to this many bytes. Returns whether the bounds allow it.
+    /// Grows the reservation to this many bytes. Returns whether the limits allow it.
     pub(super) fn grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
         let total = self.total.load(Ordering::Relaxed);
@@ -58,7 +58,7 @@
         true
     }
 
-    /// A body that holds the share until it is written.
+    /// A body that keeps the reservation until it is dropped.
     pub(super) fn guard(self, body: Bytes) -> Bytes {
         Bytes::from_owner(Guarded { body, _held: self })
     }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -283,7 +283,7 @@
     ) -> Candidates<'a> {
         let mut any_usable = false;
         let eligible = backends
-            .filter(|b| self.may_serve(b, need, now) && !self.is_shut(b, now))
+            .filter(|b| self.may_serve(b, need, now) && !self.has_no_capacity(b, now))
             .inspect(|_| any_usable = true)
             .filter(|b| self.is_eligible(b, need, now))
             .collect();
@@ -439,11 +439,11 @@
         !b.health.is_ejected() || (need.may_try && b.health.trial_due(now, need.idempotent))
     }
 
-    /// Whether a backend server takes next to nothing by what it states, and not from this VM now. It
-    /// leaves its region no room, so another one serves the request.
-    fn is_shut(&self, b: &backends::Backend, now: policy::Moment) -> bool {
+    /// Whether a backend server's stated rate limit is near zero and it is not this VM's turn to send to it.
+    /// It provides no capacity, so another region serves the request.
+    fn has_no_capacity(&self, b: &backends::Backend, now: policy::Moment) -> bool {
         let is_due = || self.wait_for(b, now).is_some_and(|wait| wait.is_zero());
-        b.stated.rate_limit.allows_next_to_nothing() && !is_due()
+        b.stated.rate_limit.is_near_zero() && !is_due()
     }
 
     /// Whether a backend server can be chosen now. One that is paused, whose rate is limited or that
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -236,10 +236,10 @@
             "left_out" => left_out);
     }
 
-    /// Logs that a backend server is gone to which a request was being sent.
-    pub(super) fn record_gone(&self, id: &[u8], backend: &id::VmId) {
-        if let Some(left_out) = self.log_limiter.admit("gone", self.now()) {
-            slog::info!(self.log, "backend server gone while a request was sent"; "request" => %String::from_utf8_lossy(id), "backend" => %backend, "left_out" => left_out);
+    /// Logs that a backend server became unreachable while a request was sent to it.
+    pub(super) fn record_unreachable(&self, id: &[u8], backend: &id::VmId) {
+        if let Some(left_out) = self.log_limiter.admit("unreachable", self.now()) {
+            slog::info!(self.log, "backend server unreachable while a request is sent"; "request" => %String::from_utf8_lossy(id), "backend" => %backend, "left_out" => left_out);
         }
     }
 
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -321,7 +321,7 @@
         let failed = async {
             tokio::select! {
                 () = links_hang => {}
-                () = self.gone(&to, true, &stall) => {}
+                () = self.until_unreachable(&to, true, &stall) => {}
             }
         };
         let answered = || self.record_contact(None);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -107,7 +107,7 @@
 pub const LOOP_LAG: &str = "bulrushwind_loop_lag_seconds";
 /// How long answers waited for room on their callers' connections.
 pub const WRITE_BLOCKED: &str = "bulrushwind_write_blocked_seconds";
-/// Callers' long bodies, by how they ended.
+/// Streamed request bodies, by how they ended.
 pub const STREAMED_BODIES: &str = "bulrushwind_streamed_bodies_total";
 /// Memory of long answers that are buffered.
 pub const LONG_ANSWER_BYTES: &str = "bulrushwind_long_answer_bytes";
@@ -474,7 +474,7 @@
         STREAMED_BODIES,
         Kind::Counter,
         &["end"],
-        "Long bodies of callers by how they ended: whole, unneeded (the request was answered before), invalid, or cut (the connection ended).",
+        "Streamed request bodies by how they ended: whole, unneeded (answered before the end), invalid, or cut (the connection closed).",
     ),
     metric(
         LONG_ANSWER_BYTES,
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -319,7 +319,7 @@
     }
 
     async fn timed_out(&mut self) -> io::Result<()> {
-        // No answer is due between two requests and in the rest of a body whose request is answered.
+        // No request is waiting for an answer.
         let input = &self.inbound.input;
         if input.is_between_requests() || matches!(input.reading, Reading::Streamed { .. }) {
             return Ok(());
@@ -348,12 +348,12 @@
         let _ = tokio::time::timeout(timeout, self.inbound.input.discard()).await;
     }
 
-    /// Reads the rest of a body whose request is answered, until a planned stop yields. Many callers
-    /// read no answer before they have sent the body.
+    /// Reads and discards the rest of a body whose request is answered, until a planned stop yields. Many
+    /// callers do not read the answer before they have sent the body.
     async fn read_rest_of_body(&mut self) {
         let limits = self.handler.limits();
         while matches!(self.inbound.input.reading, Reading::Streamed { .. })
-            && !self.inbound.is_unasked()
+            && !self.inbound.may_omit_body()
         {
             if *self.stop.borrow_and_update() >= planned_stop::Phase::Yielding {
                 return;
--- a/src/transport/callers/inbound.rs
+++ b/src/transport/callers/inbound.rs
@@ -1,8 +1,8 @@
-//! What a caller's connection receives: heads, and bodies that are buffered or streamed.
+//! Reads requests from a caller's connection: heads, and bodies that are buffered or streamed.
 //!
-//! Whether a further request begins is decided for the connection. Whether a body is read is not: once
-//! its request runs, a streamed body is read to its end, whatever the connection does afterwards, and
-//! the request's handler and its caller are told at once if that end cannot come.
+//! The connection's state decides whether a further request starts. It does not decide whether a body is
+//! read: a streamed body is read to its end once its request runs. If the body cannot be completed, its
+//! channel closes, so the request's handler receives the error and the caller an answer without delay.
 
 use std::collections;
 use std::future;
@@ -65,7 +65,7 @@
 }
 
 impl Reading {
-    /// Takes what has arrived of a body that is buffered. An error is the status for an invalid body.
+    /// Parses bytes of a buffered body. An error is the status for an invalid body.
     fn buffer(&mut self, buf: &mut BytesMut, max_bytes: u64) -> Result<(), u16> {
         let Self::Buffered { reader, body, .. } = self else {
             return Ok(());
@@ -83,8 +83,8 @@
         Ok(())
     }
 
-    /// Takes the next piece of a body that is streamed, unless one waits already. Returns how the body
-    /// has ended if it has; an error is the status for an invalid one.
+    /// Parses the next piece of a streamed body, unless one is waiting for room in the channel. Returns
+    /// how the body ended, if it did; an error is the status for an invalid body.
     fn stream(&mut self, buf: &mut BytesMut, max_bytes: u64) -> Result<Option<BodyEnd>, u16> {
         let Self::Streamed { reader, tx, piece } = self else {
             return Ok(None);
@@ -117,12 +117,12 @@
 /// How a streamed body has ended, for the metric.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum BodyEnd {
-    /// Its request's handler got all of it.
+    /// The request's handler received all of it.
     Whole,
-    /// The handler had answered without the rest.
+    /// The handler answered without the rest.
     Unneeded,
     Invalid,
-    /// The connection has ended before.
+    /// The connection closed before its end.
     Cut,
 }
 
@@ -137,15 +137,15 @@
     }
 }
 
-/// What a wait for the caller's bytes ended with.
+/// The result of [`Input::read`].
 pub(super) enum Read {
-    /// More bytes were read, or the caller has disconnected.
+    /// Bytes were read, or the caller disconnected.
     Bytes(io::Result<usize>),
     /// A piece of a streamed body was queued or dropped.
     Queued,
 }
 
-/// Takes the end of the stream as an error.
+/// Maps the end of the stream to an error.
 fn not_ended(n: io::Result<usize>) -> io::Result<usize> {
     match n {
         Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
@@ -156,10 +156,10 @@
 /// The bytes that a caller sends.
 pub(super) struct Input {
     rd: tcp::OwnedReadHalf,
-    /// Bytes that are read and not taken yet.
+    /// Bytes that were read and not parsed yet.
     pub(super) buf: BytesMut,
     pub(super) reading: Reading,
-    /// Whether the caller may wait for an interim answer before it sends the body.
+    /// Whether the caller may wait for `100 Continue` before it sends the body.
     pub(super) awaits_continue: bool,
 }
 
@@ -168,7 +168,7 @@
         self.buf.is_empty() && matches!(self.reading, Reading::Head)
     }
 
-    /// Takes what has arrived of the body of a request. An error is the status for an invalid one.
+    /// Parses the buffered bytes of the current body. An error is the status for an invalid body.
     fn take_body(&mut self, max_bytes: u64) -> Result<(), u16> {
         self.reading.buffer(&mut self.buf, max_bytes)?;
         if let Some(end) = self.reading.stream(&mut self.buf, max_bytes)? {
@@ -177,8 +177,8 @@
         Ok(())
     }
 
-    /// Stops reading a body. Without the channel of a streamed one, its request's handler stops
-    /// waiting for the rest.
+    /// Stops reading the current body. Dropping the channel of a streamed body notifies the request's
+    /// handler.
     pub(super) fn end_body(&mut self, end: BodyEnd) -> Reading {
         let reading = std::mem::replace(&mut self.reading, Reading::Head);
         if let Reading::Streamed { .. } = reading {
@@ -187,8 +187,8 @@
         reading
     }
 
-    /// Waits until the next piece of a streamed body can be queued. Returns whether it has a receiver;
-    /// forever if there is no piece.
+    /// Waits for room for the next piece of a streamed body. Returns whether the channel has a receiver.
+    /// Never completes if there is no piece.
     fn room_for_piece(&self) -> impl Future<Output = bool> + use<> {
         let tx = match &self.reading {
             Reading::Streamed {
@@ -225,7 +225,7 @@
         }
     }
 
-    /// Queues the next piece of a streamed body or reads more bytes, while fewer than `max_bytes` wait.
+    /// Queues the next piece of a streamed body, or reads more bytes if fewer than `max_bytes` are buffered.
     pub(super) async fn read(&mut self, max_bytes: usize) -> Read {
         let has_space = self.buf.len() < max_bytes;
         if has_space {
@@ -236,7 +236,7 @@
             biased;
             has_receiver = room => has_receiver,
             n = self.rd.read_buf(&mut self.buf), if has_space => {
-                // What follows a head is the body.
+                // Bytes after a head belong to its body, so the caller does not wait.
                 self.awaits_continue = false;
                 return Read::Bytes(not_ended(n));
             }
@@ -282,23 +282,22 @@
         }
     }
 
-    /// Takes what has arrived of the body of a request.
+    /// Parses the buffered bytes of the current body. Refuses a request whose body is invalid.
     pub(super) fn take_body(&mut self, limits: &routes::Limits) {
         if let Err(status) = self.input.take_body(limits.max_body_bytes) {
             self.refuse(Answer::empty(status));
         }
     }
 
-    /// Whether a request may run. It does not behind an answer that is passed on: if that breaks off, it
-    /// has not run and its caller sends it again.
+    /// Whether a request may start. It may not while an earlier answer is being relayed: if that answer is
+    /// truncated, the connection closes, and callers resend requests that have not run.
     fn may_start(&self) -> bool {
-        let is_passed_on = |pending: &Pending| pending.cancellation.passed_on.get();
+        let is_relayed = |pending: &Pending| pending.cancellation.relayed.get();
         let is_full = self.pending.len() >= MAX_PIPELINED_REQUESTS;
-        !self.closed && !is_full && !self.pending.iter().any(is_passed_on)
+        !self.closed && !is_full && !self.pending.iter().any(is_relayed)
     }
 
-    /// Whether an interim answer is due that asks for the body: the next answer to be written is that
-    /// of its request.
+    /// Whether `100 Continue` is due: the answers to all earlier requests are written.
     pub(super) fn is_continue_due(&self) -> bool {
         let is_next = match (&self.input.reading, self.pending.front()) {
             (Reading::Head, _) => false,
@@ -310,16 +309,16 @@
         self.input.awaits_continue && is_next
     }
 
-    /// Whether the body that is being read belongs to a request which is answered before its caller was
-    /// asked for it.
-    pub(super) fn is_unasked(&self) -> bool {
+    /// Whether the current request was answered before `100 Continue` was sent, so the caller may omit the
+    /// body.
+    pub(super) fn may_omit_body(&self) -> bool {
         let is_answered = self.pending.is_empty();
         let is_streamed = matches!(self.input.reading, Reading::Streamed { .. });
         self.input.awaits_continue && is_streamed && is_answered
     }
 
-    /// Reads until the caller has disconnected, without beginning a request. A body that was being read
-    /// is truncated then.
+    /// Reads until the caller disconnects, without starting a request. A disconnect truncates the current
+    /// body.
     pub(super) async fn read_on(&mut self, limits: &routes::Limits) -> io::Error {
         loop {
             self.take_body(limits);
@@ -333,9 +332,9 @@
         }
     }
 
-    /// Answers a request that is not read to its end, as the connection's last one. Nothing can be
-    /// read behind it. A request whose streamed body is invalid gets this answer instead of its own,
-    /// unless that one is ready.
+    /// Answers a request that is not read to its end and closes the connection, because the start of the
+    /// next request is unknown. The answer replaces that of a running request with an invalid body, unless
+    /// that one is ready.
     pub(super) fn refuse(&mut self, answer: Answer) {
         self.closed = true;
         let refused = Pending::answered(Answer {
@@ -433,7 +432,7 @@
         true
     }
 
-    /// Starts a request whose body is streamed from here on; `body` is what was read of it.
+    /// Starts a request with a streamed body; `body` is the part that was already read.
     fn stream(
         &mut self,
         head: http1::RequestHead,
--- a/src/transport/callers/pending.rs
+++ b/src/transport/callers/pending.rs
@@ -18,10 +18,10 @@
     pub committed: cell::Cell<bool>,
     /// Set once the caller has disconnected; the request then starts at no other backend server.
     pub caller_left: cell::Cell<bool>,
-    /// Set once other requests are pending on its connection. They are lost if its answer breaks off.
+    /// Set once other requests are pending on its connection. They are lost if its answer is truncated.
     pub pipelined: cell::Cell<bool>,
-    /// Set once its answer is passed on before it is complete.
-    pub passed_on: cell::Cell<bool>,
+    /// Set once its answer is relayed before it is complete.
+    pub relayed: cell::Cell<bool>,
     ended: sync::Notify,
 }
 
--- a/src/transport/callers/writing.rs
+++ b/src/transport/callers/writing.rs
@@ -21,10 +21,10 @@
         };
         let is_last = self.inbound.pending.is_empty() && self.inbound.input.is_between_requests();
         let stopping = self.stop.borrow().is_stopping() && is_last;
-        // A caller that was not asked for its body need not send it.
-        let unasked = self.inbound.is_unasked();
+        // Without the body, the start of the next request is unknown.
+        let may_omit_body = self.inbound.may_omit_body();
         // Later requests of the connection already run; closing now would abort them.
-        self.inbound.closed |= answer.close || !done.keep_alive || stopping || unasked;
+        self.inbound.closed |= answer.close || !done.keep_alive || stopping || may_omit_body;
         let close = self.inbound.closed && self.inbound.pending.is_empty();
         let ends_at_close = self.write_answer(answer, close, done.framing).await?;
         self.last_active = time::Instant::now();
@@ -101,7 +101,7 @@
         let sent = tokio::select! {
             biased;
             sent = &mut sent => sent,
-            // A caller that sends nothing more may still read.
+            // A caller that closed its sending side may still read.
             _ = self.inbound.read_on(&limits) => sent.await,
         };
         let now = time::Instant::now();
--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -1,8 +1,8 @@
-//! What is left to send of a request while its answer is received.
+//! The unsent part of a request. It is sent while the answer is received.
 //!
-//! Bytes that arrive do not end the sending: they may be an interim answer, a late answer to an earlier
-//! request, or the beginning of an early answer. It ends with the body, with the connection, with a
-//! caller that sends no more, or because the whole answer is there.
+//! Received bytes do not stop the transfer: they may be an interim answer, a late answer to an earlier
+//! request, or the start of an early answer. It stops at the end of the body, when the connection fails,
+//! when the caller's body is truncated, or when the complete answer has been received.
 
 use std::future;
 
@@ -23,10 +23,10 @@
     End,
 }
 
-/// How the sending of a request has ended before its end.
+/// Why the transfer of a request stopped before its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Broken {
-    /// The connection takes no more bytes.
+    /// The connection failed.
     Connection,
     /// The caller's body is truncated.
     Body,
@@ -34,7 +34,7 @@
     Unneeded,
 }
 
-/// The rest of a request.
+/// The unsent part of a request.
 #[derive(Debug, Default)]
 pub(super) struct Outgoing {
     /// Bytes to be written next.
@@ -62,7 +62,7 @@
         self.is_chunked = is_chunked;
     }
 
-    /// Whether nothing is left to send, since all is sent or the sending has ended.
+    /// Whether nothing is left to send: all is sent, or the transfer was aborted.
     pub(super) fn is_done(&self) -> bool {
         self.buf.is_empty() && self.pieces.is_none()
     }
@@ -72,7 +72,7 @@
         self.is_done() && self.broken.is_none()
     }
 
-    /// Whether the connection takes no more bytes.
+    /// Whether the connection failed.
     pub(super) fn has_failed(&self) -> bool {
         self.broken == Some(Broken::Connection)
     }
@@ -82,14 +82,14 @@
         self.broken == Some(Broken::Body)
     }
 
-    /// Ends the sending: the rest is not needed.
+    /// Aborts the transfer because the rest is not needed.
     pub(super) fn discard(&mut self) {
         if !self.is_done() {
-            self.break_off(Broken::Unneeded);
+            self.abort(Broken::Unneeded);
         }
     }
 
-    fn break_off(&mut self, broken: Broken) {
+    fn abort(&mut self, broken: Broken) {
         *self = Self {
             broken: Some(broken),
             stall: self.stall.clone(),
@@ -97,7 +97,7 @@
         };
     }
 
-    /// Writes the next bytes. Returns whether the connection has taken any.
+    /// Writes the next bytes. Returns whether any were written.
     pub(super) async fn write<W>(&mut self, tx: &mut W) -> bool
     where
         W: AsyncWrite + Unpin,
@@ -107,19 +107,19 @@
             Some(written) => written,
             None => {
                 let written = tx.write_buf(&mut self.buf).await;
-                self.stall.note_life();
+                self.stall.record_activity();
                 written
             }
         };
         let is_written = matches!(written, Ok(1..));
         if self.is_done() {
-            // The connection may be kept for long.
+            // Releases the buffer, because the connection may stay idle for long.
             self.buf = BytesMut::new();
         }
         is_written
     }
 
-    /// Sends all that is left; returns only if the caller's body is truncated.
+    /// Sends the rest. Returns only if the caller's body is truncated.
     pub(super) async fn send<W>(&mut self, tx: &mut W)
     where
         W: AsyncWrite + Unpin,
@@ -127,8 +127,8 @@
         loop {
             while !self.buf.is_empty() {
                 if !self.write(tx).await {
-                    // The peer may have answered before it stopped reading.
-                    self.break_off(Broken::Connection);
+                    // The peer may have sent an answer before it closed.
+                    self.abort(Broken::Connection);
                     return future::pending().await;
                 }
             }
@@ -136,7 +136,7 @@
                 return future::pending().await;
             };
             match pieces.recv().await {
-                None => return self.break_off(Broken::Body),
+                None => return self.abort(Broken::Body),
                 Some(Piece::Data(data)) if self.is_chunked => {
                     http1::put_chunk(&mut self.buf, &data);
                 }
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -88,7 +88,7 @@
 /// ready. Any end but an orderly one resets both connections, also that of this process, so that a
 /// truncated answer does not look complete and the server stops its work. A server that no longer
 /// reads may still have sent an answer, which is passed on. Calls `answered` when bytes of the
-/// server arrive; `stall` follows whether the server takes what is sent to it.
+/// server arrive; `stall` reports whether the server reads the requests.
 pub async fn splice(
     mut client: TcpStream,
     mut server: TcpStream,
@@ -104,7 +104,7 @@
     let (server_rx, server_tx) = server.split();
     let (client_failed, server_failed) = (cell::Cell::new(false), cell::Cell::new(false));
     let life = stall.clone();
-    let to_server = Window::Followed(window::Window::new(stall));
+    let to_server = Window::Monitored(window::Window::new(stall));
     let requests = pass(client_rx, server_tx, to_server, &client_failed, || ());
     let answers = pass(
         server_rx,
@@ -112,7 +112,7 @@
         Window::Limited,
         &server_failed,
         || {
-            life.note_life();
+            life.record_activity();
             answered();
         },
     );
@@ -146,12 +146,12 @@
     Failed,
 }
 
-/// What is done about a receiver that takes nothing.
+/// How a receiver that does not read is handled.
 enum Window {
-    /// It counts as disconnected after [`WRITE_TIMEOUT`].
+    /// The receiver counts as disconnected after [`WRITE_TIMEOUT`].
     Limited,
-    /// It is followed whether the receiver takes the bytes. The sender says how long that may last.
-    Followed(window::Window),
+    /// The receiver may pause; the sender closes its connection when the request times out.
+    Monitored(window::Window),
 }
 
 /// Passes the bytes of one direction on. Its end is not passed on if the sender is known to have
@@ -168,7 +168,7 @@
     let mut buf = BytesMut::with_capacity(PASS_BYTES);
     loop {
         let n = match &mut window {
-            Window::Followed(window) if window.is_followed() => tokio::select! {
+            Window::Monitored(window) if window.is_monitored() => tokio::select! {
                 n = rx.read_buf(&mut buf) => n,
                 () = window.due() => {
                     window.check(tx.as_ref(), true);
@@ -186,11 +186,11 @@
         }
         let written = match &mut window {
             Window::Limited => write_all(&mut tx, &buf).await,
-            Window::Followed(window) => {
-                let written = write_followed(&mut tx, &mut buf, window);
+            Window::Monitored(window) => {
+                let written = write_unlimited(&mut tx, &mut buf, window);
                 tokio::select! {
                     written = written => written,
-                    // The sender has given up; it is not read while the receiver takes nothing.
+                    // Detects a sender that disconnects while the receiver does not read.
                     _ = rx.ready(Interest::ERROR) => return End::Failed,
                 }
             }
@@ -202,8 +202,8 @@
     }
 }
 
-/// Writes all bytes for as long as it takes.
-async fn write_followed(
+/// Writes all bytes without a time limit.
+async fn write_unlimited(
     tx: &mut tcp::WriteHalf<'_>,
     rest: &mut BytesMut,
     window: &mut window::Window,
@@ -215,7 +215,7 @@
             biased;
             written = tx.write_buf(rest) => match written? {
                 0 => return Err(io::ErrorKind::WriteZero.into()),
-                _ => window.stall.note_life(),
+                _ => window.stall.record_activity(),
             },
             () = due => window.check(tx.as_ref(), false),
         }
@@ -305,7 +305,7 @@
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.buf.reserve(READ_BYTES);
         let n = loop {
-            if self.outgoing.is_done() && !self.window.is_followed() {
+            if self.outgoing.is_done() && !self.window.is_monitored() {
                 break self.stream.read_buf(&mut self.buf).await?;
             }
             let check = self.window.due();
@@ -318,8 +318,8 @@
                 () = check => self.window.check(&self.stream, self.outgoing.is_done()),
             }
         };
-        self.window.stall.note_life();
-        // The failed write may have taken the error, so that the stream only seems to end.
+        self.window.stall.record_activity();
+        // After a failed write, the read may return end-of-stream in place of the error.
         match n == 0 && self.outgoing.has_failed() {
             true => Err(io::ErrorKind::BrokenPipe.into()),
             false => Ok(n),
@@ -334,12 +334,12 @@
         self.outgoing.write(&mut self.stream).await
     }
 
-    /// Follows whether the peer takes what is sent to it.
+    /// Reports whether the peer reads the request.
     pub fn stall(&self) -> window::Stall {
         self.window.stall.clone()
     }
 
-    /// What is left to send of a request.
+    /// The unsent part of a request.
     pub(super) fn outgoing(&mut self) -> &mut outgoing::Outgoing {
         &mut self.outgoing
     }
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -79,8 +79,8 @@
     pub reusable: bool,
 }
 
-/// Sends a request and receives the head of its answer. What is left of the request then is sent
-/// while the answer's body is received.
+/// Sends a request and receives the head of its answer. The unsent part of the request is sent while
+/// the answer's body is received.
 pub async fn exchange(
     wire: &mut socket::Wire,
     head: &[u8],
@@ -118,8 +118,8 @@
     })
 }
 
-/// Ends the sending of a request whose answer is received, so that its caller need not wait until the
-/// rest of the body is taken.
+/// Aborts the transfer of the request's body, so that its caller is not blocked by a backend server that
+/// does not read it.
 pub fn discard_rest(wire: &mut socket::Wire) {
     wire.outgoing().discard();
 }
--- a/src/transport/window.rs
+++ b/src/transport/window.rs
@@ -1,10 +1,10 @@
-//! Tells a peer that is gone from one that lives and reads nothing.
+//! Distinguishes an unreachable peer from one that is alive and does not read.
 //!
-//! A peer that is gone leaves sent bytes unacknowledged, and a limit on their time ends the connection.
-//! Linux counts in it the time in which the peer's window is closed, though the peer answers each probe.
-//! So the limit is taken off while bytes wait for the window. The probes come at growing intervals, so
-//! they don't show in time whether the peer still lives: [`Stall`] tells since when it should be checked
-//! by other means.
+//! An unreachable peer does not acknowledge bytes, and `TCP_USER_TIMEOUT` closes the connection. Linux also
+//! applies that timeout while the peer's receive window is closed, although the peer answers the window
+//! probes. Therefore the timeout is disabled while unsent bytes wait for the window. The interval between
+//! probes doubles, which delays the detection of a failure; [`Stall`] reports how long the peer has read
+//! nothing, so that it can be checked over another connection.
 
 use std::cell;
 use std::future;
@@ -23,32 +23,31 @@
 /// a caller waits for a long answer.
 const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_millis(2200);
 
-/// The longest request that fits into the window of each peer, also of one that reads nothing.
+/// The longest request that fits into the smallest usual receive window.
 pub(super) const MAX_SHORT_REQUEST_BYTES: usize = 4 << 10;
 
-/// How often it is checked whether bytes wait for the peer's window: a few times before the limit on
-/// unacknowledged bytes ends the connection.
+/// How often the window is checked: several times within [`UNACKNOWLEDGED_TIMEOUT`].
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
-/// Sets whether the time is limited for which sent bytes may stay unacknowledged.
+/// Enables or disables [`UNACKNOWLEDGED_TIMEOUT`].
 pub(super) fn limit_unacknowledged(stream: &TcpStream, is_limited: bool) -> io::Result<()> {
     let timeout = is_limited.then_some(UNACKNOWLEDGED_TIMEOUT);
     socket2::SockRef::from(stream).set_tcp_user_timeout(timeout)
 }
 
-/// Since when a peer has taken nothing of what is to be sent.
+/// When the peer's window closed, or the peer last showed activity since.
 #[derive(Debug, Default)]
 struct State {
     since: cell::Cell<Option<time::Instant>>,
     begun: sync::Notify,
 }
 
-/// Follows whether a peer takes what is sent to it.
+/// Reports how long a peer has not read.
 #[derive(Clone, Debug, Default)]
 pub struct Stall(rc::Rc<State>);
 
 impl Stall {
-    /// Waits until the peer has taken nothing and given no sign of life for this long.
+    /// Waits until the peer has neither read nor shown activity for this long.
     pub async fn lasts(&self, period: time::Duration) {
         loop {
             let Some(since) = self.0.since.get() else {
@@ -63,8 +62,8 @@
         }
     }
 
-    /// Notes that the peer lives. It may still take nothing.
-    pub fn note_life(&self) {
+    /// Records that the peer is alive. It may still not read.
+    pub fn record_activity(&self) {
         if self.0.since.get().is_some() {
             self.0.since.set(Some(time::Instant::now()));
         }
@@ -88,9 +87,9 @@
     pub(super) stall: Stall,
     /// When to check it next.
     check_at: Option<time::Instant>,
-    /// Bytes that were written since all was sent last.
+    /// Bytes written since the send queue was last empty.
     unanswered_bytes: usize,
-    /// Whether the limit on unacknowledged bytes is off.
+    /// Whether [`UNACKNOWLEDGED_TIMEOUT`] is disabled.
     is_unlimited: bool,
 }
 
@@ -102,21 +101,20 @@
         }
     }
 
-    /// Adds bytes of requests whose lengths are not known. The window is followed from the first that
-    /// may not fit into it.
+    /// Counts bytes of requests of unknown length, and starts monitoring once they may exceed the window.
     pub(super) fn add(&mut self, stream: &TcpStream, bytes: usize) {
         self.unanswered_bytes += bytes;
-        if !self.is_followed() && self.unanswered_bytes > MAX_SHORT_REQUEST_BYTES {
+        if !self.is_monitored() && self.unanswered_bytes > MAX_SHORT_REQUEST_BYTES {
             self.begin(stream, true);
         }
     }
 
-    /// Begins to follow the window, or stops it if `is_long` is false.
+    /// Starts monitoring for a long request, and stops it for a short one.
     pub(super) fn begin(&mut self, stream: &TcpStream, is_long: bool) {
         self.stall.set(false);
         self.check_at = is_long.then(|| time::Instant::now() + CHECK_INTERVAL);
         if is_long {
-            // The connection is writable only while all that was written is sent. This fails only for a
+            // The socket is writable only while its queue of unsent bytes is empty. This fails only for a
             // closed socket.
             let _ = socket2::SockRef::from(stream).set_tcp_notsent_lowat(1);
         }
@@ -130,8 +128,8 @@
         }
     }
 
-    /// Whether the window is followed.
-    pub(super) fn is_followed(&self) -> bool {
+    /// Whether the window is monitored.
+    pub(super) fn is_monitored(&self) -> bool {
         self.check_at.is_some()
     }
 
@@ -146,7 +144,7 @@
         }
     }
 
-    /// Checks whether bytes wait for the window. Stops following it once the whole request is sent.
+    /// Checks for bytes that wait for the window. Stops monitoring once the whole request is sent.
     pub(super) fn check(&mut self, stream: &TcpStream, is_written: bool) {
         let is_stalled = has_unsent(stream);
         self.stall.set(is_stalled);
@@ -159,7 +157,7 @@
     }
 }
 
-/// Whether bytes that were written have not been sent for the first time.
+/// Whether the send queue contains bytes that were never transmitted.
 fn has_unsent(stream: &TcpStream) -> bool {
     let mut polled = [event::PollFd::new(stream, event::PollFlags::OUT)];
     let no_wait = event::Timespec {
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -85,7 +85,7 @@
                 }
                 "/long" => answer.body = long_answer(),
                 "/passed-on" => {
-                    req.cancellation.passed_on.set(true);
+                    req.cancellation.relayed.set(true);
                     answer.body = long_answer();
                 }
                 _ => {}
@@ -472,7 +472,7 @@
 
 /// Guards against a request that runs behind an answer which is passed on, since its body had begun before.
 #[test]
-fn a_body_that_ends_behind_an_answer_that_is_passed_on_runs_after_it() {
+fn a_body_that_ends_behind_an_answer_that_is_relayed_runs_after_it() {
     for (framing, len) in [(Framing::Length, 200_000), (Framing::Chunks, BYTES)] {
         run_test(async || {
             let server = Server::start(Handler::default()).await;
