--- a/examples/soak/uploads.rs
+++ b/examples/soak/uploads.rs
@@ -1,6 +1,6 @@
-//! Callers that send long bodies across planned stops: in both framings, on connections that go on or
-//! not, behind other requests, slowly, and wrongly. Each has to get its answer soon after it has sent
-//! the body and its backend server has run it.
+//! Callers that send long bodies during planned stops: with both framings, with and without keep-alive,
+//! pipelined, slowly, and with invalid bodies. Each must receive its answer soon after the body is sent
+//! and the request has run.
 
 use std::time;
 
@@ -74,7 +74,7 @@
 }
 
 impl Upload {
-    /// Draws what a caller does. All is over before the stop has to end.
+    /// Draws an upload that completes before the end of the grace period.
     pub(crate) fn draw(rng: &mut ChaCha8Rng, id: String) -> Self {
         let mut in_chunks = rng.random_bool(0.5);
         let fault = match rng.random_bool(0.3) {
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Its head, behind the request before it.
+    /// The head, after the pipelined request before it.
     fn head(&self) -> String {
         let id = &self.id;
         let (work, timeout) = (self.work.as_millis(), scene::LONG_TIMEOUT.as_millis());
@@ -159,7 +159,7 @@
         format!("{}-ahead", self.id)
     }
 
-    /// Its body with its fault.
+    /// The body, with its fault.
     fn body(&self) -> String {
         let len = match self.fault {
             Fault::TooLong => MAX_BYTES + 100_000,
@@ -228,7 +228,7 @@
         }
     }
 
-    /// Checks what its caller got.
+    /// Checks the answer.
     fn check(&self, scene: &Scene, answer: Answer) {
         let (has_begun, arrived) = {
             let log = scene.log.borrow();
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -1,5 +1,5 @@
-//! One request on a connection to a backend server that answers before it has the whole body, sends other
-//! bytes meanwhile, or ends: what is still sent, and who is told.
+//! Requests to a backend server that answers early, sends unrelated bytes, or closes the connection while
+//! the body is sent.
 
 use std::time;
 
@@ -13,7 +13,7 @@
 /// A timeout far above any expected duration: reaching it means a hang.
 const LONG: time::Duration = time::Duration::from_secs(20);
 
-/// The length of a body that the buffers of both systems do not hold.
+/// The length of a body that exceeds the socket buffers of both ends.
 const BYTES: usize = 1 << 20;
 
 const MINE: &str = "HTTP/1.1 200 OK\r\nx-id: mine\r\nContent-Length: 4\r\n\r\nmine";
@@ -44,7 +44,7 @@
     )
 }
 
-/// How a body is given to the exchange.
+/// The kind of payload.
 #[derive(Clone, Copy, Debug)]
 enum Given {
     Whole,
@@ -147,8 +147,8 @@
     });
 }
 
-/// Guards against the end of a body that is being sent when bytes arrive which are not its answer: late
-/// answers to earlier requests, whole and in parts, and interim answers.
+/// Guards against a transfer that stops when bytes arrive which are not the request's answer: late answers
+/// to earlier requests, also in parts, and interim answers.
 #[test]
 fn a_body_is_sent_on_when_bytes_arrive_that_are_not_its_answer() {
     let interim = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -174,8 +174,7 @@
     }
 }
 
-/// Guards against a late answer that takes the place of the whole answer, and against a body that ends
-/// between the late answer's head and its end.
+/// Guards against a transfer that stops in the middle of a late answer to an earlier request.
 #[test]
 fn a_body_is_sent_on_in_the_middle_of_a_late_answer() {
     for given in GIVEN {
@@ -212,7 +211,7 @@
     }
 }
 
-/// Guards against backend servers that begin to answer and get no more of the body that they still need.
+/// Guards against a transfer that stops at the head of the answer, while the backend server needs the rest.
 #[test]
 fn a_body_is_sent_on_until_the_answer_is_complete() {
     for given in GIVEN {
@@ -230,8 +229,8 @@
     }
 }
 
-/// Guards against bodies that are sent on to a backend server whose connection has ended, and against an
-/// answer that ends with a reset and looks complete.
+/// Guards against an exchange that waits after the connection closed, and against an answer that was reset
+/// and is taken as complete.
 #[test]
 fn the_end_of_the_connection_ends_the_exchange() {
     let unframed = "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nsome";
--- a/tests/gateway/bodies.rs
+++ b/tests/gateway/bodies.rs
@@ -150,8 +150,8 @@
     );
 }
 
-/// Guards against a limit on unacknowledged bytes that counts the time in which a backend server reads
-/// nothing of a body, at the VM that has the caller and at one that carries its connection.
+/// Guards against a limit on unacknowledged bytes that also applies while a backend server does not read, on
+/// direct connections and through another VM.
 #[test]
 fn a_backend_server_that_pauses_while_it_reads_a_body_keeps_its_request() {
     for relayed in [false, true] {
@@ -166,21 +166,19 @@
     }
 }
 
-/// Sends a booking with a body of this length to a backend server that reads nothing of it and is gone
-/// after a while.
+/// Sends a booking to a backend server that does not read the body and becomes unreachable.
 async fn book_at_vanishing_backend(after: time::Duration, bytes: usize) {
     let harness = Harness::new(1, &[Reaction::Vanish(after)]).await;
     let mut caller = harness.caller().await;
     let booking = post("/book/a", "b1", &"y".repeat(bytes));
     let answer = caller.request(&booking).await;
-    // At the end of the request's time it would be 504.
+    // At the request's deadline the status would be 504.
     assert_eq!(answer.status, 502, "{after:?}, {bytes} bytes");
 }
 
-/// Guards against a backend server that is gone and keeps its request until the request's time is up,
-/// since it looks as if it only paused.
+/// Guards against an unreachable backend server that is taken for a paused one until the request's deadline.
 #[test]
-fn a_backend_server_that_is_gone_while_a_body_is_sent_loses_its_request_soon() {
+fn an_unreachable_backend_server_is_detected_while_a_body_is_sent() {
     run_test(|| async {
         let sends = [10, 1000, 2000, 3500].map(|after| {
             let after = time::Duration::from_millis(after);
@@ -193,8 +191,8 @@
     });
 }
 
-/// Guards against a short request that hangs on a connection whose limit on unacknowledged bytes was taken
-/// off for a long one before it.
+/// Guards against a short request that hangs because a long one disabled the connection's limit on
+/// unacknowledged bytes.
 #[test]
 fn a_short_request_behind_a_long_one_is_limited_again() {
     run_test(|| async {
@@ -204,7 +202,7 @@
         assert_eq!(caller.request(&long).await.text(), "first");
         tokio::time::sleep(time::Duration::from_millis(50)).await;
         let answer = caller.request(&post("/book/a", "b2", "x")).await;
-        // At the end of the request's time it would be 504.
+        // At the request's deadline the status would be 504.
         assert_eq!(answer.status, 502);
     });
 }
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -199,10 +199,9 @@
     });
 }
 
-/// Guards against requests that are lost behind a long answer which its backend server breaks off, at
-/// each place of a pipeline.
+/// Guards against pipelined requests that lose their answers when a backend server truncates a long one.
 #[test]
-pub(crate) fn requests_pipelined_with_a_long_answer_that_breaks_off_are_answered() {
+pub(crate) fn requests_pipelined_with_a_truncated_long_answer_are_answered() {
     for place in 0..3 {
         for bytes in [300_000, 1_500_000] {
             run_test(|| async {
@@ -225,9 +224,9 @@
     }
 }
 
-/// Guards against a request that runs behind an answer which is passed on: it is lost if that breaks off.
+/// Guards against a request that starts while an earlier answer is relayed, and is lost if that is truncated.
 #[test]
-pub(crate) fn no_request_begins_behind_an_answer_that_is_passed_on() {
+pub(crate) fn no_request_starts_while_an_earlier_answer_is_relayed() {
     run_test(|| async {
         let harness = Harness::new(2, &[Reaction::Silent(300_000)]).await;
         let mut caller = harness.caller().await;
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -62,8 +62,8 @@
     check_that_a_cut_off_vm_serves(Cut::RefusesNew);
 }
 
-/// Guards against a VM that doesn't find its cut while an open connection answers, and ejects each backend
-/// server to which a new one hangs.
+/// Guards against a VM that does not detect its cut while an open connection works, and ejects each backend
+/// server to which a new connection times out.
 #[test]
 fn a_vm_whose_new_connections_hang_while_an_open_one_answers_serves_its_callers() {
     run_test(|| async {
@@ -80,8 +80,8 @@
         let booking = async {
             let started = time::Instant::now();
             while !vms.vms[0].cx.is_cut_off() {
-                assert!(started.elapsed() < LONG, "never: it finds the cut");
-                // It may fail, as the cut is not known yet.
+                assert!(started.elapsed() < LONG, "never: it detects the cut");
+                // It may fail until the cut is detected.
                 let booking = post("/book/a", "b", "bay 4");
                 vms.caller(0).await.request(&booking).await;
                 tokio::time::sleep(time::Duration::from_millis(50)).await;
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -61,10 +61,10 @@
     });
 }
 
-/// Guards against a VM that refuses its callers while the last backend server of its region states that
-/// it takes next to nothing, although another region has room.
+/// Guards against a VM that refuses requests when the last backend server of its region states a rate limit
+/// near zero, although another region has capacity.
 #[test]
-pub(crate) fn a_region_whose_backend_servers_take_next_to_nothing_is_served_by_another() {
+pub(crate) fn a_region_with_a_rate_limit_near_zero_is_served_by_another() {
     for value in ["0.0000000000000000000000000000001", "0.2"] {
         run_test(async || {
             let harness = Harness::new(1, &[]).await;
@@ -78,9 +78,9 @@
     }
 }
 
-/// Guards against a backend server that is asked no more after it has stated a limit of next to nothing.
+/// Guards against a backend server that receives no more requests after a rate limit near zero.
 #[test]
-pub(crate) fn a_backend_server_that_takes_next_to_nothing_is_still_asked_now_and_then() {
+pub(crate) fn a_backend_server_with_a_rate_limit_near_zero_still_receives_requests() {
     run_test(async || {
         let harness = Harness::new(1, &[]).await;
         harness.add_far_backend("i-far").await;
--- a/tests/gateway/scripted_backend.rs
+++ b/tests/gateway/scripted_backend.rs
@@ -39,9 +39,9 @@
     StrayEarly(&'static str),
     /// Reads nothing of the body for this long, then all of it, and answers with this body.
     Pause(time::Duration, &'static str),
-    /// Answers with this body and is gone then.
+    /// Answers with this body, then drops all incoming packets.
     AnswerAndVanish(&'static str),
-    /// Reads nothing of the body for this long, and is gone then: nothing more arrives at its machine.
+    /// Reads nothing of the body for this long, then drops all incoming packets.
     Vanish(time::Duration),
     /// Sends bytes that are not an HTTP answer.
     Garbage,
--- a/tests/reachability.rs
+++ b/tests/reachability.rs
@@ -58,7 +58,7 @@
     assert_eq!(links.sampled(&failed_sample(at(2_000), 1)), None);
 }
 
-/// Guards against backend servers that stay ejected since new connections hung while open ones answered.
+/// Guards against backend servers that stay ejected after new connections timed out while open ones worked.
 #[test]
 fn a_cut_covers_the_connections_that_have_failed_since_one_was_opened() {
     let mut links = reachability::Reachability::default();
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// How a request asks its backend server to treat its body, in its target's query.
+/// Query parameters that control how the body is handled.
 const EARLY: &str = "early";
 const LATE: &str = "late";
 const PAUSE: &str = "pause_ms";
@@ -256,7 +256,7 @@
         answer
     }
 
-    /// Runs a request while it sends a late answer to another one, with the own answer behind.
+    /// Runs a request; sends a late answer to another request first.
     fn reply_late(
         self,
         mut req: callers::Request,
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -1,5 +1,4 @@
-//! Bodies on callers' connections that do not go on: which request still gets its body, and what its
-//! caller gets.
+//! Request bodies on callers' connections that close, stop or become invalid.
 
 #[path = "support/body.rs"]
 mod body;
@@ -22,7 +21,7 @@
 /// The length of a body that is streamed.
 const BYTES: usize = 300_000;
 
-/// What the handler has seen.
+/// What the handler received.
 #[derive(Debug, Default)]
 struct Seen {
     begun: usize,
@@ -32,7 +31,7 @@
 
 /// Answers by the path: `/count` when the body has arrived, `/early` at once, `/close` at once as the
 /// connection's last answer, `/held` once it is released, `/held-close` the same as the last answer,
-/// `/long` with many bytes, and `/passed-on` with many that are passed on.
+/// `/long` with many bytes, and `/relayed` with many that count as relayed.
 #[derive(Clone, Default)]
 struct Handler {
     seen: rc::Rc<cell::RefCell<Seen>>,
@@ -84,7 +83,7 @@
                     answer.body = callers::Body::Whole(len.to_string().into());
                 }
                 "/long" => answer.body = long_answer(),
-                "/passed-on" => {
+                "/relayed" => {
                     req.cancellation.relayed.set(true);
                     answer.body = long_answer();
                 }
@@ -146,7 +145,7 @@
     wire: socket::Wire,
 }
 
-/// How the length of a body is told.
+/// The framing of a body.
 #[derive(Clone, Copy, Debug)]
 enum Framing {
     Length,
@@ -224,7 +223,7 @@
     });
 }
 
-/// Guards against bodies that are read no further since their callers keep no connection open.
+/// Guards against bodies that are not read to the end if their connection is not kept alive.
 #[test]
 fn a_long_body_is_read_to_its_end_on_a_connection_that_its_caller_does_not_keep() {
     for framing in FRAMINGS {
@@ -242,7 +241,7 @@
     }
 }
 
-/// Guards against bodies that are read no further since the answer to an earlier request closes the
+/// Guards against bodies that are not read to the end after an answer to an earlier request closes the
 /// connection.
 #[test]
 fn a_long_body_is_read_to_its_end_behind_an_answer_that_closes_the_connection() {
@@ -266,7 +265,7 @@
     }
 }
 
-/// Guards against bodies that are read no further in a planned stop.
+/// Guards against bodies that are not read to the end in a planned stop.
 #[test]
 fn a_long_body_is_read_to_its_end_in_a_planned_stop() {
     for framing in FRAMINGS {
@@ -331,8 +330,8 @@
                 caller.send(&valid).await;
                 // The server may close before it has taken all.
                 let _ = caller.wire.send(rest.as_bytes()).await;
-                let told = |seen: &Seen| matches!(seen.bodies[..], [(_, false)] | []);
-                server.until("its handler is told", told).await;
+                let notified = |seen: &Seen| matches!(seen.bodies[..], [(_, false)] | []);
+                server.until("its handler is notified", notified).await;
                 if !ahead.is_empty() {
                     server.handler.released.notify_one();
                     caller.expect(200, "").await;
@@ -398,8 +397,8 @@
     }
 }
 
-/// Guards against a request that runs although its caller is told by the connection's end that it was
-/// not read.
+/// Guards against a request that runs although its caller may resend it, because the connection closed
+/// without an answer to it.
 #[test]
 fn a_request_that_has_not_begun_behind_an_answer_that_closes_the_connection_does_not_run() {
     for (framing, len) in [(Framing::Length, 200_000), (Framing::Chunks, BYTES)] {
@@ -421,9 +420,9 @@
     }
 }
 
-/// Guards against callers that wait to be asked for their body behind another request and never are.
+/// Guards against pipelined requests that never receive `100 Continue`.
 #[test]
-fn a_caller_that_waits_to_be_asked_for_its_body_is_asked_once_the_answers_before_are_written() {
+fn continue_is_sent_after_the_answers_to_earlier_requests() {
     for (framing, len) in [
         (Framing::Length, 1000),
         (Framing::Length, BYTES),
@@ -452,10 +451,10 @@
     }
 }
 
-/// Guards against a connection on which the next request is read as a body that its caller was not
-/// asked for.
+/// Guards against the next request being parsed as a body that the caller omitted, because it received no
+/// `100 Continue`.
 #[test]
-fn an_answer_to_a_caller_that_was_not_asked_for_its_body_closes_the_connection() {
+fn a_final_answer_before_continue_closes_the_connection() {
     run_test(async || {
         let server = Server::start(Handler::default()).await;
         let mut caller = server.caller().await;
@@ -470,7 +469,7 @@
     });
 }
 
-/// Guards against a request that runs behind an answer which is passed on, since its body had begun before.
+/// Guards against a partly read request that starts while an earlier answer is relayed.
 #[test]
 fn a_body_that_ends_behind_an_answer_that_is_relayed_runs_after_it() {
     for (framing, len) in [(Framing::Length, 200_000), (Framing::Chunks, BYTES)] {
@@ -480,7 +479,7 @@
             let (head, body) = upload("/count", "", framing, len);
             let (first, rest) = body.split_at(100_000);
             caller.send(&get("/held")).await;
-            caller.send(&get("/passed-on")).await;
+            caller.send(&get("/relayed")).await;
             caller.send(&head).await;
             caller.send(first).await;
             server.until("both begin", |seen| seen.begun == 2).await;
