The body of a request is sent on while its long answer is relayed

A request whose body is not sent whole gets its answer buffered within the limit for long answers; a complete answer shows that the rest is not needed. Beyond the limit the body is sent while the answer is relayed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,11 +6,9 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use metrics::{counter, gauge};
-use tokio::sync::mpsc;
-use tokio::task;
 
 use super::connecting::{ConnectError, Connection, Target};
-use super::{Gateway, long_answers, placement, pool};
+use super::{Gateway, long_answers, placement, pool, relaying};
 use crate::decisions::{idle_limit, policy};
 use crate::id;
 use crate::metrics as metric_names;
@@ -25,13 +23,6 @@
 /// the deadline itself, and its answer says more than a timeout.
 const ANSWER_GRACE: time::Duration = time::Duration::from_millis(120);
 
-/// The longest answer that is relayed. The deadline ends an answer without end before that, unless it is
-/// far away and the links are fast.
-const MAX_ANSWER_BYTES: u64 = 1 << 30;
-
-/// Pieces of a long answer that may wait for a slow caller.
-const RELAY_QUEUE_PIECES: usize = 8;
-
 /// Longest idle time of a connection that carries a non-idempotent request. If the backend server
 /// closes the connection as the request is sent, the outcome is unknown, so only a recently used
 /// connection is safe.
@@ -416,7 +407,11 @@
             if let Some(outcome) = withheld {
                 return outcome;
             }
-            if !self.buffers_long_answer(job, &mut long, head.framing, body.len()) {
+            // Another backend server can replace a buffered answer, and a complete one shows that the rest of
+            // the request's body is not needed.
+            let should_buffer =
+                job.caller.pipelined.get() || !upstream::is_sent(&mut connection.wire);
+            if !should_buffer || !self.buffers_long_answer(&mut long, head.framing, body.len()) {
                 return self.relay(job, connection, head, reader, body, reservation);
             }
         }
@@ -441,17 +436,13 @@
         Outcome::Answer { answer, failed }
     }
 
-    /// Whether the rest of a long answer is buffered, rather than relayed.
+    /// Whether the memory limits allow to buffer the rest of a long answer.
     fn buffers_long_answer(
         &self,
-        job: &Job,
         held: &mut Option<long_answers::Held>,
         framing: http1::Framing,
         received: usize,
     ) -> bool {
-        if !job.caller.pipelined.get() {
-            return false;
-        }
         let length = framing.length().unwrap_or_default();
         let length = usize::try_from(length).unwrap_or(usize::MAX).max(received);
         let held = held.get_or_insert_with(|| self.long_answers.hold());
@@ -473,53 +464,12 @@
         // Only a signed success proves that the backend server itself answered.
         let is_success = (200..300).contains(&head.status);
         let is_unsigned = is_success && head.fields.get(names.proof).is_none();
-        let is_too_long = matches!(head.framing, http1::Framing::Length(n) if n > MAX_ANSWER_BYTES);
+        let is_too_long =
+            matches!(head.framing, http1::Framing::Length(n) if n > relaying::MAX_ANSWER_BYTES);
         let is_invalid = is_unsigned || is_too_long;
         is_invalid.then_some(Outcome::Unknown(upstream::Failure::InvalidAnswer))
     }
 
-    /// Streams a long answer to the caller; the reservation is held until its end. Nothing more is read of
-    /// the answer once the request's time is up, whether the backend server sends nothing or without end.
-    fn relay(
-        &self,
-        job: &Job,
-        mut connection: Connection,
-        head: http1::ResponseHead,
-        reader: http1::BodyReader,
-        body: BytesMut,
-        reservation: placement::Reservation,
-    ) -> Outcome {
-        job.caller.relayed.set(true);
-        // Many callers do not read the answer before they have sent the body.
-        upstream::discard_rest(&mut connection.wire);
-        let length = head.framing.length();
-        let (tx, rx) = mpsc::channel(RELAY_QUEUE_PIECES);
-        let (cx, id) = (self.clone(), job.id.clone());
-        let end = self.instant(job.ends_at());
-        task::spawn_local(async move {
-            let mut relay = Relay {
-                connection,
-                reader,
-                tx,
-            };
-            let ended = tokio::time::timeout_at(end, relay.run(body.freeze())).await;
-            let cut = ended.map_or(Some("time is up"), Result::err);
-            if let Some(why) = cut {
-                cx.record_cut_answer(&id, &reservation.run.id, why, relay.reader.bytes_read());
-            }
-        });
-        let answer = callers::Answer {
-            status: head.status,
-            fields: fields_for_caller(&head.fields),
-            body: callers::Body::Pieces { length, rx },
-            close: false,
-        };
-        Outcome::Answer {
-            answer,
-            failed: false,
-        }
-    }
-
     /// Records the load that an answer reports. Returns whether it leaves a free slot.
     fn note_load(&self, run: &placement::Run, head: &http1::ResponseHead) -> bool {
         let stated = head
@@ -548,37 +498,7 @@
     }
 }
 
-/// A long answer on its way to the caller. Dropping it closes the backend server's connection.
-struct Relay {
-    connection: Connection,
-    reader: http1::BodyReader,
-    tx: mpsc::Sender<upstream::Piece>,
-}
-
-impl Relay {
-    /// Passes the body on from its first piece. An answer that is cut gets no `End`, so its caller's
-    /// connection is dropped too. An error is the reason, as a log and metric value.
-    async fn run(&mut self, first: Bytes) -> Result<(), &'static str> {
-        const CALLER_LEFT: &str = "caller left";
-        let mut next = Some(first);
-        while let Some(piece) = next {
-            let piece = upstream::Piece::Data(piece);
-            self.tx.send(piece).await.map_err(|_| CALLER_LEFT)?;
-            let received = tokio::select! {
-                received = upstream::next_piece(&mut self.connection.wire, &mut self.reader) => received,
-                () = self.tx.closed() => return Err(CALLER_LEFT),
-            };
-            next = received.map_err(|failure| Outcome::Unknown(failure).as_str())?;
-            if self.reader.bytes_read() > MAX_ANSWER_BYTES {
-                return Err("too long");
-            }
-        }
-        let sent = self.tx.send(upstream::Piece::End).await;
-        sent.map_err(|_| CALLER_LEFT)
-    }
-}
-
-fn fields_for_caller(fields: &http1::Fields) -> BytesMut {
+pub(super) fn fields_for_caller(fields: &http1::Fields) -> BytesMut {
     let mut out = BytesMut::with_capacity(256);
     for (name, value) in fields.end_to_end() {
         http1::put_field(&mut out, name, value);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod reading;
 mod record;
 pub mod registering;
+mod relaying;
 pub mod request;
 mod resending;
 mod returns;
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -1,6 +1,7 @@
 //! TCP sockets for the gateway: listening, detection of dead peers, buffered reads and writes.
 
 use std::cell;
+use std::future;
 use std::io;
 use std::net;
 use std::time;
@@ -326,6 +327,19 @@
         }
     }
 
+    /// Sends the unsent part of a request without reading. Returns only if the caller's body is truncated.
+    pub(super) async fn flush(&mut self) {
+        while !self.outgoing.is_done() {
+            let check = self.window.due();
+            let (_, mut tx) = self.stream.split();
+            tokio::select! {
+                () = self.outgoing.send(&mut tx) => return,
+                () = check => self.window.check(&self.stream, self.outgoing.is_done()),
+            }
+        }
+        future::pending().await
+    }
+
     /// Begins to send a request; [`Self::fill`] sends the rest. Returns whether any byte was written.
     pub(super) async fn begin(&mut self, request: BytesMut, is_streamed: bool) -> bool {
         let is_long = is_streamed || request.len() > window::MAX_SHORT_REQUEST_BYTES;
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -3,6 +3,8 @@
 //! A failure must state whether the request may have run, because that decides about a retry. Once
 //! any byte was written, it may have run, whatever error follows.
 
+use std::time;
+
 use bytes::{Bytes, BytesMut};
 use tokio::sync::mpsc;
 
@@ -118,6 +120,21 @@
     })
 }
 
+/// Whether the whole request is sent.
+pub fn is_sent(wire: &mut socket::Wire) -> bool {
+    wire.outgoing().is_sent()
+}
+
+/// Sends the rest of the request's body until the peer has read nothing for this long. Never completes if
+/// nothing is left to send.
+pub async fn send_until_blocked(wire: &mut socket::Wire, period: time::Duration) {
+    let stall = wire.stall();
+    tokio::select! {
+        () = wire.flush() => {}
+        () = stall.lasts(period) => {}
+    }
+}
+
 /// Aborts the transfer of the request's body, so that its caller is not blocked by a backend server that
 /// does not read it.
 pub fn discard_rest(wire: &mut socket::Wire) {
--- a/tests/gateway/bodies.rs
+++ b/tests/gateway/bodies.rs
@@ -2,9 +2,12 @@
 
 use std::time;
 
+use bulrushwind::protocol::http1;
+use bulrushwind::transport::upstream;
+use bytes::Bytes;
 use futures_util::future as futures;
 
-use super::harness::{Harness, Reaction, post, route, run_test, table};
+use super::harness::{Caller, Harness, NAMES, Reaction, post, route, run_test, table};
 use super::linked_vms::LinkedVms;
 use super::support::cut::Cut;
 
@@ -206,3 +209,47 @@
         assert_eq!(answer.status, 502);
     });
 }
+
+/// Guards against a transfer that stops when a long answer begins, while the backend server needs the rest
+/// of the body for the rest of the answer.
+#[test]
+fn a_body_is_sent_while_a_long_answer_is_received() {
+    for bytes in [1 << 20, 4 << 20] {
+        run_test(|| async {
+            let harness = Harness::new(1, &[Reaction::Echo]).await;
+            let mut caller = harness.caller().await;
+            let booking = post("/book/a", "b1", &"y".repeat(bytes));
+            let (head, body) = booking.split_at(booking.len() - bytes);
+            let mut payload = upstream::Payload::Whole(Bytes::from(body.to_owned()));
+            let tag = upstream::Tag {
+                field: NAMES.id,
+                id: b"b1",
+                to_head: false,
+            };
+            // The caller reads while it sends.
+            let wire = &mut caller.wire;
+            let received = upstream::exchange(wire, head.as_bytes(), &mut payload, tag).await;
+            let mut reader = http1::BodyReader::new(received.unwrap().head.framing);
+            let mut echoed = 0;
+            while let Some(piece) = upstream::next_piece(wire, &mut reader).await.unwrap() {
+                echoed += piece.len();
+            }
+            assert_eq!(echoed, bytes);
+        });
+    }
+}
+
+/// Guards against a caller that does not read before it has sent its body, and a backend server that does
+/// not read it, which block each other while a long answer is relayed.
+#[test]
+fn a_long_early_answer_is_received_by_callers_that_send_first() {
+    for bytes in [1 << 20, 12 << 20] {
+        run_test(|| async {
+            let harness = Harness::new(1, &[Reaction::EarlyLong(bytes)]).await;
+            let mut caller = Caller::connect_slow(harness.caller_addr).await;
+            let booking = post("/book/a", "b1", &"y".repeat(4 << 20));
+            let answer = caller.request(&booking).await;
+            assert_eq!((answer.status, answer.body.len()), (200, bytes));
+        });
+    }
+}
--- a/tests/gateway/scripted_backend.rs
+++ b/tests/gateway/scripted_backend.rs
@@ -49,6 +49,10 @@
     Unsigned,
     /// Answers without reading the body.
     Early(&'static str),
+    /// Answers with this many bytes and never reads the body.
+    EarlyLong(usize),
+    /// Answers with the body of the request, while it reads it.
+    Echo,
     /// Answers in chunks.
     Chunks(Vec<&'static str>),
     /// Answers with this many bytes.
@@ -153,7 +157,11 @@
         if let Reaction::Pause(pause, _) = act {
             tokio::time::sleep(pause).await;
         }
-        if !matches!(act, Reaction::Early(_)) && self.read_body(wire, head).await.is_none() {
+        let reads_body = !matches!(
+            act,
+            Reaction::Early(_) | Reaction::EarlyLong(_) | Reaction::Echo
+        );
+        if reads_body && self.read_body(wire, head).await.is_none() {
             return false;
         }
         if !matches!(act, Reaction::Shed | Reaction::ShedAfterNext) {
@@ -209,6 +217,22 @@
                 true,
             ),
             Reaction::Early(body) => (whole(body), true),
+            Reaction::EarlyLong(n) => {
+                wire.send(whole(&"x".repeat(n)).as_bytes()).await.unwrap();
+                return future::pending().await;
+            }
+            Reaction::Echo => {
+                let http1::Framing::Length(n) = head.framing else {
+                    return false;
+                };
+                let head_out = head_of("200 OK", &format!("Content-Length: {n}\r\n"));
+                wire.send(head_out.as_bytes()).await.unwrap();
+                let mut reader = http1::BodyReader::new(head.framing);
+                while let Ok(Some(piece)) = upstream::next_piece(wire, &mut reader).await {
+                    wire.send(&piece).await.unwrap();
+                }
+                return true;
+            }
             Reaction::Chunks(pieces) => {
                 let mut out = head_of("200 OK", "Transfer-Encoding: chunked\r\n");
                 for piece in pieces {
