One place decides what becomes of a request when reading from its caller ends

The reasons were a flag, set in seven places, and conditions on the body at each of them, so that a reason or a state added later could be forgotten. Reason and Partial now list them, Reason::fate decides for each pair without a wildcard, and a test plays each pair that occurs (59 with both framings).

The test found one more pair: at the end of a planned stop's grace period, a kept connection whose request was answered before its body had arrived was still read and held up the stop. It is closed now.

--- a/src/macros.rs
+++ b/src/macros.rs
@@ -62,3 +62,19 @@
         )*
     };
 }
+
+/// An enum of plain variants with the list of them.
+macro_rules! variants {
+    ($(#[$meta:meta])* $vis:vis enum $name:ident { $($(#[$doc:meta])* $variant:ident,)* }) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        $vis enum $name {
+            $($(#[$doc])* $variant,)*
+        }
+
+        impl $name {
+            /// All variants.
+            pub const ALL: &[Self] = &[$(Self::$variant,)*];
+        }
+    };
+}
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -6,6 +6,7 @@
 //! it is read. The concurrent requests and the bytes read ahead are bounded per connection.
 
 mod answer;
+mod ending;
 mod inbound;
 mod pending;
 mod refusing;
@@ -26,6 +27,7 @@
 use crate::protocol::{http1, routes};
 
 pub use answer::{Answer, Body};
+pub use ending::{Fate, Partial, Reason};
 use inbound::{Inbound, MAX_READ_AHEAD_BYTES, Reading};
 pub use pending::Cancellation;
 use pending::{Pending, first_answer};
@@ -174,7 +176,7 @@
             }
             Err(_) => {}
         }
-        connection.inbound.input.end_body(inbound::BodyEnd::Cut);
+        connection.inbound.close(Reason::Disconnected);
     }
 }
 
@@ -217,6 +219,7 @@
                 Step::TimedOut => return self.timed_out().await,
                 Step::Evicted => {
                     if !self.read_arrived().await? {
+                        self.inbound.close(Reason::Evicted);
                         self.evicted = true;
                         return Ok(());
                     }
@@ -239,11 +242,15 @@
                 pending.cancellation.end();
             }
         }
-        if phase.ends_request(false)
-            && let Reading::Buffered { head, .. } = &self.inbound.input.reading
-        {
+        if !phase.ends_request(false) {
+            return;
+        }
+        if let Reading::Buffered { head, .. } = &self.inbound.input.reading {
             let answer = self.handler.refuse(head, Refusal::PlannedStop);
-            self.inbound.refuse(answer);
+            self.inbound.refuse(Reason::GraceEnds, answer);
+        }
+        if self.inbound.partial() == Partial::Answered {
+            self.inbound.close(Reason::GraceEnds);
         }
     }
 
@@ -319,9 +326,7 @@
     }
 
     async fn timed_out(&mut self) -> io::Result<()> {
-        // No request is waiting for an answer.
-        let input = &self.inbound.input;
-        if input.is_between_requests() || matches!(input.reading, Reading::Streamed { .. }) {
+        if self.inbound.close(Reason::TimedOut) != Fate::Refused {
             return Ok(());
         }
         let answer = Answer {
@@ -352,9 +357,7 @@
     /// callers do not read the answer before they have sent the body.
     async fn read_rest_of_body(&mut self) {
         let limits = self.handler.limits();
-        while matches!(self.inbound.input.reading, Reading::Streamed { .. })
-            && !self.inbound.may_omit_body()
-        {
+        while matches!(self.inbound.input.reading, Reading::Streamed { .. }) {
             if *self.stop.borrow_and_update() >= planned_stop::Phase::Yielding {
                 return;
             }
--- a/src/transport/callers/inbound.rs
+++ b/src/transport/callers/inbound.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task;
 
+use super::ending::{Fate, Partial, Reason};
 use super::pending::Pending;
 use super::{Answer, Cancellation, Connection, Handler, Request, answer};
 use crate::metrics as known;
@@ -116,7 +117,7 @@
 
 /// How a streamed body has ended, for the metric.
 #[derive(Clone, Copy, Debug)]
-pub(super) enum BodyEnd {
+enum BodyEnd {
     /// The request's handler received all of it.
     Whole,
     /// The handler answered without the rest.
@@ -179,12 +180,11 @@
 
     /// Stops reading the current body. Dropping the channel of a streamed body notifies the request's
     /// handler.
-    pub(super) fn end_body(&mut self, end: BodyEnd) -> Reading {
-        let reading = std::mem::replace(&mut self.reading, Reading::Head);
-        if let Reading::Streamed { .. } = reading {
+    fn end_body(&mut self, end: BodyEnd) {
+        if let Reading::Streamed { .. } = self.reading {
             counter!(known::STREAMED_BODIES, "end" => end.as_str()).increment(1);
         }
-        reading
+        self.reading = Reading::Head;
     }
 
     /// Waits for room for the next piece of a streamed body. Returns whether the channel has a receiver.
@@ -264,7 +264,7 @@
     pub(super) input: Input,
     /// Requests without a written answer.
     pub(super) pending: collections::VecDeque<Pending>,
-    /// Whether no further request begins.
+    /// Whether no further request starts.
     pub(super) closed: bool,
 }
 
@@ -285,7 +285,7 @@
     /// Parses the buffered bytes of the current body. Refuses a request whose body is invalid.
     pub(super) fn take_body(&mut self, limits: &routes::Limits) {
         if let Err(status) = self.input.take_body(limits.max_body_bytes) {
-            self.refuse(Answer::empty(status));
+            self.refuse(Reason::Invalid, Answer::empty(status));
         }
     }
 
@@ -312,9 +312,7 @@
     /// Whether the current request was answered before `100 Continue` was sent, so the caller may omit the
     /// body.
     pub(super) fn may_omit_body(&self) -> bool {
-        let is_answered = self.pending.is_empty();
-        let is_streamed = matches!(self.input.reading, Reading::Streamed { .. });
-        self.input.awaits_continue && is_streamed && is_answered
+        self.input.awaits_continue && self.partial() == Partial::Answered
     }
 
     /// Reads until the caller disconnects, without starting a request. A disconnect truncates the current
@@ -324,7 +322,7 @@
             self.take_body(limits);
             match self.input.read(MAX_READ_AHEAD_BYTES).await {
                 Read::Bytes(Err(err)) => {
-                    self.input.end_body(BodyEnd::Cut);
+                    self.close(Reason::Disconnected);
                     return err;
                 }
                 Read::Bytes(Ok(_)) | Read::Queued => {}
@@ -332,21 +330,48 @@
         }
     }
 
-    /// Answers a request that is not read to its end and closes the connection, because the start of the
-    /// next request is unknown. The answer replaces that of a running request with an invalid body, unless
-    /// that one is ready.
-    pub(super) fn refuse(&mut self, answer: Answer) {
+    /// The request that is being read.
+    pub(super) fn partial(&self) -> Partial {
+        match self.input.reading {
+            Reading::Head if self.input.buf.is_empty() => Partial::None,
+            Reading::Head => Partial::Head,
+            Reading::Buffered { .. } => Partial::Buffered,
+            // Its request is the last one.
+            Reading::Streamed { .. } if self.pending.is_empty() => Partial::Answered,
+            Reading::Streamed { .. } => Partial::Streamed,
+        }
+    }
+
+    /// Starts no further request. Returns what became of the one that is being read; the caller of this
+    /// function answers it if it is refused.
+    pub(super) fn close(&mut self, reason: Reason) -> Fate {
         self.closed = true;
+        let fate = reason.fate(self.partial());
+        match fate {
+            Fate::Read => {}
+            Fate::Refused => self.input.end_body(BodyEnd::Invalid),
+            Fate::Dropped | Fate::Truncated | Fate::Abandoned => self.input.end_body(BodyEnd::Cut),
+        }
+        fate
+    }
+
+    /// Closes the connection and answers the request that is being read, because the start of the next one
+    /// is unknown. The answer replaces that of a running request, unless that one is ready.
+    pub(super) fn refuse(&mut self, reason: Reason, answer: Answer) {
+        let partial = self.partial();
+        if self.close(reason) != Fate::Refused {
+            return;
+        }
         let refused = Pending::answered(Answer {
             close: true,
             ..answer
         });
-        match (
-            self.input.end_body(BodyEnd::Invalid),
-            self.pending.back_mut(),
-        ) {
-            (Reading::Streamed { .. }, Some(last)) if !last.is_ready() => *last = refused,
-            (Reading::Streamed { .. }, _) => {}
+        match self.pending.back_mut() {
+            Some(last) if partial == Partial::Streamed => {
+                if !last.is_ready() {
+                    *last = refused;
+                }
+            }
             _ => self.pending.push_back(refused),
         }
     }
@@ -399,7 +424,7 @@
                         http1::Malformed::TooLong => 431,
                         _ => 400,
                     };
-                    self.inbound.refuse(Answer::empty(status));
+                    self.inbound.refuse(Reason::Invalid, Answer::empty(status));
                     return false;
                 }
             };
@@ -410,7 +435,7 @@
         };
         let length = head.framing.length();
         if length.is_some_and(|n| n > limits.max_body_bytes) {
-            self.inbound.refuse(Answer::empty(413));
+            self.inbound.refuse(Reason::Invalid, Answer::empty(413));
             return false;
         }
         let expects = head.fields.contains_token("expect", "100-continue");
@@ -474,7 +499,9 @@
             let _ = tx.send(answer.await);
             ready.notify_one();
         });
-        self.inbound.closed |= !keep_alive;
+        if !keep_alive {
+            self.inbound.close(Reason::CallerCloses);
+        }
         self.inbound.pending.push_back(Pending {
             rx,
             task: Some(task.abort_handle()),
--- a/src/transport/callers/writing.rs
+++ b/src/transport/callers/writing.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use super::answer::{self, Answer, Body};
-use super::{Connection, Handler};
+use super::{Connection, Handler, Reason};
 use crate::metrics as known;
 use crate::protocol::http1;
 use crate::transport::{socket, upstream};
@@ -21,10 +21,17 @@
         };
         let is_last = self.inbound.pending.is_empty() && self.inbound.input.is_between_requests();
         let stopping = self.stop.borrow().is_stopping() && is_last;
-        // Without the body, the start of the next request is unknown.
-        let may_omit_body = self.inbound.may_omit_body();
+        let reason = match (answer.close, done.keep_alive) {
+            // Without the body, the start of the next request is unknown.
+            _ if self.inbound.may_omit_body() => Some(Reason::BodyOmitted),
+            (true, _) => Some(Reason::AnswerCloses),
+            (false, false) => Some(Reason::CallerCloses),
+            (false, true) => stopping.then_some(Reason::PlannedStop),
+        };
         // Later requests of the connection already run; closing now would abort them.
-        self.inbound.closed |= answer.close || !done.keep_alive || stopping || may_omit_body;
+        if let Some(reason) = reason {
+            self.inbound.close(reason);
+        }
         let close = self.inbound.closed && self.inbound.pending.is_empty();
         let ends_at_close = self.write_answer(answer, close, done.framing).await?;
         self.last_active = time::Instant::now();
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -1,6 +1,9 @@
 //! Requests to a backend server that answers early, sends unrelated bytes, or closes the connection while
 //! the body is sent.
 
+#[path = "support/runtime.rs"]
+mod runtime;
+
 use std::time;
 
 use bulrushwind::protocol::http1;
@@ -10,8 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::{net, task};
 
-/// A timeout far above any expected duration: reaching it means a hang.
-const LONG: time::Duration = time::Duration::from_secs(20);
+use runtime::run_test;
 
 /// The length of a body that exceeds the socket buffers of both ends.
 const BYTES: usize = 1 << 20;
@@ -136,17 +138,6 @@
     }
 }
 
-fn run_test(test: impl AsyncFnOnce()) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    task::LocalSet::new().block_on(&runtime, async {
-        let ended = tokio::time::timeout(LONG, test()).await;
-        ended.expect("the test ends");
-    });
-}
-
 /// Guards against a transfer that stops when bytes arrive which are not the request's answer: late answers
 /// to earlier requests, also in parts, and interim answers.
 #[test]
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/body.rs"]
 mod body;
+#[path = "support/runtime.rs"]
+mod runtime;
 
 use std::cell;
 use std::rc;
@@ -9,14 +11,14 @@
 
 use bulrushwind::decisions::planned_stop;
 use bulrushwind::protocol::{http1, routes};
+use bulrushwind::transport::callers::{Fate, Partial, Reason};
 use bulrushwind::transport::{callers, descriptors, socket, upstream};
 use bytes::{Bytes, BytesMut};
 use futures_util::future as futures;
 use tokio::sync::{self, mpsc, watch};
 use tokio::{net, task};
 
-/// A timeout far above any expected duration: reaching it means a hang.
-const LONG: time::Duration = time::Duration::from_secs(20);
+use runtime::{LONG, run_test};
 
 /// The length of a body that is streamed.
 const BYTES: usize = 300_000;
@@ -59,6 +61,7 @@
         routes::Limits {
             max_body_bytes: 1 << 20,
             idle_timeout: self.idle_timeout.unwrap_or(limits.idle_timeout),
+            head_timeout: self.idle_timeout.unwrap_or(limits.head_timeout),
             ..limits
         }
     }
@@ -75,7 +78,10 @@
             answer.close = path.ends_with("close");
             match path.as_str() {
                 "/count" => {
-                    let (len, is_whole) = body::read(&mut req.payload).await;
+                    let (len, is_whole) = tokio::select! {
+                        body = body::read(&mut req.payload) => body,
+                        () = req.cancellation.ended() => (0, false),
+                    };
                     seen.borrow_mut().bodies.push((len, is_whole));
                     if !is_whole {
                         return callers::Answer::empty(502);
@@ -122,6 +128,23 @@
         }
     }
 
+    /// A connection on which a streamed upload has started, and the rest of its body. Sends the requests
+    /// before it first.
+    async fn started_upload(&self, before: &[&str], framing: Framing) -> (Caller, String) {
+        let mut caller = self.caller().await;
+        for path in before {
+            caller.send(&get(path)).await;
+        }
+        let (head, mut body) = upload("/count", "", framing, BYTES);
+        // A body in chunks is streamed only once it exceeds the buffer.
+        let rest = body.split_off(290_000);
+        caller.send(&head).await;
+        caller.send(&body).await;
+        let all = before.len() + 1;
+        self.until("all start", |seen| seen.begun == all).await;
+        (caller, rest)
+    }
+
     async fn caller(&self) -> Caller {
         let socket = net::TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(64 << 10).unwrap();
@@ -212,17 +235,6 @@
     }
 }
 
-fn run_test(test: impl AsyncFnOnce()) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    task::LocalSet::new().block_on(&runtime, async {
-        let ended = tokio::time::timeout(LONG, test()).await;
-        ended.expect("the test ends");
-    });
-}
-
 /// Guards against bodies that are not read to the end if their connection is not kept alive.
 #[test]
 fn a_long_body_is_read_to_its_end_on_a_connection_that_its_caller_does_not_keep() {
@@ -248,17 +260,10 @@
     for framing in FRAMINGS {
         run_test(async || {
             let server = Server::start(Handler::default()).await;
-            let mut caller = server.caller().await;
-            let (head, body) = upload("/count", "", framing, BYTES);
-            caller.send(&get("/held-close")).await;
-            // In chunks the body is streamed only once it is longer than what is buffered.
-            let (first, rest) = body.split_at(290_000);
-            caller.send(&head).await;
-            caller.send(first).await;
-            server.until("both begin", |seen| seen.begun == 2).await;
+            let (mut caller, rest) = server.started_upload(&["/held-close"], framing).await;
             server.handler.released.notify_one();
             caller.expect(200, "").await;
-            caller.send(rest).await;
+            caller.send(&rest).await;
             caller.expect(200, &BYTES.to_string()).await;
             assert_eq!(caller.receive().await, None);
         });
@@ -271,14 +276,9 @@
     for framing in FRAMINGS {
         run_test(async || {
             let server = Server::start(Handler::default()).await;
-            let mut caller = server.caller().await;
-            let (head, body) = upload("/count", "", framing, BYTES);
-            let (first, rest) = body.split_at(290_000);
-            caller.send(&head).await;
-            caller.send(first).await;
-            server.until("it begins", |seen| seen.begun == 1).await;
+            let (mut caller, rest) = server.started_upload(&[], framing).await;
             server.stop.send_replace(planned_stop::Phase::Stopping);
-            caller.send(rest).await;
+            caller.send(&rest).await;
             caller.expect(200, &BYTES.to_string()).await;
             assert_eq!(caller.receive().await, None);
         });
@@ -291,17 +291,11 @@
     for framing in FRAMINGS {
         run_test(async || {
             let server = Server::start(Handler::default()).await;
-            let mut caller = server.caller().await;
-            let (head, body) = upload("/count", "", framing, BYTES);
-            let (first, rest) = body.split_at(290_000);
-            caller.send(&get("/held")).await;
-            caller.send(&get("/long")).await;
-            caller.send(&head).await;
-            caller.send(first).await;
-            server.until("all begin", |seen| seen.begun == 3).await;
+            let before = ["/held", "/long"];
+            let (mut caller, rest) = server.started_upload(&before, framing).await;
             server.handler.released.notify_one();
             caller.expect(200, "").await;
-            caller.send(rest).await;
+            caller.send(&rest).await;
             let whole = (BYTES, true);
             server
                 .until("the body arrives", |seen| seen.bodies == [whole])
@@ -493,3 +487,197 @@
         });
     }
 }
+
+/// A connection on which a request is partly read, and the rest of that request.
+async fn partly_read(
+    server: &Server,
+    before: &[&str],
+    partial: Partial,
+    field: &str,
+    framing: Framing,
+) -> (Caller, String) {
+    let (path, len, sent) = match partial {
+        Partial::None => ("/early", 0, None),
+        Partial::Head => ("/early", 0, Some(10)),
+        Partial::Buffered => ("/count", 100_000, Some(50_000)),
+        Partial::Streamed => ("/count", BYTES, Some(290_000)),
+        Partial::Answered => ("/early", BYTES, Some(290_000)),
+    };
+    let mut caller = server.caller().await;
+    for path in before {
+        caller.send(&get(path)).await;
+    }
+    let (head, body) = upload(path, field, framing, len);
+    let mut request = head.clone() + &body;
+    let sent = match partial {
+        Partial::None => 0,
+        Partial::Head => 10,
+        _ => head.len() + sent.unwrap_or_default(),
+    };
+    let rest = request.split_off(sent);
+    caller.send(&request).await;
+    let starts = matches!(partial, Partial::Streamed | Partial::Answered);
+    let all = before.len() + usize::from(starts);
+    server.until("all start", |seen| seen.begun == all).await;
+    if partial == Partial::Answered {
+        caller.expect(200, "").await;
+    } else if !starts {
+        // Until the server has read what is sent.
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    (caller, rest)
+}
+
+/// Plays a reason for which reading ends while a request is partly read. Returns whether the pair occurs.
+async fn play(reason: Reason, partial: Partial, framing: Framing) -> bool {
+    let closes = "Connection: close\r\n";
+    let server = Server::start(Handler {
+        idle_timeout: (reason == Reason::TimedOut).then_some(time::Duration::from_millis(300)),
+        ..Handler::default()
+    })
+    .await;
+    let counted = match partial {
+        Partial::Buffered => "100000".to_owned(),
+        Partial::Streamed => BYTES.to_string(),
+        Partial::None | Partial::Head | Partial::Answered => String::new(),
+    };
+    match reason {
+        Reason::CallerCloses => {
+            let (mut caller, rest) = partly_read(&server, &[], partial, closes, framing).await;
+            caller.send(&rest).await;
+            if partial != Partial::Answered {
+                caller.expect(200, &counted).await;
+            }
+            assert_eq!(caller.receive().await, None);
+        }
+        Reason::AnswerCloses => {
+            let before: &[&str] = match partial {
+                // Its own answer closes the connection; see the slow callers above.
+                Partial::Answered => return false,
+                _ => &["/held-close"],
+            };
+            let (mut caller, rest) = partly_read(&server, before, partial, "", framing).await;
+            server.handler.released.notify_one();
+            caller.expect(200, "").await;
+            if partial == Partial::Streamed {
+                caller.send(&rest).await;
+                caller.expect(200, &counted).await;
+            }
+            assert_eq!(caller.receive().await, None);
+            let started = 1 + usize::from(partial == Partial::Streamed);
+            assert_eq!(server.handler.seen.borrow().begun, started);
+        }
+        Reason::PlannedStop => {
+            let (mut caller, rest) = partly_read(&server, &[], partial, "", framing).await;
+            server.stop.send_replace(planned_stop::Phase::Stopping);
+            caller.send(&rest).await;
+            match partial {
+                Partial::Answered => {
+                    caller.send(&get("/early")).await;
+                    caller.expect(200, "").await;
+                }
+                _ => caller.expect(200, &counted).await,
+            }
+            assert_eq!(caller.receive().await, None);
+        }
+        Reason::GraceEnds => {
+            let (mut caller, _rest) = partly_read(&server, &[], partial, "", framing).await;
+            server.stop.send_replace(planned_stop::Phase::Ending);
+            match partial {
+                // The process ends soon, and nothing is lost.
+                Partial::None | Partial::Head => return false,
+                Partial::Buffered => caller.expect(503, "").await,
+                Partial::Streamed => caller.expect(502, "").await,
+                Partial::Answered => {}
+            }
+            if partial != Partial::Streamed {
+                assert_eq!(caller.receive().await, None);
+            }
+        }
+        Reason::Invalid => {
+            let has_chunks = matches!(framing, Framing::Chunks);
+            let in_body = !matches!(partial, Partial::None | Partial::Head);
+            if in_body && !has_chunks {
+                return false;
+            }
+            let (mut caller, _rest) = partly_read(&server, &[], partial, "", framing).await;
+            // More than the rest of a chunk.
+            let invalid = "no chunk\r\n\r\n".repeat(2_000);
+            let _ = caller.wire.send(invalid.as_bytes()).await;
+            if partial != Partial::Answered {
+                caller.expect(400, "").await;
+            }
+            assert_eq!(caller.receive().await, None);
+            // The handler is aborted, or notified if the request must run on.
+            let seen = server.handler.seen.borrow();
+            assert!(seen.bodies.iter().all(|(_, is_whole)| !is_whole));
+        }
+        Reason::BodyOmitted => {
+            // See `a_final_answer_before_continue_closes_the_connection`.
+            return false;
+        }
+        Reason::TimedOut => {
+            let (mut caller, _rest) = partly_read(&server, &[], partial, "", framing).await;
+            match partial {
+                // The request's own deadline ends it.
+                Partial::Streamed => return false,
+                Partial::Head | Partial::Buffered => caller.expect(408, "").await,
+                Partial::None | Partial::Answered => {}
+            }
+            assert_eq!(caller.receive().await, None);
+        }
+        Reason::Evicted => {
+            // Only connections between two requests are evicted; see the tests of file descriptors.
+            return false;
+        }
+        Reason::Disconnected => {
+            let (caller, _rest) = partly_read(&server, &[], partial, "", framing).await;
+            drop(caller);
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+            let seen = server.handler.seen.borrow();
+            let starts = matches!(partial, Partial::Streamed | Partial::Answered);
+            assert_eq!(seen.begun, usize::from(starts));
+            assert!(seen.bodies.iter().all(|(_, is_whole)| !is_whole));
+        }
+    }
+    true
+}
+
+/// Guards against a reason to end reading, or a state of a body, in which a caller waits for a time limit
+/// or receives a wrong answer.
+#[test]
+fn each_reason_to_end_reading_is_handled_in_each_state_of_a_request() {
+    let mut played = 0;
+    for reason in Reason::ALL {
+        for partial in Partial::ALL {
+            for framing in FRAMINGS {
+                run_test(async || {
+                    println!("{reason:?}, {partial:?}, {framing:?}");
+                    played += usize::from(play(*reason, *partial, framing).await);
+                });
+            }
+        }
+    }
+    // All pairs but those that do not occur.
+    assert_eq!(played, 59);
+}
+
+/// Guards against a running request that is left waiting for a body, and against an answered one that gets
+/// a second answer.
+#[test]
+fn each_reason_to_end_reading_has_a_consistent_fate() {
+    for reason in Reason::ALL {
+        let running = reason.fate(Partial::Streamed);
+        assert_ne!(running, Fate::Dropped, "{reason:?}");
+        assert_ne!(running, Fate::Abandoned, "{reason:?}");
+        let answered = reason.fate(Partial::Answered);
+        assert!(
+            matches!(answered, Fate::Read | Fate::Abandoned),
+            "{reason:?}"
+        );
+        for unstarted in [Partial::None, Partial::Head, Partial::Buffered] {
+            let fate = reason.fate(unstarted);
+            assert!(matches!(fate, Fate::Dropped | Fate::Refused), "{reason:?}");
+        }
+    }
+}
