--- a/src/transport/callers/ending.rs
+++ b/src/transport/callers/ending.rs
@@ -50,7 +50,7 @@
 pub enum Fate {
     /// It does not start. The connection closes without an answer to it, so the caller may send it again.
     Dropped,
-    /// It gets an error answer, which replaces that of its handler unless that one is ready.
+    /// It is answered with an error, in place of its handler's answer unless that one is ready.
     Refused,
     /// Its body is read to the end.
     Read,
