--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -128,6 +128,28 @@
         }
     }
 
+    /// A connection on which 100,000 bytes of an upload are sent, which is not streamed yet, and the rest of
+    /// its body. Sends the requests before it first.
+    async fn begun_upload(
+        &self,
+        before: &[&str],
+        framing: Framing,
+        len: usize,
+    ) -> (Caller, String) {
+        let (head, mut body) = upload("/count", "", framing, len);
+        let rest = body.split_off(100_000);
+        let mut caller = self.caller().await;
+        for path in before {
+            caller.send(&get(path)).await;
+        }
+        let all = before.len();
+        self.until("those before start", |seen| seen.begun == all)
+            .await;
+        caller.send(&head).await;
+        caller.send(&body).await;
+        (caller, rest)
+    }
+
     /// A connection on which a streamed upload has started, and the rest of its body. Sends the requests
     /// before it first.
     async fn started_upload(&self, before: &[&str], framing: Framing) -> (Caller, String) {
@@ -398,13 +420,7 @@
     for (framing, len) in [(Framing::Length, 200_000), (Framing::Chunks, BYTES)] {
         run_test(async || {
             let server = Server::start(Handler::default()).await;
-            let mut caller = server.caller().await;
-            let (head, body) = upload("/count", "", framing, len);
-            let (first, rest) = body.split_at(100_000);
-            caller.send(&get("/held-close")).await;
-            server.until("it begins", |seen| seen.begun == 1).await;
-            caller.send(&head).await;
-            caller.send(first).await;
+            let (mut caller, rest) = server.begun_upload(&["/held-close"], framing, len).await;
             server.handler.released.notify_one();
             caller.expect(200, "").await;
             let _ = caller.wire.send(rest.as_bytes()).await;
@@ -469,15 +485,9 @@
     for (framing, len) in [(Framing::Length, 200_000), (Framing::Chunks, BYTES)] {
         run_test(async || {
             let server = Server::start(Handler::default()).await;
-            let mut caller = server.caller().await;
-            let (head, body) = upload("/count", "", framing, len);
-            let (first, rest) = body.split_at(100_000);
-            caller.send(&get("/held")).await;
-            caller.send(&get("/relayed")).await;
-            caller.send(&head).await;
-            caller.send(first).await;
-            server.until("both begin", |seen| seen.begun == 2).await;
-            caller.send(rest).await;
+            let before = ["/held", "/relayed"];
+            let (mut caller, rest) = server.begun_upload(&before, framing, len).await;
+            caller.send(&rest).await;
             tokio::time::sleep(time::Duration::from_millis(100)).await;
             assert_eq!(server.handler.seen.borrow().begun, 2);
             server.handler.released.notify_one();
