--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -142,11 +142,11 @@
         for path in before {
             caller.send(&get(path)).await;
         }
+        caller.send(&head).await;
+        caller.send(&body).await;
         let all = before.len();
         self.until("those before start", |seen| seen.begun == all)
             .await;
-        caller.send(&head).await;
-        caller.send(&body).await;
         (caller, rest)
     }
 
