Keys in targets of calls to the store are percent-encoded

Callers got 503 from every VM after a restart while a record of another program stood in the list of backend servers, under a name with characters such as & + # % or a blank, and the list had more than one page.

Cause: keys went into the targets of calls as they were: the prefix, the key after which the next page begins, and the starts of ranges read in parallel. The store answered 400, or listed from a truncated key, and the whole list failed. Found by reading: a page that does not advance was asked for again without end; a value that is no text made a whole list or watch answer unreadable; a record with a valid value under any name was used, and its name went into a header field.

Names of backend servers have letters, digits and -._~: only. A page that does not advance is an error. A rejected record is logged once for its key. The stand-in store of the tests answers 400 to targets that are no valid URI or have unknown parameters, and decodes them.

--- a/src/cli/lookup.rs
+++ b/src/cli/lookup.rs
@@ -4,18 +4,19 @@
 
 use super::{Context, args, entries};
 use crate::coordination::store;
+use crate::protocol::target;
 use crate::{error, exit_codes};
 use store::Store;
 
 /// Queries entry VMs one by one until one answers. Fails with the last error.
 pub fn run(cx: &Context, args: &args::Lookup) -> Result<exit_codes::ExitCode, error::Error> {
-    let path = format!("/lookup/{}", args.service);
+    let path = target::Target::new("/lookup").segment(args.service.as_str());
     let mut last_error = error::Error::Config(
         "the platform lists no entry VM; give the address of a caller listener with --at"
             .to_owned(),
     );
     for addr in addresses(cx, args)? {
-        match entries::get(addr, &path, "callers'") {
+        match entries::get(addr, path.as_str(), "callers'") {
             Ok(body) => return print(cx, addr, &body),
             Err(err) => last_error = err,
         }
--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -7,7 +7,7 @@
 use super::connecting::ConnectError;
 use super::{Gateway, attempt, placement};
 use crate::coordination::removal_guard;
-use crate::decisions::{ejection, policy, regions};
+use crate::decisions::{affinity, ejection, policy, regions};
 use crate::id;
 use crate::metrics as metric_names;
 use crate::protocol::routes;
@@ -190,14 +190,28 @@
 
     /// Removes a backend server whose entry cannot be read: its earlier entry need not hold any
     /// more, and requests would go to an unconfirmed address. Returns whether it was known.
-    pub fn remove_unreadable_backend(&self, id: &id::VmId, why: &impl std::fmt::Display) -> bool {
-        if let Some(left_out) = self.log_limiter.admit("entry", self.now()) {
-            slog::warn!(self.log, "backend server's entry cannot be read"; "backend" => %id, "error" => %why, "left_out" => left_out);
-        }
+    pub fn remove_unreadable_backend(&self, id: &id::VmId) -> bool {
         self.removal_guard.borrow_mut().record_present(id);
         self.drop_backend(id, "entry cannot be read")
     }
 
+    /// Whether a record of the store is the first one rejected under its key since the key was last
+    /// removed. False for further keys once many are remembered.
+    pub fn is_first_rejection(&self, key: &str) -> bool {
+        /// More keys than this are not logged, so that the set stays small.
+        const MAX_REJECTED_KEYS: usize = 1024;
+        let mut rejected = self.rejected_keys.borrow_mut();
+        rejected.len() < MAX_REJECTED_KEYS && rejected.insert(affinity::hash(key.as_bytes()))
+    }
+
+    /// Forgets that a record of this key was rejected.
+    pub fn forget_rejection(&self, key: &str) {
+        let mut rejected = self.rejected_keys.borrow_mut();
+        if !rejected.is_empty() {
+            rejected.remove(&affinity::hash(key.as_bytes()));
+        }
+    }
+
     /// Handles a restart of a backend server under its name. Requests in flight there are lost, and
     /// the state of the old run is discarded: its failures would keep the new run ejected, and
     /// requests would wait until their deadlines for answers that cannot come.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -226,6 +226,8 @@
     crashes: cell::RefCell<crashes::Crashes>,
     /// Crashes seen here and not yet reported to other entry VMs.
     pending_crashes: cell::RefCell<Vec<cluster_state::Crash>>,
+    /// Hashes of the store's keys whose records were rejected and logged.
+    rejected_keys: cell::RefCell<collections::HashSet<u64>>,
     pub(crate) log_limiter: logging::Limiter,
     labels: metrics::BoundedLabel,
     stop: watch::Sender<planned_stop::Phase>,
@@ -309,6 +311,7 @@
             departures: cell::RefCell::default(),
             crashes: cell::RefCell::default(),
             pending_crashes: cell::RefCell::default(),
+            rejected_keys: cell::RefCell::default(),
             log_limiter: logging::Limiter::new(record::LOG_RATE),
             labels: metrics::BoundedLabel::default(),
             stop: watch::channel(planned_stop::Phase::Serving).0,
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -21,6 +21,9 @@
     /// The version is not a hexadecimal number.
     #[error("version `{0}` is not a hexadecimal number")]
     Version(String),
+    /// The name of a backend server has characters that names do not have.
+    #[error("`{0:?}` is not a name of a backend server; have its writer remove the record")]
+    Name(String),
     /// Unknown state of a backend server.
     #[error("`{0}` is not a known state of a backend server")]
     State(String),
@@ -249,6 +252,17 @@
     }
 }
 
+/// Decodes the name of a backend server from its key without the prefix. Fails if the name is empty or has
+/// other characters than letters, digits and `-._~:`: another program wrote the record, and the name would
+/// not be a valid field value of requests.
+pub fn backend_name(key_suffix: &str) -> Result<id::VmId, Error> {
+    let is_allowed = |b: u8| b.is_ascii_alphanumeric() || b"-._~:".contains(&b);
+    match !key_suffix.is_empty() && key_suffix.bytes().all(is_allowed) {
+        true => Ok(key_suffix.into()),
+        false => Err(Error::Name(key_suffix.to_owned())),
+    }
+}
+
 /// Decodes a backend server's record that was read at `now`. Fails if a field is missing or invalid.
 pub fn backend(value: &[u8], now: policy::Moment) -> Result<backends::Listed, Error> {
     let record: BackendRecord = serde_json::from_slice(value)?;
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 
-use crate::protocol::{http1, routes};
+use crate::protocol::{http1, routes, target};
 use crate::transport::callers;
 use crate::{gateway, metrics};
 
@@ -50,8 +50,9 @@
         })
     }
 
-    fn resolve(&self, target: &str) -> callers::Answer {
-        let addrs = self.cx.entries_for(query_parameter(target, "region"));
+    fn resolve(&self, asked: &str) -> callers::Answer {
+        let region = target::parameter(asked, "region");
+        let addrs = self.cx.entries_for(region.as_deref());
         if addrs.is_empty() {
             return callers::Answer::empty(503);
         }
@@ -62,14 +63,6 @@
     }
 }
 
-fn query_parameter<'a>(target: &'a str, name: &str) -> Option<&'a str> {
-    let (_, query) = target.split_once('?')?;
-    query.split('&').find_map(|pair| {
-        let (key, value) = pair.split_once('=')?;
-        (key == name).then_some(value)
-    })
-}
-
 fn json<T: serde::Serialize>(value: &T) -> callers::Answer {
     match serde_json::to_vec(value) {
         Ok(body) => with_body("application/json", body.into()),
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -84,7 +84,12 @@
         let key = record.key.as_str();
         let value = record.value.as_deref();
         if let Some(name) = key.strip_prefix(names::BACKEND_PREFIX) {
-            return self.apply_backend(&name.into(), value);
+            return match decode::backend_name(name) {
+                Ok(name) => self.apply_backend(&name, value),
+                // It was never used, so its removal changes nothing.
+                Err(_) if value.is_none() => Ok(Effect::None),
+                Err(err) => Err(err),
+            };
         }
         if let Some(az) = key.strip_prefix(names::EVACUATION_PREFIX) {
             return Ok(self.cx.evacuate(&az.into(), value.is_some()).into());
@@ -120,10 +125,23 @@
         };
         Ok(match decode::backend(value, self.cx.now()) {
             Ok(listed) => self.cx.update_backend(name, listed),
-            Err(err) => self.cx.remove_unreadable_backend(name, &err).into(),
+            Err(err) => {
+                self.log_rejected(&format!("{}{name}", names::BACKEND_PREFIX), &err);
+                self.cx.remove_unreadable_backend(name).into()
+            }
         })
     }
 
+    /// Logs a record that is not used: the first time for each key, since its writer may go on writing it.
+    fn log_rejected(&self, key: &str, err: &decode::Error) {
+        if !self.cx.is_first_rejection(key) {
+            return;
+        }
+        if let Some(left_out) = self.cx.log_limiter.admit("rejected", self.cx.now()) {
+            slog::warn!(self.cx.log, "record from the store rejected"; "key" => key, "error" => %err, "left_out" => left_out);
+        }
+    }
+
     fn apply_entry(&self, vm: &id::VmId, value: Option<&[u8]>) -> Result<Effect, decode::Error> {
         let changed = match value {
             Some(value) => self.cx.update_entry(vm, decode::entry(value)?),
@@ -202,8 +220,11 @@
     }
 
     fn apply(&self, record: &mirror::Record) -> Effect {
+        if record.value.is_none() {
+            self.cx.forget_rejection(&record.key);
+        }
         self.try_apply(record).unwrap_or_else(|err| {
-            slog::warn!(self.cx.log, "record from the store rejected; keeping the previous value"; "key" => &record.key, "error" => %err);
+            self.log_rejected(&record.key, &err);
             Effect::Rejected
         })
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,7 @@
 
 use crate::coordination::list_ranges;
 use crate::metrics as metric_names;
-use crate::protocol::{http1, mirror};
+use crate::protocol::{http1, mirror, target};
 use crate::transport::{socket, upstream};
 
 /// Timeout for connecting.
@@ -46,6 +46,9 @@
     /// The store returned from an older copy between two parts of a read.
     #[error("the store returned from an older copy during the read; read all records again")]
     Restored,
+    /// A page of a list ends with a key that is not after the one that it was asked to begin after.
+    #[error("the store's list does not go on after the key {0:?}; remove that key")]
+    Repeated(String),
     /// The response cannot be parsed.
     #[error("cannot parse the store's response: {0}")]
     Json(#[from] serde_json::Error),
@@ -54,26 +57,42 @@
     Value(#[from] super::decode::Error),
 }
 
+/// A value in base64. Another type says that a different program wrote it.
+#[derive(serde::Deserialize)]
+#[serde(untagged)]
+enum Value {
+    Base64(String),
+    Other(de::IgnoredAny),
+}
+
+impl Value {
+    /// The bytes. Invalid base64 yields an empty value, which no decoder accepts. An error here would
+    /// discard all other items of the response, in every call, for as long as one value is invalid.
+    fn into_bytes(self) -> Bytes {
+        match self {
+            Self::Base64(text) => data_encoding::BASE64.decode(text.as_bytes()),
+            Self::Other(_) => Ok(Vec::new()),
+        }
+        .unwrap_or_default()
+        .into()
+    }
+}
+
 /// A key with its value, or a tombstone for a removed key.
 #[derive(serde::Deserialize)]
 struct Item {
     key: String,
-    /// Base64.
-    value: Option<String>,
+    value: Option<Value>,
     #[serde(default)]
     tombstone: bool,
 }
 
 impl Item {
-    /// Converts the item. Invalid base64 yields an empty value, which no decoder accepts. An error
-    /// here would discard all other items of the response, in every call, for as long as one value
-    /// is invalid.
     fn into_record(self) -> mirror::Record {
-        let decode = |text: String| data_encoding::BASE64.decode(text.as_bytes());
         let value = self.value.filter(|_| !self.tombstone);
         mirror::Record {
             key: self.key,
-            value: value.map(|text| decode(text).unwrap_or_default().into()),
+            value: value.map(Value::into_bytes),
         }
     }
 }
@@ -282,18 +301,19 @@
         range: Range<'_>,
         after: &str,
     ) -> Result<(Vec<mirror::Record>, Stamp, bool), Error> {
-        let prefix = range.prefix;
-        let after = match after {
-            "" => String::new(),
-            key => format!("&after={key}"),
-        };
-        let stale = match range.stale {
-            true => "&stale_ok=1",
-            false => "",
-        };
-        let target = format!("/kv-range?prefix={prefix}{after}{stale}");
+        let mut target = target::Target::new("/kv-range").parameter("prefix", range.prefix);
+        if !after.is_empty() {
+            target = target.parameter("after", after);
+        }
+        if range.stale {
+            target = target.parameter("stale_ok", 1);
+        }
         let page: Page = self.read(&target, RESPONSE_TIMEOUT).await?;
         let more = page.truncated && !page.items.is_empty();
+        if more && page.items.iter().all(|item| item.key.as_str() <= after) {
+            // The next page would be the same again.
+            return Err(Error::Repeated(after.to_owned()));
+        }
         let records = page.items.into_iter().map(Item::into_record);
         Ok((records.collect(), self.stamp(page.store_revision), more))
     }
@@ -315,7 +335,10 @@
         wait: time::Duration,
     ) -> Result<(Vec<mirror::Record>, Stamp), Error> {
         let ms = wait.as_millis();
-        let target = format!("/kv-watch?prefix={prefix}&after={after}&wait_ms={ms}");
+        let target = target::Target::new("/kv-watch")
+            .parameter("prefix", prefix)
+            .parameter("after", after)
+            .parameter("wait_ms", ms);
         let events: Events = self.read(&target, wait + RESPONSE_TIMEOUT).await?;
         let records = events.events.into_iter().map(Item::into_record).collect();
         Ok((records, self.stamp(events.store_revision)))
@@ -326,16 +349,15 @@
         let body = serde_json::to_vec(&Ttl {
             ttl_s_time: ttl.as_secs_f64(),
         })?;
-        let response = self
-            .call("POST", "/kv-lease", &body, RESPONSE_TIMEOUT)
-            .await?;
+        let target = target::Target::new("/kv-lease");
+        let response = self.call("POST", &target, &body, RESPONSE_TIMEOUT).await?;
         let lease: Lease = serde_json::from_slice(&response)?;
         Ok(lease.lease)
     }
 
     /// Renews a lease.
     pub async fn renew(&mut self, lease: u64) -> Result<(), Error> {
-        let target = format!("/kv-keep/{lease}");
+        let target = target::Target::new("/kv-keep").segment(&lease.to_string());
         self.call("POST", &target, b"", RESPONSE_TIMEOUT)
             .await
             .map(drop)
@@ -343,7 +365,7 @@
 
     /// Revokes a lease, which removes its keys.
     pub async fn end_lease(&mut self, lease: u64) -> Result<(), Error> {
-        let target = format!("/kv-lease-end/{lease}");
+        let target = target::Target::new("/kv-lease-end").segment(&lease.to_string());
         self.call("DELETE", &target, b"", RESPONSE_TIMEOUT)
             .await
             .map(drop)
@@ -371,14 +393,15 @@
             ..Txn::default()
         };
         let body = serde_json::to_vec(&txn)?;
-        self.call("POST", "/kv-txn", &body, RESPONSE_TIMEOUT)
+        let target = target::Target::new("/kv-txn");
+        self.call("POST", &target, &body, RESPONSE_TIMEOUT)
             .await
             .map(drop)
     }
 
     async fn read<T: de::DeserializeOwned>(
         &mut self,
-        target: &str,
+        target: &target::Target,
         limit: time::Duration,
     ) -> Result<T, Error> {
         let response = self.call("GET", target, b"", limit).await?;
@@ -388,10 +411,11 @@
     async fn call(
         &mut self,
         method: &str,
-        target: &str,
+        target: &target::Target,
         body: &[u8],
         limit: time::Duration,
     ) -> Result<Bytes, Error> {
+        let target = target.as_str();
         let response = self.exchange(method, target, body, limit).await;
         count_call(target, response.as_ref().map(|(status, _)| *status));
         let Some((status, response_body)) = response else {
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -16,5 +16,6 @@
 pub mod relay;
 pub mod routes;
 pub mod stated;
+pub mod target;
 pub mod ticket;
 pub mod usage;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod decoding;
 mod entries;
 mod explaining;
+mod foreign_entries;
 mod processes;
 mod read_late;
 mod restored_store;
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -28,11 +28,14 @@
     Busy,
     /// Performs writes but drops their responses.
     DropsResponses,
+    /// Begins each page of a list at the first key.
+    RepeatsPages,
 }
 
 #[derive(Clone, Debug)]
 struct Item {
-    value: String,
+    /// Base64, unless a test writes something else.
+    value: Value,
     rev: u64,
     lease: u64,
 }
@@ -88,10 +91,10 @@
     /// Puts another value in place of a record's, without a trace in the history.
     pub(crate) fn replace_value(&mut self, key: &str, value: &Value) {
         let text = data_encoding::BASE64.encode(value.to_string().as_bytes());
-        self.items.get_mut(key).expect("the record exists").value = text;
+        self.items.get_mut(key).expect("the record exists").value = text.into();
     }
 
-    fn put(&mut self, key: &str, value: String, lease: u64) {
+    fn put(&mut self, key: &str, value: Value, lease: u64) {
         self.revision += 1;
         let item = Item {
             value,
@@ -180,7 +183,7 @@
         let silent_since = inner.silent_since.take();
         match mode {
             Mode::Silent => inner.silent_since = Some(time::Instant::now()),
-            Mode::Up | Mode::Busy | Mode::DropsResponses => {
+            Mode::Up | Mode::Busy | Mode::DropsResponses | Mode::RepeatsPages => {
                 let away = silent_since.map_or(time::Duration::ZERO, |since| since.elapsed());
                 let leases = inner.leases.values_mut();
                 leases.for_each(|lease| lease.ends += away);
@@ -246,7 +249,7 @@
     /// The value of a record.
     pub(crate) fn value(&self, key: &str) -> Option<Value> {
         let inner = self.inner.borrow();
-        let text = &inner.items.get(key)?.value;
+        let text = inner.items.get(key)?.value.as_str().unwrap();
         let bytes = data_encoding::BASE64.decode(text.as_bytes()).unwrap();
         Some(serde_json::from_slice(&bytes).unwrap())
     }
@@ -270,8 +273,8 @@
     }
 
     /// Writes a value in its wire form, without encoding it.
-    pub(crate) fn write_text(&self, key: &str, text: String) {
-        self.inner.borrow_mut().put(key, text, 0);
+    pub(crate) fn write_text(&self, key: &str, text: impl Into<Value>) {
+        self.inner.borrow_mut().put(key, text.into(), 0);
         self.changed.notify_waiters();
     }
 
@@ -293,7 +296,7 @@
                 return std::future::pending().await;
             }
             Mode::Busy => return self.with_epoch(callers::Answer::empty(503)),
-            Mode::Up | Mode::DropsResponses => {}
+            Mode::Up | Mode::DropsResponses | Mode::RepeatsPages => {}
         }
         let answer = self.handle(&req).await;
         let answer = self.with_epoch(answer);
@@ -315,15 +318,22 @@
 
     async fn handle(&self, req: &callers::Request) -> callers::Answer {
         let path = req.head.path();
-        let target = req.head.target();
+        let known: &[&str] = match path {
+            "/kv-range" => &["prefix", "after", "stale_ok"],
+            "/kv-watch" => &["prefix", "after", "wait_ms"],
+            _ => &[],
+        };
+        let Some(query) = parse_query(req.head.target(), known) else {
+            return callers::Answer::empty(400);
+        };
         let body: Value = match &req.payload {
             upstream::Payload::Whole(body) => serde_json::from_slice(body).unwrap_or_default(),
             upstream::Payload::Pieces { .. } => Value::Null,
         };
         let last = path.rsplit('/').next().unwrap_or_default();
         match (req.head.method(), path) {
-            (b"GET", "/kv-range") => self.range(target),
-            (b"GET", "/kv-watch") => self.watch(target).await,
+            (b"GET", "/kv-range") => self.range(&query),
+            (b"GET", "/kv-watch") => self.watch(&query).await,
             (b"POST", "/kv-txn") => self.txn(&body),
             (b"POST", "/kv-lease") => self.lease(&body),
             (b"POST", _) if path.starts_with("/kv-keep/") => self.renew(last),
@@ -336,12 +346,16 @@
         }
     }
 
-    fn range(&self, target: &str) -> callers::Answer {
+    fn range(&self, query: &Query) -> callers::Answer {
         /// Items per page; small, so that a range read takes several pages.
         const PAGE_ITEM_COUNT: usize = 4;
         let inner = self.inner.borrow();
-        let prefix = query(target, "prefix").unwrap_or_default();
-        let after = query(target, "after").unwrap_or_default();
+        let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let prefix = text("prefix");
+        let after = match inner.mode {
+            Mode::RepeatsPages => String::new(),
+            _ => text("after"),
+        };
         let mut items: Vec<Value> = inner
             .items
             .iter()
@@ -356,9 +370,9 @@
         )
     }
 
-    async fn watch(&self, target: &str) -> callers::Answer {
-        let after: u64 = query(target, "after").unwrap().parse().unwrap();
-        let wait: u64 = query(target, "wait_ms").unwrap().parse().unwrap();
+    async fn watch(&self, query: &Query) -> callers::Answer {
+        let after: u64 = query["after"].parse().unwrap();
+        let wait: u64 = query["wait_ms"].parse().unwrap();
         let until = time::Instant::now() + time::Duration::from_millis(wait);
         loop {
             let changed = self.changed.notified();
@@ -405,7 +419,8 @@
             }
             let key = put["key"].as_str().unwrap();
             assert!(!key.starts_with("op/") && !key.starts_with("servers/"));
-            inner.put(key, put["value"].as_str().unwrap().to_owned(), lease);
+            assert!(put["value"].is_string());
+            inner.put(key, put["value"].clone(), lease);
         }
         for key in body["remove"].as_array().into_iter().flatten() {
             inner.remove(key.as_str().unwrap());
@@ -450,12 +465,46 @@
     json!({"key": key, "value": item.value, "rev": item.rev, "created_rev": item.rev, "lease": item.lease})
 }
 
-fn query(target: &str, name: &str) -> Option<String> {
-    let (_, query) = target.split_once('?')?;
-    query.split('&').find_map(|pair| {
-        let (key, value) = pair.split_once('=')?;
-        (key == name).then(|| value.to_owned())
-    })
+/// The decoded parameters of a query.
+type Query = collections::BTreeMap<String, String>;
+
+/// Parses a target as strictly as common servers do. `None` for a target that is no valid URI, or that
+/// has a parameter which is unknown or occurs twice.
+fn parse_query(target: &str, known: &[&str]) -> Option<Query> {
+    let is_allowed = |b: u8| b.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=:@/?%".contains(&b);
+    if !target.bytes().all(is_allowed) {
+        return None;
+    }
+    let (_, query) = target.split_once('?').unwrap_or((target, ""));
+    let mut parameters = Query::new();
+    for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+        let (name, value) = pair.split_once('=')?;
+        let twice = parameters.insert(name.to_owned(), decode_value(value)?);
+        if !known.contains(&name) || twice.is_some() {
+            return None;
+        }
+    }
+    Some(parameters)
+}
+
+/// Decodes a parameter's value as forms do, where `+` stands for a blank. `None` for a `%` without two
+/// digits or for bytes that are no text.
+fn decode_value(value: &str) -> Option<String> {
+    let mut decoded = Vec::new();
+    let mut rest = value.as_bytes();
+    while let [byte, tail @ ..] = rest {
+        rest = tail;
+        match byte {
+            b'%' => {
+                let digits = std::str::from_utf8(tail.get(..2)?).ok()?;
+                decoded.push(u8::from_str_radix(digits, 16).ok()?);
+                rest = &tail[2..];
+            }
+            b'+' => decoded.push(b' '),
+            other => decoded.push(*other),
+        }
+    }
+    String::from_utf8(decoded).ok()
 }
 
 pub(crate) fn json_answer(value: &Value) -> callers::Answer {
