--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -264,6 +264,7 @@
                         contended: cfg.is_contended(),
                         source_ip: net::Ipv4Addr::new(127, 0, 1, n as u8 + 1),
                         max_fds: None,
+                        memory_mb: None,
                         program: program.clone(),
                         dir: dir.to_owned(),
                         node: format!("vm-{n}"),
--- a/tests/platform/processes.rs
+++ b/tests/platform/processes.rs
@@ -93,6 +93,7 @@
             contended: false,
             source_ip: net::Ipv4Addr::LOCALHOST,
             max_fds: None,
+            memory_mb: None,
         }
     }
 
--- a/tests/platform/read_late.rs
+++ b/tests/platform/read_late.rs
@@ -174,6 +174,7 @@
 async fn start_limited(deployment: &Deployment) -> (process::Ports, process::Gateway) {
     let options = process::GatewayOptions {
         max_fds: Some(MAX_FDS),
+        memory_mb: None,
         ..deployment.options("vm-1", deployment.store.addr, &[])
     };
     let gateway = options.spawn().unwrap();
--- a/tests/platform/split_routes.rs
+++ b/tests/platform/split_routes.rs
@@ -108,6 +108,7 @@
                 contended: false,
                 source_ip: net::Ipv4Addr::new(127, 0, 2, n as u8 + 1),
                 max_fds: None,
+                memory_mb: None,
             })
             .collect();
         let processes = vms.iter().map(|vm| Some(vm.spawn().unwrap())).collect();
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -58,6 +58,8 @@
     pub(crate) source_ip: net::Ipv4Addr,
     /// The limit of file descriptors that the settings name.
     pub(crate) max_fds: Option<u64>,
+    /// The limit of memory that the settings name, in MB.
+    pub(crate) memory_mb: Option<u64>,
 }
 
 impl GatewayOptions {
@@ -78,10 +80,12 @@
             .iter()
             .map(|(az, region)| format!("{az} = \"{region}\""))
             .collect();
-        let limits = match self.max_fds {
-            Some(n) => format!("[limits]\nmax_fds = {n}"),
+        let limit = |name: &str, value: Option<u64>| match value {
+            Some(n) => format!("{name} = {n}\n"),
             None => String::new(),
         };
+        let max_fds = limit("max_fds", self.max_fds);
+        let limits = max_fds + &limit("memory_mb", self.memory_mb);
         let seeds: Vec<String> = self.seeds.iter().map(|s| format!("\"{s}\"")).collect();
         format!(
             r#"node = "{node}"
@@ -105,6 +109,7 @@
 [platform]
 addr = "{store}"
 form = "kv"
+[limits]
 {limits}
 "#,
             node = self.node,
@@ -159,9 +164,7 @@
 
     /// Leaves the process as many free file descriptors as this.
     pub(crate) fn limit_descriptors(&self, free: usize) {
-        let id = self.child.id();
-        let open = fs::read_dir(format!("/proc/{id}/fd")).unwrap().count();
-        self.set_descriptor_limit((open + free) as u64);
+        self.set_descriptor_limit((self.open_descriptors() + free) as u64);
     }
 
     /// Sets the process's limit of file descriptors.
@@ -175,6 +178,20 @@
         rustix::process::prlimit(pid, rustix::process::Resource::Nofile, limit).unwrap();
     }
 
+    /// The most memory that the process has had, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.unwrap().trim().trim_end_matches(" kB");
+        kib.parse::<u64>().unwrap() << 10
+    }
+
+    /// Number of the process's open file descriptors.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let id = self.child.id();
+        fs::read_dir(format!("/proc/{id}/fd")).unwrap().count()
+    }
+
     pub(crate) fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
