Chunks that arrive together are one piece, and a connection reads 16 KiB in a turn

Callers of ordinary requests got no answer while others sent bodies in chunks of one byte, nor for seconds after those had closed their connections.

Cause: each chunk was a piece with an allocation, a message between tasks, a chunk line and a write; and a connection read on for up to 128 reads before any other had its turn.

Change: BodyReader joins the chunks in its buffer into one piece and skips a trailer as it arrives. A connection yields after 16 KiB. Heads and short pieces are copied out of the read buffer, which they kept allocated.

--- a/src/protocol/http1.rs
+++ b/src/protocol/http1.rs
@@ -218,7 +218,7 @@
         let target = Span::of(base, parsed.path.unwrap_or_default().as_bytes());
         let minor_version = parsed.version.unwrap_or(1);
         let spans = Fields::spans(base, parsed.headers);
-        let bytes = buf.split_to(len).freeze();
+        let bytes = take_bytes(buf, len);
         let fields = Fields { bytes, spans };
         let framing = fields.framing()?.unwrap_or(Framing::Length(0));
         Ok(Some(Self {
@@ -293,7 +293,7 @@
         let status = parsed.code.unwrap_or_default();
         let minor_version = parsed.version.unwrap_or(1);
         let spans = Fields::spans(base, parsed.headers);
-        let bytes = buf.split_to(len).freeze();
+        let bytes = take_bytes(buf, len);
         let fields = Fields { bytes, spans };
         let has_no_body = is_head_request || status < 200 || status == 204 || status == 304;
         let framing = match fields.framing()? {
@@ -317,12 +317,26 @@
     }
 }
 
+/// Removes bytes from the front of `buf`. Few bytes are copied: they would keep the whole buffer allocated
+/// for as long as they are needed.
+fn take_bytes(buf: &mut BytesMut, len: usize) -> Bytes {
+    if len * 2 >= buf.capacity() {
+        return buf.split_to(len).freeze();
+    }
+    let bytes = Bytes::copy_from_slice(&buf[..len]);
+    buf.advance(len);
+    bytes
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ChunkState {
     Size,
     Data,
     AfterData,
-    Trailer,
+    /// In the trailer; whether its current line is empty so far.
+    Trailer {
+        is_empty: bool,
+    },
 }
 
 /// The longest line between chunks, with its extensions. A longer one would have to be held whole.
@@ -331,6 +345,22 @@
 /// The longest trailer of a chunked body.
 const MAX_TRAILER_BYTES: usize = 64 << 10;
 
+/// Parses the line before a chunk. Returns its length and the size of the chunk; `None` while it is
+/// incomplete.
+fn parse_chunk_size(buf: &[u8]) -> Result<Option<(usize, u64)>, Malformed> {
+    // Nearly all lines hold one or a few digits only.
+    if let [digit, b'\r', b'\n', ..] = buf
+        && let Some(size) = char::from(*digit).to_digit(16)
+    {
+        return Ok(Some((3, u64::from(size))));
+    }
+    match httparse::parse_chunk_size(buf) {
+        Ok(httparse::Status::Complete(parsed)) => Ok(Some(parsed)),
+        Ok(httparse::Status::Partial) if buf.len() <= MAX_CHUNK_LINE_BYTES => Ok(None),
+        Ok(httparse::Status::Partial) | Err(_) => Err(Malformed::Chunk),
+    }
+}
+
 /// Incremental decoder of a body.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyReader {
@@ -375,59 +405,84 @@
         self.done
     }
 
-    /// Removes the next piece of the body from `buf`; `None` at the end or if more input is needed.
+    /// Removes the next piece of the body from `buf`; `None` at the end or if more input is needed. The
+    /// chunks in `buf` are joined, so that a chunk costs little more than its bytes.
     pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
         if self.done || buf.is_empty() {
             return Ok(None);
         }
-        let piece = match self.framing {
-            Framing::UntilClose => Some(buf.split().freeze()),
-            Framing::Length(_) => Some(self.take_remaining(buf)),
-            Framing::Chunked => self.next_chunk(buf)?,
-        };
-        self.bytes_read += piece.as_ref().map_or(0, |p| p.len() as u64);
-        Ok(piece)
+        if self.framing == Framing::Chunked {
+            return self.next_chunks(buf);
+        }
+        let n = self.available(buf);
+        let piece = take_bytes(buf, n);
+        self.consume(n);
+        Ok(Some(piece))
     }
 
-    fn take_remaining(&mut self, buf: &mut BytesMut) -> Bytes {
-        let n = buf
-            .len()
-            .min(usize::try_from(self.remaining).unwrap_or(usize::MAX));
-        self.remaining -= n as u64;
-        self.done = self.remaining == 0 && self.framing != Framing::Chunked;
-        buf.split_to(n).freeze()
+    /// Number of body bytes at the front of `buf`.
+    fn available(&self, buf: &BytesMut) -> usize {
+        match self.framing {
+            Framing::UntilClose => buf.len(),
+            Framing::Length(_) | Framing::Chunked => {
+                let remaining = usize::try_from(self.remaining).unwrap_or(usize::MAX);
+                buf.len().min(remaining)
+            }
+        }
+    }
+
+    /// Counts body bytes that were removed.
+    fn consume(&mut self, n: usize) {
+        self.bytes_read += n as u64;
+        self.remaining = self.remaining.saturating_sub(n as u64);
+        match self.framing {
+            Framing::UntilClose => {}
+            Framing::Length(_) => self.done = self.remaining == 0,
+            Framing::Chunked if self.remaining == 0 => self.chunk_state = ChunkState::AfterData,
+            Framing::Chunked => {}
+        }
+    }
+
+    fn next_chunks(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
+        let mut joined = BytesMut::new();
+        while self.skip_to_data(buf)? {
+            let n = self.available(buf);
+            if joined.is_empty() && n * 2 >= buf.len() {
+                // Most of the input is one chunk.
+                let piece = take_bytes(buf, n);
+                self.consume(n);
+                return Ok(Some(piece));
+            }
+            if joined.is_empty() {
+                joined.reserve(buf.len());
+            }
+            joined.extend_from_slice(&buf[..n]);
+            buf.advance(n);
+            self.consume(n);
+        }
+        let len = joined.len();
+        Ok((len > 0).then(|| take_bytes(&mut joined, len)))
     }
 
-    fn next_chunk(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
-        loop {
+    /// Skips what is between two chunks. Returns whether bytes of the body follow.
+    fn skip_to_data(&mut self, buf: &mut BytesMut) -> Result<bool, Malformed> {
+        while !self.done && !buf.is_empty() {
             match self.chunk_state {
-                ChunkState::Size => match httparse::parse_chunk_size(buf) {
-                    Ok(httparse::Status::Complete((consumed, size))) => {
-                        buf.advance(consumed);
-                        self.remaining = size;
-                        self.chunk_state = match size {
-                            0 => ChunkState::Trailer,
-                            _ => ChunkState::Data,
-                        };
-                    }
-                    Ok(httparse::Status::Partial) if buf.len() <= MAX_CHUNK_LINE_BYTES => {
-                        return Ok(None);
-                    }
-                    Ok(httparse::Status::Partial) | Err(_) => return Err(Malformed::Chunk),
-                },
-                ChunkState::Data => {
-                    if buf.is_empty() {
-                        return Ok(None);
-                    }
-                    let piece = self.take_remaining(buf);
-                    if self.remaining == 0 {
-                        self.chunk_state = ChunkState::AfterData;
-                    }
-                    return Ok(Some(piece));
+                ChunkState::Data => return Ok(true),
+                ChunkState::Size => {
+                    let Some((len, size)) = parse_chunk_size(buf)? else {
+                        return Ok(false);
+                    };
+                    buf.advance(len);
+                    self.remaining = size;
+                    self.chunk_state = match size {
+                        0 => ChunkState::Trailer { is_empty: true },
+                        _ => ChunkState::Data,
+                    };
                 }
                 ChunkState::AfterData => {
                     if buf.len() < 2 {
-                        return Ok(None);
+                        return Ok(false);
                     }
                     if !buf.starts_with(b"\r\n") {
                         return Err(Malformed::Chunk);
@@ -435,23 +490,27 @@
                     buf.advance(2);
                     self.chunk_state = ChunkState::Size;
                 }
-                ChunkState::Trailer => {
-                    let end = buf.iter().position(|b| *b == b'\n');
-                    if self.trailer_bytes + end.unwrap_or(buf.len()) > MAX_TRAILER_BYTES {
-                        return Err(Malformed::Chunk);
-                    }
-                    let Some(end) = end else {
-                        return Ok(None);
-                    };
-                    self.trailer_bytes += end;
-                    let line = buf.split_to(end + 1);
-                    if line.trim_ascii().is_empty() {
-                        self.done = true;
-                        return Ok(None);
-                    }
-                }
+                ChunkState::Trailer { is_empty } => self.skip_trailer(buf, is_empty)?,
             }
         }
+        Ok(false)
+    }
+
+    /// Skips bytes of the trailer, to the end of its current line at most.
+    fn skip_trailer(&mut self, buf: &mut BytesMut, is_empty: bool) -> Result<(), Malformed> {
+        let end = buf.iter().position(|b| *b == b'\n');
+        let len = end.map_or(buf.len(), |end| end + 1);
+        self.trailer_bytes += len;
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+            return Err(Malformed::Chunk);
+        }
+        let is_empty = is_empty && buf[..len].trim_ascii().is_empty();
+        buf.advance(len);
+        self.done = end.is_some() && is_empty;
+        self.chunk_state = ChunkState::Trailer {
+            is_empty: is_empty || end.is_some(),
+        };
+        Ok(())
     }
 }
 
--- a/src/transport/callers/inbound.rs
+++ b/src/transport/callers/inbound.rs
@@ -35,6 +35,10 @@
 /// Bytes that are read ahead of the pending requests.
 pub(super) const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 
+/// Bytes that are read from a connection before others have their turn. Their chunks may be as short as one
+/// byte.
+const TURN_BYTES: usize = 16 << 10;
+
 /// Pieces of a streamed body that are queued for the request's task.
 const MAX_QUEUED_PIECES: usize = 4;
 
@@ -162,6 +166,8 @@
     pub(super) reading: Reading,
     /// Whether the caller may wait for `100 Continue` before it sends the body.
     pub(super) awaits_continue: bool,
+    /// Bytes read in this turn.
+    turn_bytes: usize,
 }
 
 impl Input {
@@ -227,6 +233,10 @@
 
     /// Queues the next piece of a streamed body, or reads more bytes if fewer than `max_bytes` are buffered.
     pub(super) async fn read(&mut self, max_bytes: usize) -> Read {
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            task::yield_now().await;
+        }
         let has_space = self.buf.len() < max_bytes;
         if has_space {
             self.buf.reserve(4 << 10);
@@ -238,6 +248,7 @@
             n = self.rd.read_buf(&mut self.buf), if has_space => {
                 // Bytes after a head belong to its body, so the caller does not wait.
                 self.awaits_continue = false;
+                self.turn_bytes += n.as_ref().copied().unwrap_or_default();
                 return Read::Bytes(not_ended(n));
             }
         };
@@ -276,6 +287,7 @@
                 buf: BytesMut::new(),
                 reading: Reading::Head,
                 awaits_continue: false,
+                turn_bytes: 0,
             },
             pending: collections::VecDeque::new(),
             closed: false,
