Soak: crowds of callers that stop short of the end of their requests

The soak had no such callers, and its processes no limit on memory. The crowds of tests/crowds share the code; their kinds, sizes and bounds are unchanged.

--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -6,7 +6,8 @@
 //! no VM returns to an older configuration, that VMs which are cut off from all backend servers
 //! serve first tries as the others do, that the parts of a split route get their weights over all
 //! VMs, that customers within their shares are served beside one that asks for far more (every
-//! second seed), and that all VMs recover.
+//! second seed), that crowds of callers which stop short of the end of their requests neither end a VM nor use up its
+//! memory, and that all VMs recover.
 //!
 //! ```text
 //! cargo run --release --example soak -- --seeds 10
@@ -15,6 +16,7 @@
 
 mod callers;
 mod competition;
+mod crowds;
 mod cuts;
 mod faults;
 mod restores;
--- a/examples/soak/scene.rs
+++ b/examples/soak/scene.rs
@@ -18,7 +18,7 @@
 use tokio::task;
 
 use super::support::{backend, cut, process, proxy, store};
-use super::{callers, competition, cuts, faults, restores, shares, stops};
+use super::{callers, competition, crowds, cuts, faults, restores, shares, stops};
 
 /// Parameters of one seed's run.
 #[derive(Clone, Debug)]
@@ -264,7 +264,7 @@
                         contended: cfg.is_contended(),
                         source_ip: net::Ipv4Addr::new(127, 0, 1, n as u8 + 1),
                         max_fds: None,
-                        memory_mb: None,
+                        memory_mb: Some(crowds::MEMORY_MB),
                         program: program.clone(),
                         dir: dir.to_owned(),
                         node: format!("vm-{n}"),
@@ -396,7 +396,7 @@
     }
 
     /// Checks that no process ended by itself.
-    fn check_no_exits(&self) {
+    pub(crate) fn check_no_exits(&self) {
         for vm in self.vms.iter().filter(|vm| !vm.restarting.get()) {
             if vm.has_ended() {
                 self.add_violation(format!("{} ended by itself", vm.options.node));
@@ -485,6 +485,7 @@
     let mut share_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48) ^ 1);
     let mut stop_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8) ^ 2);
     let mut upload_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(24) ^ 3);
+    let mut crowd_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(40) ^ 4);
     let mut restore_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) | 1);
     tokio::join!(
         faults::inject(&scene, &mut rng),
@@ -504,6 +505,7 @@
     tasks.iter().for_each(task::JoinHandle::abort);
     scene.check_registrations();
     stops::check(&scene, &mut stop_rng, &mut upload_rng).await;
+    crowds::check(&scene, &mut crowd_rng).await;
     // In the competition most requests are to be refused.
     let before_competition = *scene.counts.borrow();
     scene.check_answered(&before_competition);
--- a/tests/crowds/kinds.rs
+++ b/tests/crowds/kinds.rs
@@ -1,14 +1,11 @@
 //! The kinds of crowds.
 
-use std::net;
-use std::rc;
-use std::time;
-
-use bulrushwind::platform::names::FIELDS;
 use bytes::{BufMut, Bytes, BytesMut};
 
-use super::callers::{Crowd, Parts};
 use super::scene::{self, Scene};
+use super::support::crowd::{
+    chunked, crowd, head, in_chunks, paced, unfinished_head, unread, with_length,
+};
 
 /// Callers of most crowds: a few less than a process admits.
 const CALLERS: usize = 400;
@@ -16,68 +13,6 @@
 /// The longest body that a process buffers.
 const BUFFERED: usize = 256 << 10;
 
-fn head(method: &str, path: &str, n: usize, framing: &str) -> String {
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: example.test\r\n{}: crowd-{n}\r\n{}: 30000\r\n{framing}\r\n",
-        FIELDS.id, FIELDS.timeout_ms
-    )
-}
-
-/// A body with a length of which the last byte is missing.
-fn with_length(n: usize, len: usize) -> Parts {
-    let head = head("POST", "/book/a", n, &format!("Content-Length: {len}\r\n"));
-    vec![head.into(), Bytes::from(vec![b'x'; len - 1])]
-}
-
-/// A body in chunks of this size, with these extensions, whose end is missing.
-fn in_chunks(len: usize, chunk: usize, extension: &str) -> Bytes {
-    let mut body = BytesMut::new();
-    for _ in 0..len / chunk {
-        body.put_slice(format!("{chunk:x}{extension}\r\n").as_bytes());
-        body.put_bytes(b'x', chunk);
-        body.put_slice(b"\r\n");
-    }
-    body.freeze()
-}
-
-fn chunked(n: usize, body: &Bytes) -> Parts {
-    let head = head("POST", "/book/a", n, "Transfer-Encoding: chunked\r\n");
-    vec![head.into(), body.clone()]
-}
-
-/// A head whose last byte is missing.
-fn unfinished_head(n: usize, len: usize) -> Parts {
-    let mut head = head("GET", "/read/a", n, "");
-    let field = "X-Long: ";
-    let filled = len - head.len() - field.len() - 2;
-    head.truncate(head.len() - 2);
-    vec![format!("{head}{field}{}\r\n\r", "y".repeat(filled)).into()]
-}
-
-/// Requests for answers of this length, one behind the other. Nothing is read.
-fn unread(n: usize, requests: usize, len: usize) -> Parts {
-    let path = format!("/read/{n}?bytes={len}");
-    let one = head("GET", &path, n, "");
-    vec![one.into(); requests]
-}
-
-fn crowd(to: net::SocketAddr, size: usize, parts: impl Fn(usize) -> Parts + 'static) -> Crowd {
-    Crowd {
-        to,
-        size,
-        parts: rc::Rc::new(parts),
-        pause: time::Duration::ZERO,
-    }
-}
-
-/// The same at a rate that the backend servers can answer.
-fn paced(to: net::SocketAddr, size: usize, parts: impl Fn(usize) -> Parts + 'static) -> Crowd {
-    Crowd {
-        pause: time::Duration::from_millis(100),
-        ..crowd(to, size, parts)
-    }
-}
-
 /// Guards against memory that grows with the number of bodies that are buffered.
 #[test]
 fn bodies_with_a_length() {
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -8,6 +8,5 @@
 #[expect(dead_code, reason = "shared with the tests of the gateway")]
 mod support;
 
-mod callers;
 mod kinds;
 mod scene;
--- a/tests/crowds/scene.rs
+++ b/tests/crowds/scene.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use tokio::task;
 
-use super::callers::Crowd;
+use super::support::crowd::Crowd;
 use super::support::{backend, cut, process, store};
 
 /// The limits in the settings of each process.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod addrs;
 pub(crate) mod backend;
 pub(crate) mod body;
+pub(crate) mod crowd;
 pub(crate) mod cut;
 pub(crate) mod process;
 pub(crate) mod proxy;
