--- a/examples/soak/crowds.rs
+++ b/examples/soak/crowds.rs
@@ -9,10 +9,10 @@
 use super::support::crowd::{self, Parts};
 
 /// The limit of memory in the settings of each VM.
-pub(crate) const MEMORY_MB: u64 = 64;
+pub(crate) const MEMORY_MB: u64 = 32;
 
 /// Callers of a crowd.
-const CALLERS: usize = 200;
+const CALLERS: usize = 300;
 
 /// What one caller sends.
 fn draw(rng: &mut ChaCha8Rng, n: usize) -> Parts {
