Short chunks are joined in one pass; uploads that are ended name their caller as the reason

A chunk of one byte took three steps over the read buffer, each of which moved its start; now chunks of up to 15 bytes are joined in one pass over the input.

tests/chunks.rs compares with bodies cut at every length, as before.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -25,6 +25,9 @@
 /// Why a request is refused where only customers within their shares find room.
 const ABOVE_SHARE: &str = "its customer is above its share";
 
+/// Why a request ends whose caller makes no progress with its body.
+const CALLER_STALLED: &str = "its caller stalled";
+
 /// Counts a request in progress, however it ends, and records it if its caller left.
 struct InProgress {
     cx: Gateway,
@@ -555,8 +558,13 @@
         }
     }
 
-    /// The answer to a request that a planned stop ends. Its sends in flight are given up.
+    /// The answer to a request that ends because of a planned stop or a caller that makes no progress. Its sends
+    /// in flight are given up.
     fn break_off(&mut self) -> callers::Answer {
+        let why = match self.cancellation.is_stalled() {
+            true => CALLER_STALLED,
+            false => waiting::PLANNED_STOP,
+        };
         self.possible_runs += std::mem::take(&mut self.in_flight);
         let answer = match self.possible_runs {
             0 => {
@@ -564,9 +572,9 @@
                 if self.sends == 0 {
                     self.refund();
                 }
-                self.refuse_unsent(waiting::PLANNED_STOP)
+                self.refuse_unsent(why)
             }
-            _ => self.outcome_unknown(waiting::PLANNED_STOP),
+            _ => self.outcome_unknown(why),
         };
         callers::Answer {
             close: true,
--- a/src/gateway/shedding.rs
+++ b/src/gateway/shedding.rs
@@ -86,7 +86,7 @@
         let mut ended = 0;
         for caller in policy::select_stalled(stalled, in_flight as usize) {
             caller.stalled_since.set(None);
-            caller.end();
+            caller.end_stalled();
             ended += 1;
         }
         if ended == 0 {
--- a/src/protocol/http1.rs
+++ b/src/protocol/http1.rs
@@ -394,6 +394,20 @@
     }
 }
 
+/// Joins the chunks of up to 15 bytes at the front of `input`, which begins with the end of the chunk before
+/// them. Returns the length of the input that was read; it ends with the data of a chunk.
+fn join_short_chunks(input: &[u8], joined: &mut Vec<u8>) -> usize {
+    let mut rest = input;
+    while let [b'\r', b'\n', digit, b'\r', b'\n', data @ ..] = rest
+        && let Some(size @ 1..) = char::from(*digit).to_digit(16)
+        && let Some((data, after)) = data.split_at_checked(size as usize)
+    {
+        joined.extend_from_slice(data);
+        rest = after;
+    }
+    input.len() - rest.len()
+}
+
 /// Incremental decoder of a body.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyReader {
@@ -477,7 +491,7 @@
     }
 
     fn next_chunks(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
-        let mut joined = BytesMut::new();
+        let mut joined = Vec::new();
         while self.skip_to_data(buf)? {
             let n = self.available(buf);
             if joined.is_empty() && n * 2 >= buf.len() {
@@ -492,9 +506,14 @@
             joined.extend_from_slice(&buf[..n]);
             buf.advance(n);
             self.consume(n);
+            if self.chunk_state == ChunkState::AfterData {
+                let before = joined.len();
+                let len = join_short_chunks(buf, &mut joined);
+                buf.advance(len);
+                self.bytes_read += (joined.len() - before) as u64;
+            }
         }
-        let len = joined.len();
-        Ok((len > 0).then(|| take_bytes(&mut joined, len)))
+        Ok((!joined.is_empty()).then(|| Bytes::copy_from_slice(&joined)))
     }
 
     /// Skips what is between two chunks. Returns whether bytes of the body follow.
--- a/src/transport/callers/inbound.rs
+++ b/src/transport/callers/inbound.rs
@@ -660,7 +660,7 @@
         let head = match &self.inbound.input.reading {
             Reading::Streamed { .. } => {
                 if let Some(last) = self.inbound.pending.back() {
-                    last.cancellation.end();
+                    last.cancellation.end_stalled();
                 }
                 self.inbound.close(Reason::Shed);
                 return;
--- a/src/transport/callers/pending.rs
+++ b/src/transport/callers/pending.rs
@@ -25,6 +25,8 @@
     pub stalled_since: cell::Cell<Option<time::Instant>>,
     /// Set once its answer is relayed before it is complete.
     pub relayed: cell::Cell<bool>,
+    /// Set if the request is ended because its caller makes no progress.
+    stalled: cell::Cell<bool>,
     ended: sync::Notify,
 }
 
@@ -34,6 +36,17 @@
         self.ended.notify_one();
     }
 
+    /// The same because the caller makes no progress with the request's body.
+    pub fn end_stalled(&self) {
+        self.stalled.set(true);
+        self.end();
+    }
+
+    /// Whether the request is ended because its caller makes no progress.
+    pub fn is_stalled(&self) -> bool {
+        self.stalled.get()
+    }
+
     /// Waits until the answer is due at once.
     pub async fn ended(&self) {
         self.ended.notified().await;
