Reading of a caller's bytes in a file of its own; the adapter only translates

The check of a backend server's name, the epoch that the store states, the log of rejected records and the reading of a body leave the adapter for the modules that use them. No behaviour changes.

--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -195,13 +195,17 @@
         self.drop_backend(id, "entry cannot be read")
     }
 
-    /// Whether a record of the store is the first one rejected under its key since the key was last
-    /// removed. False for further keys once many are remembered.
-    pub fn is_first_rejection(&self, key: &str) -> bool {
+    /// Logs a record of the store that is not used: once for each key until the key is removed, since its
+    /// writer may go on writing it.
+    pub fn log_rejected(&self, key: &str, err: &impl std::fmt::Display) {
         /// More keys than this are not logged, so that the set stays small.
         const MAX_REJECTED_KEYS: usize = 1024;
         let mut rejected = self.rejected_keys.borrow_mut();
-        rejected.len() < MAX_REJECTED_KEYS && rejected.insert(affinity::hash(key.as_bytes()))
+        let is_first =
+            rejected.len() < MAX_REJECTED_KEYS && rejected.insert(affinity::hash(key.as_bytes()));
+        if is_first && let Some(left_out) = self.log_limiter.admit("rejected", self.now()) {
+            slog::warn!(self.log, "record from the store rejected"; "key" => key, "error" => %err, "left_out" => left_out);
+        }
     }
 
     /// Forgets that a record of this key was rejected.
--- a/src/id.rs
+++ b/src/id.rs
@@ -15,6 +15,15 @@
     TeamId;
 }
 
+impl VmId {
+    /// A name of letters, digits and `-._~:`. `None` for any other text, which may be no valid field value.
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_allowed = |b: u8| b.is_ascii_alphanumeric() || b"-._~:".contains(&b);
+        let is_name = !text.is_empty() && text.bytes().all(is_allowed);
+        is_name.then(|| text.into())
+    }
+}
+
 key! {
     /// Identifies one start of a process. A restart at the same address gets a larger value.
     pub struct Incarnation(pub u64);
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -252,15 +252,10 @@
     }
 }
 
-/// Decodes the name of a backend server from its key without the prefix. Fails if the name is empty or has
-/// other characters than letters, digits and `-._~:`: another program wrote the record, and the name would
-/// not be a valid field value of requests.
+/// Decodes the name of a backend server from its key without the prefix.
 pub fn backend_name(key_suffix: &str) -> Result<id::VmId, Error> {
-    let is_allowed = |b: u8| b.is_ascii_alphanumeric() || b"-._~:".contains(&b);
-    match !key_suffix.is_empty() && key_suffix.bytes().all(is_allowed) {
-        true => Ok(key_suffix.into()),
-        false => Err(Error::Name(key_suffix.to_owned())),
-    }
+    let name = id::VmId::parse(key_suffix);
+    name.ok_or_else(|| Error::Name(key_suffix.to_owned()))
 }
 
 /// Decodes a backend server's record that was read at `now`. Fails if a field is missing or invalid.
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -58,17 +58,17 @@
     /// Takes over the epoch that the last response stated. Logs a new one, and one that cannot be read.
     fn update_epoch(&mut self) {
         match self.client.epoch() {
-            store::StatedEpoch::Known(epoch) if Some(*epoch) != self.epoch => {
+            mirror::StatedEpoch::Known(epoch) if Some(*epoch) != self.epoch => {
                 slog::info!(self.cx.log, "store's epoch"; "epoch" => epoch, "before" => self.epoch);
                 metrics::gauge!(metric_names::STORE_EPOCH).set(*epoch as f64);
                 self.epoch = Some(*epoch);
             }
-            store::StatedEpoch::Unreadable(text) => {
+            mirror::StatedEpoch::Unreadable(text) => {
                 if let Some(left_out) = self.cx.log_limiter.admit("epoch", self.cx.now()) {
                     slog::warn!(self.cx.log, "store's epoch cannot be read; going by its revisions alone"; "value" => text, "left_out" => left_out);
                 }
             }
-            store::StatedEpoch::Known(_) | store::StatedEpoch::Missing => {}
+            mirror::StatedEpoch::Known(_) | mirror::StatedEpoch::Missing => {}
         }
     }
 
@@ -126,22 +126,13 @@
         Ok(match decode::backend(value, self.cx.now()) {
             Ok(listed) => self.cx.update_backend(name, listed),
             Err(err) => {
-                self.log_rejected(&format!("{}{name}", names::BACKEND_PREFIX), &err);
+                self.cx
+                    .log_rejected(&format!("{}{name}", names::BACKEND_PREFIX), &err);
                 self.cx.remove_unreadable_backend(name).into()
             }
         })
     }
 
-    /// Logs a record that is not used: the first time for each key, since its writer may go on writing it.
-    fn log_rejected(&self, key: &str, err: &decode::Error) {
-        if !self.cx.is_first_rejection(key) {
-            return;
-        }
-        if let Some(left_out) = self.cx.log_limiter.admit("rejected", self.cx.now()) {
-            slog::warn!(self.cx.log, "record from the store rejected"; "key" => key, "error" => %err, "left_out" => left_out);
-        }
-    }
-
     fn apply_entry(&self, vm: &id::VmId, value: Option<&[u8]>) -> Result<Effect, decode::Error> {
         let changed = match value {
             Some(value) => self.cx.update_entry(vm, decode::entry(value)?),
@@ -224,7 +215,7 @@
             self.cx.forget_rejection(&record.key);
         }
         self.try_apply(record).unwrap_or_else(|err| {
-            self.log_rejected(&record.key, &err);
+            self.cx.log_rejected(&record.key, &err);
             Effect::Rejected
         })
     }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -45,7 +45,6 @@
     cores: f64,
     /// File descriptors, those for files included; 0: no limit is named.
     max_fds: f64,
-    /// Memory; 0: no limit is named.
     memory_mb: f64,
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,13 +3,13 @@
 use std::net;
 use std::time;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future;
 use serde::de;
 
 use crate::coordination::list_ranges;
 use crate::metrics as metric_names;
-use crate::protocol::{http1, mirror, target};
+use crate::protocol::{mirror, target};
 use crate::transport::{socket, upstream};
 
 /// Timeout for connecting.
@@ -69,12 +69,11 @@
     /// The bytes. Invalid base64 yields an empty value, which no decoder accepts. An error here would
     /// discard all other items of the response, in every call, for as long as one value is invalid.
     fn into_bytes(self) -> Bytes {
-        match self {
+        let decoded = match self {
             Self::Base64(text) => data_encoding::BASE64.decode(text.as_bytes()),
-            Self::Other(_) => Ok(Vec::new()),
-        }
-        .unwrap_or_default()
-        .into()
+            Self::Other(_) => return Bytes::new(),
+        };
+        decoded.unwrap_or_default().into()
     }
 }
 
@@ -175,37 +174,12 @@
     stale: bool,
 }
 
-/// What a response says of the store's epoch, which grows when the store returns from an older copy.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum StatedEpoch {
-    /// Nothing.
-    #[default]
-    Missing,
-    /// This epoch.
-    Known(u64),
-    /// A value that is no epoch.
-    Unreadable(String),
-}
-
-impl StatedEpoch {
-    fn parse(fields: &http1::Fields) -> Self {
-        let Some(value) = fields.get(super::names::STORE_EPOCH) else {
-            return Self::Missing;
-        };
-        let text = String::from_utf8_lossy(value);
-        match text.trim().parse() {
-            Ok(epoch) => Self::Known(epoch),
-            Err(_) => Self::Unreadable(text.into_owned()),
-        }
-    }
-}
-
 /// A connection to the store, which carries one call at a time.
 #[derive(Debug)]
 pub struct Client {
     addr: net::SocketAddr,
     wire: Option<socket::Wire>,
-    epoch: StatedEpoch,
+    epoch: mirror::StatedEpoch,
 }
 
 impl Client {
@@ -214,12 +188,12 @@
         Self {
             addr,
             wire: None,
-            epoch: StatedEpoch::default(),
+            epoch: mirror::StatedEpoch::default(),
         }
     }
 
     /// What the last response said of the store's epoch.
-    pub fn epoch(&self) -> &StatedEpoch {
+    pub fn epoch(&self) -> &mirror::StatedEpoch {
         &self.epoch
     }
 
@@ -321,8 +295,8 @@
     /// The stamp of the response that has just been read.
     fn stamp(&self, revision: u64) -> Stamp {
         let epoch = match self.epoch {
-            StatedEpoch::Known(epoch) => Some(epoch),
-            StatedEpoch::Missing | StatedEpoch::Unreadable(_) => None,
+            mirror::StatedEpoch::Known(epoch) => Some(epoch),
+            mirror::StatedEpoch::Missing | mirror::StatedEpoch::Unreadable(_) => None,
         };
         Stamp { epoch, revision }
     }
@@ -441,10 +415,10 @@
     ) -> Option<(u16, Bytes)> {
         let response = tokio::time::timeout(limit, self.send(method, target, body)).await;
         let (mut wire, received) = response.ok()??;
-        self.epoch = StatedEpoch::parse(&received.head.fields);
-        let response_body =
-            tokio::time::timeout(BODY_TIMEOUT, read_body(&mut wire, received.head.framing)).await;
-        let response_body = response_body.ok()??;
+        let stated = received.head.fields.get(super::names::STORE_EPOCH);
+        self.epoch = mirror::StatedEpoch::parse(stated);
+        let body = upstream::read_body(&mut wire, received.head.framing, RESPONSE_TIMEOUT);
+        let response_body = tokio::time::timeout(BODY_TIMEOUT, body).await.ok()??;
         if received.reusable {
             self.wire = Some(wire);
         }
@@ -495,17 +469,3 @@
     metrics::counter!(metric_names::STORE_CALLS, "call" => call.to_owned(), "outcome" => outcome)
         .increment(1);
 }
-
-/// Reads a response body; `None` if the connection fails or no piece arrives within the timeout.
-async fn read_body(wire: &mut socket::Wire, framing: http1::Framing) -> Option<Bytes> {
-    let mut reader = http1::BodyReader::new(framing);
-    let mut body = BytesMut::new();
-    loop {
-        let piece =
-            tokio::time::timeout(RESPONSE_TIMEOUT, upstream::next_piece(wire, &mut reader)).await;
-        match piece.ok()?.ok()? {
-            Some(piece) => body.extend_from_slice(&piece),
-            None => return Some(body.freeze()),
-        }
-    }
-}
--- a/src/protocol/mirror.rs
+++ b/src/protocol/mirror.rs
@@ -6,6 +6,32 @@
 use bytes::Bytes;
 use flate2::{read, write};
 
+/// What a response says of the store's epoch, which grows when the store returns from an older copy.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum StatedEpoch {
+    /// Nothing.
+    #[default]
+    Missing,
+    /// This epoch.
+    Known(u64),
+    /// A value that is no epoch.
+    Unreadable(String),
+}
+
+impl StatedEpoch {
+    /// Parses the value of the field that states it.
+    pub fn parse(value: Option<&[u8]>) -> Self {
+        let Some(value) = value else {
+            return Self::Missing;
+        };
+        let text = String::from_utf8_lossy(value);
+        match text.trim().parse() {
+            Ok(epoch) => Self::Known(epoch),
+            Err(_) => Self::Unreadable(text.into_owned()),
+        }
+    }
+}
+
 data! {
     /// A key of the store with its value, which this module does not interpret.
     pub struct Record {
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod ending;
 mod inbound;
+mod input;
 mod pending;
 mod refusing;
 mod writing;
@@ -30,7 +31,8 @@
 
 pub use answer::{Answer, Body};
 pub use ending::{Fate, Partial, Reason};
-use inbound::{Inbound, MAX_READ_AHEAD_BYTES, Reading};
+use inbound::Inbound;
+use input::{MAX_READ_AHEAD_BYTES, Read, Reading};
 pub use pending::Cancellation;
 use pending::{Pending, first_answer};
 
@@ -192,7 +194,7 @@
 
 enum Step {
     Answer(Answer),
-    Read(inbound::Read),
+    Read(Read),
     TimedOut,
     Evicted,
     Shed,
@@ -220,13 +222,13 @@
                         return Ok(());
                     }
                 }
-                Step::Read(inbound::Read::Bytes(n)) => {
+                Step::Read(Read::Bytes(n)) => {
                     let (n, now) = (n?, time::Instant::now());
                     self.note_delay(now)?;
                     self.last_active = now;
                     self.slot.progress(now, n);
                 }
-                Step::Read(inbound::Read::Queued) => {}
+                Step::Read(Read::Queued) => {}
                 Step::TimedOut => return self.timed_out().await,
                 Step::Evicted => {
                     if !self.read_arrived().await? {
@@ -400,7 +402,7 @@
                 self.inbound.input.read(MAX_READ_AHEAD_BYTES),
             );
             tokio::select! {
-                read = read => if !matches!(read, Ok(inbound::Read::Queued | inbound::Read::Bytes(Ok(_)))) {
+                read = read => if !matches!(read, Ok(Read::Queued | Read::Bytes(Ok(_)))) {
                     return;
                 },
                 () = next_phase(&mut self.stop) => {}
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -219,3 +219,20 @@
         }
     }
 }
+
+/// Receives the body of an answer; `None` if the connection fails or a piece takes longer than the timeout.
+pub async fn read_body(
+    wire: &mut socket::Wire,
+    framing: http1::Framing,
+    timeout: time::Duration,
+) -> Option<Bytes> {
+    let mut reader = http1::BodyReader::new(framing);
+    let mut body = BytesMut::new();
+    loop {
+        let piece = tokio::time::timeout(timeout, next_piece(wire, &mut reader)).await;
+        match piece.ok()?.ok()? {
+            Some(piece) => body.extend_from_slice(&piece),
+            None => return Some(body.freeze()),
+        }
+    }
+}
