Messages to a VM that accepts a link are limited to 4 KiB

A partly received message is held by the library and not in the account of memory. With 64 KiB for each of up to a quarter of the descriptors (975 of 4,100), strangers could have made a process hold 62 MB beside its account, by the sizes in the code. The messages name a position or a backend server and take some hundred bytes.

Run: 132 tests of links, following, tunnels, processes and the crowd of links pass (debug). Found by reading; no test failed before.

--- a/src/transport/mirror.rs
+++ b/src/transport/mirror.rs
@@ -173,7 +173,7 @@
 }
 
 /// The longest message to a VM that accepts a link: it is asked for records or for a tunnel.
-const MAX_REQUEST_BYTES: usize = 64 << 10;
+const MAX_REQUEST_BYTES: usize = 4 << 10;
 
 fn config() -> protocol::WebSocketConfig {
     protocol::WebSocketConfig::default()
